Serve a chat request from caller to engine through separate layers

The demo runs all of it on loopback.

hyper serves callers: rouille holds streamed tokens in an 8 KiB buffer, and tiny_http bounds neither the length nor the duration of a request head.

--- /dev/null
+++ b/crates/core/src/coordination.rs
@@ -0,0 +1,4 @@
+//! Decisions that the processes make together.
+
+pub mod rendezvous;
+pub mod scheduler;
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,20 @@
+//! State and decision logic of waxwingrouter, free of I/O.
+//!
+//! Every decision is a function of `(state, input, now)` that returns effects. The callers pass the clock and the
+//! random source, so each decision can be tested and model checked without threads or sockets.
+
+pub mod coordination;
+pub mod error;
+pub mod state;
+
+mod name;
+mod reason;
+mod ticket;
+
+pub use error::Error;
+pub use error::Result;
+pub use name::Name;
+pub use reason::Reason;
+pub use reason::Refusal;
+pub use reason::Run;
+pub use ticket::TicketId;
--- /dev/null
+++ b/crates/core/src/reason.rs
@@ -0,0 +1,137 @@
+//! Reasons of refusals, and what each says about execution.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Whether a refused request may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Run {
+    /// The request certainly did not run.
+    NotRun,
+    /// The request may have run, in part or in full.
+    Unknown,
+}
+
+macro_rules! reasons {
+    ($($(#[$doc:meta])* $variant:ident $text:literal $status:literal;)*) => {
+        /// Why a request was refused.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        pub enum Reason {
+            $($(#[$doc])* #[serde(rename = $text)] $variant,)*
+        }
+
+        impl Reason {
+            /// All reasons, in the order of the documentation.
+            pub const ALL: &'static [Reason] = &[$(Reason::$variant,)*];
+
+            /// Returns the name that callers and counters see.
+            pub fn as_str(self) -> &'static str {
+                match self {
+                    $(Reason::$variant => $text,)*
+                }
+            }
+
+            /// Returns the HTTP status code that carries the reason.
+            pub fn to_status(self) -> u16 {
+                match self {
+                    $(Reason::$variant => $status,)*
+                }
+            }
+        }
+    };
+}
+
+reasons! {
+    /// The request is malformed.
+    BadRequest "bad_request" 400;
+    /// The body exceeds the limit.
+    BodyTooLarge "body_too_large" 413;
+    /// The class does not exist.
+    UnknownClass "unknown_class" 400;
+    /// A non-idempotent class needs an idempotency key.
+    KeyRequired "key_required" 400;
+    /// The idempotency key is not a UUID of version 7.
+    KeyMalformed "key_malformed" 400;
+    /// The API key is missing or unknown.
+    Unauthorised "unauthorised" 401;
+    /// The organisation may not use the class.
+    ClassNotAllowed "class_not_allowed" 403;
+    /// The deadline passed before the request was started.
+    DeadlinePassed "deadline_passed" 504;
+    /// The deadline cannot be met any more.
+    DeadlineUnreachable "deadline_unreachable" 503;
+    /// The queue of the pool or the daemon is full.
+    QueueFull "queue_full" 503;
+    /// The organisation is at its limit.
+    OrganisationLimit "organisation_limit" 429;
+    /// The class is at its limit.
+    ClassLimit "class_limit" 429;
+    /// The request made room for one of a more urgent tier.
+    Shed "shed" 503;
+    /// The pool has no usable endpoint.
+    NoEndpoint "no_endpoint" 503;
+    /// The VM is stopping.
+    Stopping "stopping" 503;
+    /// The VM has no settings yet.
+    NoSettings "no_settings" 503;
+    /// The idempotency key was used with another body.
+    KeyReused "key_reused" 422;
+    /// The idempotency key is older than its lifetime.
+    KeyTooOld "key_too_old" 409;
+    /// A request with the same idempotency key is running.
+    InProgress "in_progress" 409;
+    /// A claim for the key exists, its outcome does not.
+    OutcomeUnknown "outcome_unknown" 409;
+    /// The log service cannot be reached.
+    LogUnavailable "log_unavailable" 503;
+    /// The key range changes its owner.
+    RangeHandover "range_handover" 503;
+    /// The content crashes endpoints.
+    ContentRefused "content_refused" 422;
+    /// The endpoint failed while it ran the request.
+    EndpointFailed "endpoint_failed" 502;
+    /// The stream was cut and cannot be resumed.
+    StreamCut "stream_cut" 502;
+    /// The request was preempted too often.
+    PreemptLimit "preempt_limit" 502;
+    /// The organisation has no retries left.
+    RetryBudget "retry_budget" 503;
+    /// The job does not exist.
+    UnknownJob "unknown_job" 404;
+}
+
+/// A final answer that no result will follow.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// Whether the request may have run.
+    pub run: Run,
+    /// When the caller may try again, in milliseconds from now.
+    pub retry_after_ms: u64,
+    /// One sentence for a person.
+    pub message: String,
+}
+
+impl Refusal {
+    /// Creates a refusal of a request that certainly did not run.
+    pub fn not_run(reason: Reason, retry_after_ms: u64, message: impl Into<String>) -> Self {
+        Self {
+            reason,
+            run: Run::NotRun,
+            retry_after_ms,
+            message: message.into(),
+        }
+    }
+
+    /// Creates a refusal of a request that may have run.
+    pub fn unknown(reason: Reason, retry_after_ms: u64, message: impl Into<String>) -> Self {
+        Self {
+            reason,
+            run: Run::Unknown,
+            retry_after_ms,
+            message: message.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/state.rs
@@ -0,0 +1,3 @@
+//! Shared state: the settings tree and what is replayed from log streams.
+
+pub mod settings;
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/router/src/demo.rs
@@ -0,0 +1,67 @@
+//! A daemon, a stand-in platform and a stand-in engine in one process on loopback.
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use waxwing_standin::engine;
+use waxwing_standin::log as log_service;
+use waxwing_wire::platform::Append;
+
+use crate::config::Config;
+use crate::daemon;
+use crate::settings_sync;
+use crate::transport::log_client::LogClient;
+
+const CALLER_ADDRESS: &str = "127.0.0.1:8080";
+
+/// API key of the demo's organisation.
+const API_KEY: &str = "demo-key";
+
+/// Runs the demo until it is told to stop.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound or a thread cannot be started.
+pub fn run() -> daemon::Result<()> {
+    let log_address = log_service::start("127.0.0.1:0")?;
+    let engine_address = engine::start("127.0.0.1:0", engine::Config::default())?;
+    let settings = format!(
+        r#"
+[pools.chat]
+kind = "model"
+[[pools.chat.endpoints]]
+name = "engine-1"
+address = "{engine_address}"
+data_centre = "local"
+[organisations.demo]
+team = "demo"
+key_hashes = ["{}"]
+[teams.demo.classes.draft]
+pool = "chat"
+tier = 1
+target_ms = 1000
+deadline_ms = 30000
+"#,
+        blake3::hash(API_KEY.as_bytes()).to_hex()
+    );
+    let append = Append {
+        records: vec![STANDARD.encode(settings)],
+    };
+    LogClient::new(&log_address.to_string())
+        .append(settings_sync::STREAM, &append)
+        .map_err(std::io::Error::other)?;
+    let config = format!(
+        r#"
+[vm]
+name = "demo"
+data_centre = "local"
+caller_address = "{CALLER_ADDRESS}"
+peer_address = "127.0.0.1:8081"
+operator_address = "127.0.0.1:8082"
+[platform]
+log_address = "{log_address}"
+"#
+    );
+    let config = Config::parse("demo", &config).map_err(std::io::Error::other)?;
+    println!("listening on {CALLER_ADDRESS}, API key {API_KEY}, class draft");
+    daemon::run(config)
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,13 @@
+//! The waxwingrouter daemon: the threads of an entry VM and what they share.
+
+pub mod config;
+pub mod daemon;
+pub mod demo;
+pub mod logging;
+pub mod metric;
+pub mod operator;
+pub mod request;
+pub mod scheduling;
+pub mod settings_sync;
+pub mod shared;
+pub mod transport;
--- /dev/null
+++ b/crates/router/src/main.rs
@@ -0,0 +1,93 @@
+//! Command line of the waxwingrouter daemon.
+
+use std::process::ExitCode;
+
+use lexopt::Arg;
+use lexopt::ValueExt;
+use waxwingrouter::config::Config;
+use waxwingrouter::daemon;
+use waxwingrouter::demo;
+
+const HELP: &str = "\
+Routes language-model traffic with service levels and priorities.
+
+Usage:
+  waxwingrouter run FILE     run the daemon with the settings of this VM
+  waxwingrouter check FILE   check the settings of this VM and exit
+  waxwingrouter demo         run a daemon, a stand-in platform and a stand-in engine on loopback
+  waxwingrouter --help       print this help
+
+Exit codes: 0 success, 1 failure while running, 2 wrong command line, 3 invalid settings.
+";
+
+enum Command {
+    Run(String),
+    Check(String),
+    Demo,
+    Help,
+}
+
+fn main() -> ExitCode {
+    let command = match to_command() {
+        Ok(command) => command,
+        Err(error) => {
+            eprintln!("waxwingrouter: {error}; see waxwingrouter --help");
+            return ExitCode::from(2);
+        }
+    };
+    match command {
+        Command::Help => {
+            print!("{HELP}");
+            ExitCode::SUCCESS
+        }
+        Command::Check(file) => match to_config(&file) {
+            Ok(_) => {
+                println!("{file}: no findings");
+                ExitCode::SUCCESS
+            }
+            Err(code) => code,
+        },
+        Command::Run(file) => match to_config(&file) {
+            Ok(config) => to_exit_code(daemon::run(config)),
+            Err(code) => code,
+        },
+        Command::Demo => to_exit_code(demo::run()),
+    }
+}
+
+fn to_command() -> Result<Command, lexopt::Error> {
+    let mut parser = lexopt::Parser::from_env();
+    let mut words: Vec<String> = Vec::new();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Command::Help),
+            Arg::Value(value) => words.push(value.string()?),
+            Arg::Short(_) | Arg::Long(_) => return Err(arg.unexpected()),
+        }
+    }
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["run", file] => Ok(Command::Run((*file).to_owned())),
+        ["check", file] => Ok(Command::Check((*file).to_owned())),
+        ["demo"] => Ok(Command::Demo),
+        [] => Err("a command is missing".into()),
+        _ => Err(format!("unknown command `{}`", words.join(" ")).into()),
+    }
+}
+
+fn to_config(file: &str) -> Result<Config, ExitCode> {
+    Config::read(file).map_err(|error| {
+        eprintln!("{error}");
+        ExitCode::from(3)
+    })
+}
+
+fn to_exit_code(result: Result<(), daemon::Error>) -> ExitCode {
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("waxwingrouter: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/request/admit.rs
@@ -0,0 +1,202 @@
+//! Checks of a request before it may wait for a slot.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use waxwing_core::Name;
+use waxwing_core::Reason;
+use waxwing_core::Refusal;
+use waxwing_core::state::settings::Class;
+use waxwing_core::state::settings::Organisation;
+use waxwing_wire::caller::CLASS_HEADER;
+use waxwing_wire::caller::DEADLINE_HEADER;
+use waxwing_wire::caller::IDEMPOTENCY_KEY_HEADER;
+use waxwing_wire::caller::REQUEST_ID_HEADER;
+use waxwing_wire::chat::ChatRequest;
+
+use crate::request::exchange::Exchange;
+use crate::shared::Shared;
+
+/// Result of the checks.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// Time after which a caller may come back when there are no settings yet, in milliseconds.
+const NO_SETTINGS_RETRY_AFTER_MS: u64 = 1_000;
+
+/// Longest request id that a caller may choose, in bytes.
+const REQUEST_ID_MAX_BYTES: usize = 128;
+
+/// What a request is addressed to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Target {
+    /// The model pool of the class.
+    Chat,
+    /// A call to a plain service.
+    Service {
+        /// Pool.
+        pool: Name,
+        /// Path of the call.
+        path: String,
+    },
+}
+
+/// A request that passed all checks.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Id for logs and the caller.
+    pub request_id: String,
+    /// Organisation.
+    pub organisation: Name,
+    /// Settings of the organisation.
+    pub organisation_settings: Organisation,
+    /// Class, with the team as prefix.
+    pub class: Name,
+    /// Settings of the class.
+    pub class_settings: Class,
+    /// When the request was received.
+    pub received: Instant,
+    /// When its answer must be whole.
+    pub deadline: Instant,
+    /// Idempotency key.
+    pub idempotency_key: Option<uuid::Uuid>,
+    /// What it is addressed to.
+    pub target: Target,
+    /// Body as received.
+    pub body: Vec<u8>,
+    /// Parsed body of a chat request.
+    pub chat: Option<ChatRequest>,
+}
+
+/// Checks a request.
+///
+/// # Errors
+///
+/// Fails with the refusal that the caller has to receive; the request was not run.
+pub fn to_job(shared: &Shared, exchange: &Exchange, target: Target) -> Result<Job> {
+    let view = shared.view();
+    if view.settings_version == 0 {
+        let message = "this VM has no settings yet";
+        return Err(Refusal::not_run(
+            Reason::NoSettings,
+            NO_SETTINGS_RETRY_AFTER_MS,
+            message,
+        ));
+    }
+    let key = to_api_key(exchange)?;
+    let Some((organisation, organisation_settings)) = view.settings.to_organisation(key) else {
+        return Err(refuse(Reason::Unauthorised, "the API key is unknown"));
+    };
+    let team = &organisation_settings.team;
+    let wanted = exchange
+        .header(CLASS_HEADER)
+        .ok_or_else(|| refuse(Reason::UnknownClass, "the header Waxwing-Class is missing"))?;
+    let Some((class, class_settings)) = view.settings.to_class(team, wanted) else {
+        let message = format!("team {team} has no class `{wanted}`");
+        return Err(refuse(Reason::UnknownClass, message));
+    };
+    let chat = to_chat(exchange, &target)?;
+    if let Target::Service { pool, .. } = &target
+        && *pool != class_settings.pool
+    {
+        let message = format!(
+            "class {class} is served by pool {}, not {pool}",
+            class_settings.pool
+        );
+        return Err(refuse(Reason::ClassNotAllowed, message));
+    }
+    Ok(Job {
+        request_id: to_request_id(exchange)?,
+        organisation: organisation.clone(),
+        organisation_settings: organisation_settings.clone(),
+        class: Name::from(format!("{team}/{class}")),
+        class_settings: class_settings.clone(),
+        received: exchange.received(),
+        deadline: to_deadline(exchange, class_settings)?,
+        idempotency_key: to_idempotency_key(exchange, class_settings)?,
+        target,
+        body: exchange.body().to_vec(),
+        chat,
+    })
+}
+
+fn refuse(reason: Reason, message: impl Into<String>) -> Refusal {
+    Refusal::not_run(reason, 0, message)
+}
+
+fn to_api_key(exchange: &Exchange) -> Result<&str> {
+    let header = exchange.header("authorization").unwrap_or("");
+    header.strip_prefix("Bearer ").ok_or_else(|| {
+        refuse(
+            Reason::Unauthorised,
+            "the header Authorization: Bearer KEY is missing",
+        )
+    })
+}
+
+fn to_request_id(exchange: &Exchange) -> Result<String> {
+    let Some(id) = exchange.header(REQUEST_ID_HEADER) else {
+        return Ok(uuid::Uuid::new_v4().to_string());
+    };
+    let is_plain = id
+        .bytes()
+        .all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte));
+    if id.is_empty() || id.len() > REQUEST_ID_MAX_BYTES || !is_plain {
+        let message =
+            "Waxwing-Request-Id must be 1 to 128 letters, digits, dots, hyphens or underscores";
+        return Err(refuse(Reason::BadRequest, message));
+    }
+    Ok(id.to_owned())
+}
+
+fn to_chat(exchange: &Exchange, target: &Target) -> Result<Option<ChatRequest>> {
+    if *target != Target::Chat {
+        return Ok(None);
+    }
+    match serde_json::from_slice(exchange.body()) {
+        Ok(chat) => Ok(Some(chat)),
+        Err(error) => {
+            let message = format!("the body is not a chat-completions request: {error}");
+            Err(refuse(Reason::BadRequest, message))
+        }
+    }
+}
+
+fn to_deadline(exchange: &Exchange, class: &Class) -> Result<Instant> {
+    let Some(text) = exchange.header(DEADLINE_HEADER) else {
+        return Ok(exchange.received() + Duration::from_millis(class.deadline_ms));
+    };
+    let left_ms: i64 = text.parse().map_err(|_| {
+        let message = format!("Waxwing-Deadline-Ms `{text}` is not a whole number of milliseconds");
+        refuse(Reason::BadRequest, message)
+    })?;
+    if left_ms <= 0 {
+        return Err(refuse(
+            Reason::DeadlinePassed,
+            "the deadline had passed on receipt",
+        ));
+    }
+    // A deadline beyond that of the class would hold resources that the class was not given.
+    let left_ms = left_ms.unsigned_abs().min(class.deadline_ms);
+    Ok(exchange.received() + Duration::from_millis(left_ms))
+}
+
+fn to_idempotency_key(exchange: &Exchange, class: &Class) -> Result<Option<uuid::Uuid>> {
+    let Some(text) = exchange.header(IDEMPOTENCY_KEY_HEADER) else {
+        if class.idempotent {
+            return Ok(None);
+        }
+        let message = "the class is not idempotent; send an Idempotency-Key (UUID version 7)";
+        return Err(refuse(Reason::KeyRequired, message));
+    };
+    let malformed = || {
+        refuse(
+            Reason::KeyMalformed,
+            "Idempotency-Key must be a UUID of version 7",
+        )
+    };
+    let key = uuid::Uuid::parse_str(text).map_err(|_| malformed())?;
+    if key.get_version() != Some(uuid::Version::SortRand) {
+        return Err(malformed());
+    }
+    Ok(Some(key))
+}
--- /dev/null
+++ b/crates/router/src/request/exchange.rs
@@ -0,0 +1,63 @@
+//! A request as it came from the caller.
+
+use std::time::Instant;
+
+use hyper::Method;
+use hyper::http::request::Parts;
+
+/// A request with its whole body.
+#[derive(Debug)]
+pub struct Exchange {
+    parts: Parts,
+    body: Vec<u8>,
+    received: Instant,
+}
+
+impl Exchange {
+    /// Creates an exchange from a request that was received at `received`.
+    pub fn new(parts: Parts, body: Vec<u8>, received: Instant) -> Self {
+        Self {
+            parts,
+            body,
+            received,
+        }
+    }
+
+    /// Returns the method.
+    pub fn method(&self) -> &Method {
+        &self.parts.method
+    }
+
+    /// Returns the path without the query.
+    pub fn path(&self) -> &str {
+        self.parts.uri.path()
+    }
+
+    /// Returns a parameter of the query.
+    pub fn query(&self, name: &str) -> Option<String> {
+        let query = self.parts.uri.query()?;
+        for pair in query.split('&') {
+            if let Some((key, value)) = pair.split_once('=')
+                && key == name
+            {
+                return Some(value.to_owned());
+            }
+        }
+        None
+    }
+
+    /// Returns a header as text; a value that is not ASCII counts as absent.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.parts.headers.get(name)?.to_str().ok()
+    }
+
+    /// Returns the body.
+    pub fn body(&self) -> &[u8] {
+        &self.body
+    }
+
+    /// Returns when the request was received.
+    pub fn received(&self) -> Instant {
+        self.received
+    }
+}
--- /dev/null
+++ b/crates/router/src/scheduling.rs
@@ -0,0 +1,240 @@
+//! The scheduler thread and the access that request threads have to it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use flume::Receiver;
+use flume::Sender;
+use waxwing_core::Name;
+use waxwing_core::Reason;
+use waxwing_core::TicketId;
+use waxwing_core::coordination::scheduler::Ask;
+use waxwing_core::coordination::scheduler::Config;
+use waxwing_core::coordination::scheduler::Effect;
+use waxwing_core::coordination::scheduler::EndpointSpec;
+use waxwing_core::coordination::scheduler::Input;
+use waxwing_core::coordination::scheduler::Scheduler;
+use waxwing_core::state::settings::Pool;
+
+use crate::shared::Shared;
+
+/// Inputs that may wait for the scheduler thread.
+const INPUTS_MAX: usize = 4_096;
+
+/// Orders that may wait for a request thread; a request gets one grant and one preemption at a time.
+const ORDERS_MAX: usize = 4;
+
+/// Time between ticks of a scheduler, in milliseconds.
+const TICK_MS: u64 = 10;
+
+/// What the scheduler tells a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Call this endpoint now.
+    Grant {
+        /// Endpoint.
+        endpoint: Name,
+        /// IP address and port.
+        address: String,
+    },
+    /// Give up.
+    Refuse {
+        /// Why.
+        reason: Reason,
+        /// When to come back, in milliseconds from now.
+        retry_after_ms: u64,
+    },
+    /// Give the slot back.
+    Preempt,
+}
+
+/// An input for the scheduler of one pool.
+#[derive(Debug)]
+enum Message {
+    Input {
+        pool: Name,
+        input: Input,
+    },
+    Register {
+        ticket: TicketId,
+        orders: Sender<Order>,
+    },
+    Unregister {
+        ticket: TicketId,
+    },
+}
+
+/// Access to the scheduler thread.
+#[derive(Clone, Debug)]
+pub struct Scheduling {
+    messages: Sender<Message>,
+}
+
+/// The other end of [`Scheduling`], for the thread.
+#[derive(Debug)]
+pub struct Inbox {
+    messages: Receiver<Message>,
+}
+
+impl Scheduling {
+    /// Creates the access and the inbox of its thread.
+    pub fn new() -> (Self, Inbox) {
+        let (sender, receiver) = flume::bounded(INPUTS_MAX);
+        (Self { messages: sender }, Inbox { messages: receiver })
+    }
+
+    /// Asks for a slot; the orders for the request arrive on the returned channel.
+    pub fn enqueue(&self, pool: &Name, ask: Ask) -> Receiver<Order> {
+        let (orders, receiver) = flume::bounded(ORDERS_MAX);
+        let ticket = ask.ticket;
+        self.send(Message::Register { ticket, orders });
+        self.input(pool, Input::Enqueue(Box::new(ask)));
+        receiver
+    }
+
+    /// Ends the interest of a request in orders.
+    pub fn leave(&self, pool: &Name, ticket: TicketId) {
+        self.input(pool, Input::Cancel(ticket));
+        self.send(Message::Unregister { ticket });
+    }
+
+    /// Passes an input to the scheduler of a pool.
+    pub fn input(&self, pool: &Name, input: Input) {
+        self.send(Message::Input {
+            pool: pool.clone(),
+            input,
+        });
+    }
+
+    fn send(&self, message: Message) {
+        // The thread ends only with the process, so a failed send has no reader to miss it.
+        let _ = self.messages.send(message);
+    }
+}
+
+/// Starts the scheduler thread.
+pub fn start(shared: Arc<Shared>, inbox: Inbox) {
+    thread::spawn(move || run(&shared, &inbox));
+}
+
+struct State {
+    settings_version: u64,
+    schedulers: HashMap<Name, Scheduler>,
+    requests: HashMap<TicketId, Sender<Order>>,
+}
+
+fn run(shared: &Shared, inbox: &Inbox) {
+    let mut state = State {
+        settings_version: 0,
+        schedulers: HashMap::new(),
+        requests: HashMap::new(),
+    };
+    let mut next_tick_ms = 0;
+    loop {
+        let wait = Duration::from_millis(TICK_MS);
+        let message = inbox.messages.recv_timeout(wait);
+        state.refresh(shared);
+        match message {
+            Ok(Message::Input { pool, input }) => state.step(shared.now_ms(), &pool, input),
+            Ok(Message::Register { ticket, orders }) => {
+                state.requests.insert(ticket, orders);
+            }
+            Ok(Message::Unregister { ticket }) => {
+                state.requests.remove(&ticket);
+            }
+            Err(flume::RecvTimeoutError::Timeout) => {}
+            Err(flume::RecvTimeoutError::Disconnected) => return,
+        }
+        let now_ms = shared.now_ms();
+        if now_ms >= next_tick_ms {
+            next_tick_ms = now_ms + TICK_MS;
+            state.tick(now_ms);
+        }
+    }
+}
+
+impl State {
+    fn refresh(&mut self, shared: &Shared) {
+        let view = shared.view();
+        if view.settings_version == self.settings_version {
+            return;
+        }
+        self.settings_version = view.settings_version;
+        self.schedulers
+            .retain(|pool, _| view.settings.pools.contains_key(pool));
+        for (name, pool) in &view.settings.pools {
+            if !self.schedulers.contains_key(name) {
+                self.schedulers
+                    .insert(name.clone(), Scheduler::new(to_config(pool)));
+            }
+            self.step(shared.now_ms(), name, Input::Endpoints(to_endpoints(pool)));
+        }
+    }
+
+    fn tick(&mut self, now_ms: u64) {
+        let pools: Vec<Name> = self.schedulers.keys().cloned().collect();
+        for pool in pools {
+            self.step(now_ms, &pool, Input::Tick);
+        }
+    }
+
+    fn step(&mut self, now_ms: u64, pool: &Name, input: Input) {
+        let Some(scheduler) = self.schedulers.get_mut(pool) else {
+            return;
+        };
+        for effect in scheduler.step(now_ms, input) {
+            self.apply(effect);
+        }
+    }
+
+    fn apply(&mut self, effect: Effect) {
+        let (ticket, order) = match effect {
+            Effect::Grant {
+                ticket,
+                endpoint,
+                address,
+            } => (ticket, Order::Grant { endpoint, address }),
+            Effect::Refuse {
+                ticket,
+                reason,
+                retry_after_ms,
+            } => (
+                ticket,
+                Order::Refuse {
+                    reason,
+                    retry_after_ms,
+                },
+            ),
+            Effect::Preempt { ticket } => (ticket, Order::Preempt),
+        };
+        let Some(orders) = self.requests.get(&ticket) else {
+            return;
+        };
+        if orders.try_send(order).is_err() {
+            log::debug!("request {ticket:?} has left before its order");
+        }
+    }
+}
+
+fn to_config(pool: &Pool) -> Config {
+    Config {
+        reserved_slots: pool.reserved_slots,
+        queue_max: pool.queue_max,
+    }
+}
+
+fn to_endpoints(pool: &Pool) -> Vec<EndpointSpec> {
+    let mut specs = Vec::new();
+    for endpoint in &pool.endpoints {
+        specs.push(EndpointSpec {
+            name: endpoint.name.clone(),
+            address: endpoint.address.clone(),
+            data_centre: endpoint.data_centre.clone(),
+            slots_max: endpoint.slots_max,
+            leaving: endpoint.leaving,
+        });
+    }
+    specs
+}
--- /dev/null
+++ b/crates/router/src/transport/front.rs
@@ -0,0 +1,201 @@
+//! HTTP towards callers: connections on one executor thread, each accepted request on a thread of its own.
+
+use std::convert::Infallible;
+use std::net::TcpListener;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use async_io::Timer;
+use flume::r#async::RecvStream;
+use futures::FutureExt;
+use futures::StreamExt;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use http_body_util::StreamBody;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol_hyper::rt::FuturesIo;
+use smol_hyper::rt::SmolTimer;
+use waxwing_core::Reason;
+use waxwing_core::Refusal;
+
+use crate::request;
+use crate::request::answer::Answer;
+use crate::request::answer::Answerer;
+use crate::request::answer::Head;
+use crate::request::exchange::Exchange;
+use crate::shared::Shared;
+
+/// Pause after a failed accept, for example when the process has no free descriptors, in milliseconds.
+const ACCEPT_PAUSE_MS: u64 = 50;
+
+/// Time after which a caller that was refused for lack of threads may come back, in milliseconds.
+const BUSY_RETRY_AFTER_MS: u64 = 1_000;
+
+type AnswerBody = StreamBody<FrameStream>;
+
+/// Starts the front thread on a bound listener.
+///
+/// # Errors
+///
+/// Fails if the listener cannot be made non-blocking.
+pub fn start(shared: Arc<Shared>, listener: TcpListener) -> std::io::Result<()> {
+    let listener = Async::new(listener)?;
+    thread::Builder::new()
+        .name("front".to_owned())
+        .spawn(move || {
+            let executor = LocalExecutor::new();
+            async_io::block_on(executor.run(accept(&executor, shared, listener)));
+        })?;
+    Ok(())
+}
+
+async fn accept(executor: &LocalExecutor<'_>, shared: Arc<Shared>, listener: Async<TcpListener>) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("a connection cannot be accepted: {error}");
+                Timer::after(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+                continue;
+            }
+        };
+        // Without this, a token waits for the acknowledgement of the one before it.
+        let _ = stream.get_ref().set_nodelay(true);
+        let shared = Arc::clone(&shared);
+        let connection = async move {
+            let limits = shared.config.limits.clone();
+            let service = service_fn(move |request| serve(Arc::clone(&shared), request));
+            let served = http1::Builder::new()
+                .timer(SmolTimer::new())
+                .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
+                .max_buf_size(limits.head_max_bytes.max(8_192))
+                .serve_connection(FuturesIo::new(stream), service)
+                .await;
+            if let Err(error) = served {
+                log::debug!("a caller's connection ended: {error}");
+            }
+        };
+        executor.spawn(connection).detach();
+    }
+}
+
+async fn serve(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let received = Instant::now();
+    let (answerer, head, body) = Answerer::new();
+    let (parts, incoming) = request.into_parts();
+    match read_body(&shared, incoming).await {
+        Ok(bytes) => {
+            let exchange = Exchange::new(parts, bytes.to_vec(), received);
+            start_request(shared, exchange, answerer);
+        }
+        Err(refusal) => answerer.refuse(&refusal),
+    }
+    let head = head.recv_async().await.unwrap_or_else(|_| Head::lost());
+    Ok(to_response(head, body.into_stream()))
+}
+
+async fn read_body(shared: &Shared, incoming: Incoming) -> Result<Bytes, Refusal> {
+    let limits = &shared.config.limits;
+    let body_max_bytes = limits.body_max_bytes;
+    let collected = Limited::new(incoming, body_max_bytes).collect().fuse();
+    let timeout = FutureExt::fuse(Timer::after(Duration::from_millis(limits.body_timeout_ms)));
+    futures::pin_mut!(collected, timeout);
+    futures::select! {
+        body = collected => match body {
+            Ok(body) => Ok(body.to_bytes()),
+            Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+                let message = format!("the body exceeds {body_max_bytes} bytes; send a shorter one");
+                Err(Refusal::not_run(Reason::BodyTooLarge, 0, message))
+            }
+            Err(error) => {
+                let message = format!("the body cannot be read: {error}");
+                Err(Refusal::not_run(Reason::BadRequest, 0, message))
+            }
+        },
+        _ = timeout => {
+            let message = format!("the body did not arrive within {} ms", limits.body_timeout_ms);
+            Err(Refusal::not_run(Reason::BadRequest, 0, message))
+        }
+    }
+}
+
+fn start_request(shared: Arc<Shared>, exchange: Exchange, answerer: Answerer) {
+    let before = shared.in_progress.fetch_add(1, Ordering::SeqCst);
+    if before >= shared.config.limits.requests_max {
+        shared.in_progress.fetch_sub(1, Ordering::SeqCst);
+        let message = "this VM has no free request threads; use another entry address";
+        answerer.refuse(&Refusal::not_run(
+            Reason::QueueFull,
+            BUSY_RETRY_AFTER_MS,
+            message,
+        ));
+        return;
+    }
+    let worker = thread::Builder::new().name("request".to_owned());
+    let counted = Arc::clone(&shared);
+    let spawned = worker.spawn(move || {
+        request::handle(&shared, exchange, answerer);
+        shared.in_progress.fetch_sub(1, Ordering::SeqCst);
+    });
+    if let Err(error) = spawned {
+        // The answerer went with the closure, so the caller receives the head of a lost answer.
+        counted.in_progress.fetch_sub(1, Ordering::SeqCst);
+        log::error!("a request thread cannot be started: {error}");
+    }
+}
+
+fn to_response(head: Head, body: RecvStream<'static, Answer>) -> Response<AnswerBody> {
+    let mut response = Response::builder().status(head.status);
+    for (name, value) in &head.headers {
+        response = response.header(name, value);
+    }
+    let stream = FrameStream { answers: body };
+    match response.body(StreamBody::new(stream)) {
+        Ok(response) => response,
+        Err(error) => {
+            log::error!("an answer has an invalid head: {error}");
+            let (_, empty) = flume::bounded(1);
+            let stream = FrameStream {
+                answers: empty.into_stream(),
+            };
+            Response::new(StreamBody::new(stream))
+        }
+    }
+}
+
+/// The pieces of an answer as frames; an aborted answer closes the connection, so that it cannot look whole.
+struct FrameStream {
+    answers: RecvStream<'static, Answer>,
+}
+
+impl futures::Stream for FrameStream {
+    type Item = Result<Frame<Bytes>, std::io::Error>;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        match self.answers.poll_next_unpin(context) {
+            Poll::Pending => Poll::Pending,
+            Poll::Ready(Some(Answer::Piece(bytes))) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+            Poll::Ready(Some(Answer::End)) => Poll::Ready(None),
+            Poll::Ready(None) => {
+                Poll::Ready(Some(Err(std::io::Error::other("the answer was aborted"))))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/transport/log_client.rs
@@ -0,0 +1,127 @@
+//! Client of the platform's log service.
+
+use std::time::Duration;
+
+use attohttpc::ProxySettings;
+use attohttpc::Session;
+use thiserror::Error;
+use waxwing_wire::platform::Append;
+use waxwing_wire::platform::Page;
+
+/// Time to connect, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+
+/// Time for an answer beyond the wait that was asked for, in milliseconds.
+const ANSWER_TIMEOUT_MS: u64 = 2_000;
+
+/// Result of the calls to the log service.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A failed call to the log service.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The call failed or its answer did not arrive; an append may have taken effect.
+    #[error("log service at {address}: {source}")]
+    Transport {
+        /// Address of the service.
+        address: String,
+        /// Cause.
+        source: attohttpc::Error,
+    },
+    /// The service answered with an error status.
+    #[error("log service at {address} answered with status {status}")]
+    Status {
+        /// Address of the service.
+        address: String,
+        /// HTTP status code.
+        status: u16,
+    },
+    /// The answer does not decode.
+    #[error("log service at {address}: the answer does not decode: {source}")]
+    Decode {
+        /// Address of the service.
+        address: String,
+        /// Cause.
+        source: serde_json::Error,
+    },
+}
+
+/// Client of the platform's log service.
+#[derive(Clone, Debug)]
+pub struct LogClient {
+    address: String,
+}
+
+impl LogClient {
+    /// Creates a client of the service at `address`.
+    pub fn new(address: &str) -> Self {
+        Self {
+            address: address.to_owned(),
+        }
+    }
+
+    /// Appends records in one operation.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not confirm; the records may be in the log all the same.
+    pub fn append(&self, stream: &str, append: &Append) -> Result<()> {
+        let url = format!("http://{}/streams/{stream}/records", self.address);
+        let body = serde_json::to_vec(append).map_err(|source| self.to_decode_error(source))?;
+        let session = to_session(ANSWER_TIMEOUT_MS);
+        let request = session.post(url).header("Content-Type", "application/json");
+        let response = request.bytes(body).send();
+        self.to_bytes(response).map(|_| ())
+    }
+
+    /// Reads records from `from` on, and waits up to `wait_ms` for the first.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service does not answer, with status 410 if `from` is no longer kept.
+    pub fn read(&self, stream: &str, from: u64, wait_ms: u64) -> Result<Page> {
+        let address = &self.address;
+        let url =
+            format!("http://{address}/streams/{stream}/records?from={from}&wait_ms={wait_ms}");
+        let session = to_session(wait_ms + ANSWER_TIMEOUT_MS);
+        let bytes = self.to_bytes(session.get(url).send())?;
+        serde_json::from_slice(&bytes).map_err(|source| self.to_decode_error(source))
+    }
+
+    fn to_bytes(&self, response: attohttpc::Result<attohttpc::Response>) -> Result<Vec<u8>> {
+        let response = response.map_err(|source| self.to_transport_error(source))?;
+        if !response.is_success() {
+            return Err(Error::Status {
+                address: self.address.clone(),
+                status: response.status().as_u16(),
+            });
+        }
+        response
+            .bytes()
+            .map_err(|source| self.to_transport_error(source))
+    }
+
+    fn to_transport_error(&self, source: attohttpc::Error) -> Error {
+        Error::Transport {
+            address: self.address.clone(),
+            source,
+        }
+    }
+
+    fn to_decode_error(&self, source: serde_json::Error) -> Error {
+        Error::Decode {
+            address: self.address.clone(),
+            source,
+        }
+    }
+}
+
+/// Returns a session that ignores proxies from the environment.
+pub(crate) fn to_session(read_timeout_ms: u64) -> Session {
+    let mut session = Session::new();
+    session.proxy_settings(ProxySettings::builder().build());
+    session.connect_timeout(Duration::from_millis(CONNECT_TIMEOUT_MS));
+    session.read_timeout(Duration::from_millis(read_timeout_ms));
+    session.follow_redirects(false);
+    session
+}
--- /dev/null
+++ b/crates/wire/src/caller.rs
@@ -0,0 +1,72 @@
+//! Bodies that callers receive, other than answers of endpoints.
+
+use serde::Deserialize;
+use serde::Serialize;
+use waxwing_core::Reason;
+use waxwing_core::Refusal;
+use waxwing_core::Run;
+
+/// Header that names the request class.
+pub const CLASS_HEADER: &str = "waxwing-class";
+/// Header that carries the time left for the whole answer, in milliseconds.
+pub const DEADLINE_HEADER: &str = "waxwing-deadline-ms";
+/// Header that carries the request id, in requests and responses.
+pub const REQUEST_ID_HEADER: &str = "waxwing-request-id";
+/// Header that carries the idempotency key.
+pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+/// Header that tells an endpoint the key range of a non-idempotent call.
+pub const RANGE_HEADER: &str = "waxwing-range";
+/// Header that tells an endpoint the fencing token of the key range.
+pub const FENCE_HEADER: &str = "waxwing-fence";
+
+/// Body of a refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorBody {
+    /// The refusal.
+    pub error: ErrorDetail,
+}
+
+/// Content of a refusal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorDetail {
+    /// Why.
+    pub code: Reason,
+    /// One sentence for a person.
+    pub message: String,
+    /// Whether the request may have run.
+    pub run: Run,
+    /// When to come back, in whole seconds, rounded up.
+    pub retry_after_s: u64,
+}
+
+impl From<&Refusal> for ErrorBody {
+    fn from(refusal: &Refusal) -> Self {
+        let error = ErrorDetail {
+            code: refusal.reason,
+            message: refusal.message.clone(),
+            run: refusal.run,
+            retry_after_s: refusal.retry_after_ms.div_ceil(1_000),
+        };
+        Self { error }
+    }
+}
+
+/// Answer to a discovery call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entries {
+    /// Entry addresses, the best first.
+    pub entries: Vec<Entry>,
+    /// Time for which the answer may be kept, in seconds.
+    pub lifetime_s: u64,
+}
+
+/// One entry address.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// IP address and port for callers.
+    pub address: String,
+    /// Data centre of the VM.
+    pub data_centre: String,
+    /// Share of new connections, relative to the other entries.
+    pub weight: u32,
+}
