--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Library behind `waxwingctl`, the operators' command line of waxwingrouter.
+
+pub mod load;
