--- a/crates/ctl/src/load.rs
+++ b/crates/ctl/src/load.rs
@@ -78,7 +78,16 @@
 ///
 /// Fails if no entry address answers a discovery call.
 pub fn run(plan: &Plan, addresses: &[String]) -> Result<Report> {
-    let entries = Arc::new(Entries::discover(addresses, plan.seed)?);
+    Ok(send(plan, Entries::discover(addresses, plan.seed)?))
+}
+
+/// Sends the load of `plan` to the addresses themselves, for example to an engine without the router.
+pub fn run_direct(plan: &Plan, addresses: &[String]) -> Report {
+    send(plan, Entries::fixed(addresses, plan.seed))
+}
+
+fn send(plan: &Plan, entries: Entries) -> Report {
+    let entries = Arc::new(entries);
     let arrivals = arrivals::to_arrivals(plan);
     let (outcomes, collected) = flume::bounded(IN_FLIGHT_MAX);
     let started = Instant::now();
@@ -124,7 +133,7 @@
         in_flight -= 1;
     }
     report.finish(started.elapsed());
-    Ok(report)
+    report
 }
 
 impl Arrival {
--- a/crates/ctl/src/load/entry.rs
+++ b/crates/ctl/src/load/entry.rs
@@ -20,6 +20,9 @@
 /// Time for a discovery answer, in milliseconds.
 const DISCOVERY_TIMEOUT_MS: u64 = 2_000;
 
+/// Lifetime of addresses that were given on the command line, in seconds: longer than any run.
+const FIXED_LIFETIME_S: u64 = 24 * 3_600;
+
 /// The addresses that callers use, kept for the lifetime that came with them.
 pub(crate) struct Entries {
     inner: Mutex<Inner>,
@@ -38,15 +41,35 @@
         let known = ask(seeds).ok_or_else(|| Error::NoEntry {
             addresses: seeds.join(", "),
         })?;
+        Ok(Self::new(seeds, seed, known))
+    }
+
+    /// Uses the addresses as they are, with equal weights and for as long as the process runs.
+    pub(crate) fn fixed(addresses: &[String], seed: u64) -> Self {
+        let mut known = caller::Entries {
+            entries: Vec::new(),
+            lifetime_s: FIXED_LIFETIME_S,
+        };
+        for address in addresses {
+            known.entries.push(caller::Entry {
+                address: address.clone(),
+                data_centre: String::new(),
+                weight: 1,
+            });
+        }
+        Self::new(addresses, seed, known)
+    }
+
+    fn new(seeds: &[String], seed: u64, known: caller::Entries) -> Self {
         let until = Instant::now() + Duration::from_secs(known.lifetime_s);
-        Ok(Self {
+        Self {
             inner: Mutex::new(Inner {
                 seeds: seeds.to_vec(),
                 known,
                 until,
                 random: ChaCha8Rng::seed_from_u64(seed),
             }),
-        })
+        }
     }
 
     /// Returns an address by weight, other than `avoided` where there is a choice.
