--- /dev/null
+++ b/crates/router/tests/relay_answer.rs
@@ -0,0 +1,104 @@
+//! The answer that a caller receives is put together from one answer of an endpoint, without a gap or a repeat.
+
+use serde_json::Value;
+use serde_json::json;
+use waxwing_wire::chat::ChatRequest;
+use waxwingrouter::request::answer::Answer;
+use waxwingrouter::request::answer::Answerer;
+use waxwingrouter::request::relay::Fault;
+use waxwingrouter::request::relay::Relay;
+
+fn to_request(is_stream: bool) -> ChatRequest {
+    let body = json!({"stream": is_stream, "messages": [{"role": "user", "content": "hello"}], "max_tokens": 3});
+    serde_json::from_value(body).unwrap()
+}
+
+fn to_event(id: &str, text: &str, finish_reason: Option<&str>) -> String {
+    let choice = json!({"index": 0, "delta": {"content": text}, "finish_reason": finish_reason});
+    json!({"id": id, "object": "chat.completion.chunk", "choices": [choice]}).to_string()
+}
+
+fn is_invalid<T>(result: Result<T, Fault>) -> bool {
+    matches!(result, Err(Fault::Invalid(_)))
+}
+
+/// Guards against tokens of another answer, for example when a connection to an endpoint is reused wrongly.
+#[test]
+fn crossed_event() {
+    let (answerer, _head, _body) = Answerer::new();
+    let request = to_request(false);
+    let mut relay = Relay::new(&request);
+    relay.to_body(&request, 0);
+    relay
+        .event(&to_event("a", "one ", None), &answerer)
+        .unwrap();
+    assert!(is_invalid(
+        relay.event(&to_event("b", "two ", None), &answerer)
+    ));
+    assert_eq!(relay.to_answer().choices[0].message.content, "one ");
+}
+
+/// Guards against tokens that an endpoint sends after the end of an answer.
+#[test]
+fn late_event() {
+    let (answerer, _head, _body) = Answerer::new();
+    let request = to_request(false);
+    let mut relay = Relay::new(&request);
+    relay.to_body(&request, 0);
+    relay
+        .event(&to_event("a", "one ", Some("stop")), &answerer)
+        .unwrap();
+    assert!(is_invalid(
+        relay.event(&to_event("a", "two ", None), &answerer)
+    ));
+    assert!(relay.is_whole());
+}
+
+/// Guards against a repeated or missing token, and against a changed id, when an answer moves to another endpoint.
+#[test]
+fn resumed_answer() {
+    let (answerer, _head, body) = Answerer::new();
+    let request = to_request(true);
+    let mut relay = Relay::new(&request);
+    relay.to_body(&request, 0);
+    relay
+        .event(&to_event("a", "one ", None), &answerer)
+        .unwrap();
+
+    let resumed: Value = serde_json::from_slice(&relay.to_body(&request, 0)).unwrap();
+    assert_eq!(
+        resumed["messages"][1],
+        json!({"role": "assistant", "content": "one "})
+    );
+    assert_eq!(resumed["continue_final_message"], json!(true));
+
+    relay
+        .event(&to_event("b", "two ", Some("stop")), &answerer)
+        .unwrap();
+    relay.finish(&answerer).unwrap();
+    assert_eq!(relay.to_answer().choices[0].message.content, "one two ");
+    let mut sent = String::new();
+    for piece in body.drain() {
+        if let Answer::Piece(bytes) = piece {
+            sent.push_str(std::str::from_utf8(&bytes).unwrap());
+        }
+    }
+    assert!(
+        !sent.contains("\"b\""),
+        "the caller saw a second id: {sent}"
+    );
+    assert!(sent.ends_with("data: [DONE]\n\n"));
+}
+
+/// Guards against an answer that looks whole although its last token never came.
+#[test]
+fn cut_answer() {
+    let (answerer, _head, _body) = Answerer::new();
+    let request = to_request(false);
+    let mut relay = Relay::new(&request);
+    relay.to_body(&request, 0);
+    relay
+        .event(&to_event("a", "one ", None), &answerer)
+        .unwrap();
+    assert!(!relay.is_whole());
+}
