Schedule by tiers, shares and deadlines, and blame crashes on contents

The first version of the scheduler was first-in first-out with a static slot limit. Hedging and retry budgets are separate modules without a clock or counters.

Found by the tests while writing this: tokens of a resumed request that was cancelled in the queue were not counted as wasted; running requests on a leaving endpoint used up the share outside the reserve; a pool that slowed down as a whole lost one endpoint to ejection, because its own samples were older than those of the others.

Ruled out: a preemption count in `Ask`. The scheduler remembers ended attempts until the request asks again, so callers need no new field.

--- a/crates/core/src/coordination.rs
+++ b/crates/core/src/coordination.rs
@@ -1,4 +1,6 @@
 //! Decisions that the processes make together.
 
+pub mod hedge;
 pub mod rendezvous;
+pub mod retry;
 pub mod scheduler;
--- a/crates/core/src/coordination/scheduler.rs
+++ b/crates/core/src/coordination/scheduler.rs
@@ -1,11 +1,48 @@
 //! The scheduler of one shard: who gets which slot of which endpoint, and when.
 
 use std::collections::HashMap;
-use std::collections::VecDeque;
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use slotmap::SlotMap;
 
 use crate::Name;
 use crate::Reason;
 use crate::TicketId;
+use crate::state::evidence::Evidence;
+use crate::state::evidence::Finding;
+use crate::state::settings::Policy;
+
+use self::class::Class;
+use self::class::ClassKey;
+use self::endpoint::Endpoint;
+use self::endpoint::EndpointKey;
+use self::learn::Histogram;
+use self::learn::Rate;
+use self::place::Prefixes;
+use self::queue::OrganisationKey;
+use self::queue::Queue;
+use self::queue::WaitKey;
+use self::running::Ended;
+use self::running::RunKey;
+use self::running::Running;
+
+pub use self::counters::Counters;
+pub use self::counters::Gauges;
+
+pub mod learn;
+
+mod admit;
+mod class;
+mod counters;
+mod crash;
+mod endpoint;
+mod grant;
+mod place;
+mod preempt;
+mod queue;
+mod running;
+mod speed;
 
 /// What the scheduler needs to know about a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -144,6 +181,8 @@
         /// Identity of the endpoint process; another value means that it restarted.
         started_id: u64,
     },
+    /// Findings of other VMs about contents that crash endpoints.
+    Evidence(Vec<Finding>),
     /// Time has passed.
     Tick,
 }
@@ -179,115 +218,214 @@
 /// Bounds and choices of one pool.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
+    /// How requests are ordered and placed.
+    pub policy: Policy,
     /// Slots that only tier 0 may use.
     pub reserved_slots: u32,
     /// Requests that may wait.
     pub queue_max: u32,
+    /// At most one grant in this many goes to an aged request.
+    pub ageing_share: u32,
+    /// Times that a request may be preempted.
+    pub preempt_max: u32,
+    /// Least that the slot limit of an endpoint may be reduced to.
+    pub slots_min: u32,
+    /// Time between tokens above which an endpoint counts as overloaded, in microseconds.
+    pub gap_target_us: u64,
+    /// An endpoint slower than this many times the median is ejected.
+    pub slow_factor: f32,
+    /// Largest share of the endpoints that may be ejected at a time.
+    pub eject_share_max: f64,
+    /// Time between probes of an ejected endpoint, in milliseconds.
+    pub probe_interval_ms: u64,
+    /// Distinct endpoints that a content may crash before it is refused.
+    pub poison_endpoints_max: u32,
+    /// Time for which evidence about a content is kept, in milliseconds.
+    pub evidence_lifetime_ms: u64,
+    /// Contents about which evidence is kept.
+    pub evidence_max: usize,
+    /// Prompt prefixes whose endpoint is remembered.
+    pub prefixes_max: usize,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            policy: Policy::Tiers,
+            reserved_slots: 0,
+            queue_max: 1_000,
+            ageing_share: 20,
+            preempt_max: 3,
+            slots_min: 1,
+            gap_target_us: 52_000,
+            slow_factor: 3.0,
+            eject_share_max: 1.0 / 3.0,
+            probe_interval_ms: 1_000,
+            poison_endpoints_max: 2,
+            evidence_lifetime_ms: 3_600_000,
+            evidence_max: 1_024,
+            prefixes_max: 4_096,
+        }
+    }
+}
+
+/// Where a request is.
+#[derive(Clone, Copy, Debug)]
+enum Place {
+    Waiting(WaitKey),
+    Running(RunKey),
+}
+
+/// Counts of an organisation.
+#[derive(Debug, Default)]
+struct Organisation {
+    in_flight: u32,
+    rate: Rate,
 }
 
 /// The scheduler of one shard.
 #[derive(Debug)]
 pub struct Scheduler {
     config: Config,
-    endpoints: Vec<EndpointSpec>,
-    queue: VecDeque<Ask>,
-    running: HashMap<TicketId, Name>,
+    random: ChaCha8Rng,
+    endpoints: SlotMap<EndpointKey, Endpoint>,
+    endpoint_keys: HashMap<Name, EndpointKey>,
+    organisations: SlotMap<OrganisationKey, Organisation>,
+    organisation_keys: HashMap<Name, OrganisationKey>,
+    classes: SlotMap<ClassKey, Class>,
+    class_keys: HashMap<Name, ClassKey>,
+    queue: Queue,
+    running: SlotMap<RunKey, Running>,
+    places: HashMap<TicketId, Place>,
+    ended: HashMap<TicketId, Ended>,
+    prefixes: Prefixes,
+    gaps_us: Histogram,
+    rate: Rate,
+    evidence: Evidence,
+    counters: Counters,
+    grants_since_aged: u32,
+    unusable_since_ms: Option<u64>,
+    next_check_ms: u64,
 }
 
 impl Scheduler {
-    /// Creates a scheduler without endpoints.
+    /// Creates a scheduler without endpoints, with a fixed seed for random choices.
     pub fn new(config: Config) -> Self {
+        Self::with_random(config, ChaCha8Rng::seed_from_u64(0))
+    }
+
+    /// Creates a scheduler without endpoints; the baseline policy uses `random` to choose endpoints.
+    pub fn with_random(config: Config, random: ChaCha8Rng) -> Self {
+        let evidence = Evidence::new(config.evidence_lifetime_ms, config.evidence_max);
         Self {
             config,
-            endpoints: Vec::new(),
-            queue: VecDeque::new(),
-            running: HashMap::new(),
+            random,
+            endpoints: SlotMap::with_key(),
+            endpoint_keys: HashMap::new(),
+            organisations: SlotMap::with_key(),
+            organisation_keys: HashMap::new(),
+            classes: SlotMap::with_key(),
+            class_keys: HashMap::new(),
+            queue: Queue::default(),
+            running: SlotMap::with_key(),
+            places: HashMap::new(),
+            ended: HashMap::new(),
+            prefixes: Prefixes::default(),
+            gaps_us: Histogram::default(),
+            rate: Rate::default(),
+            evidence,
+            counters: Counters::default(),
+            grants_since_aged: 0,
+            unusable_since_ms: None,
+            next_check_ms: 0,
+        }
+    }
+
+    /// Replaces the bounds and choices; the state is kept.
+    ///
+    /// Requests that already wait keep the order of the policy under which they were enqueued.
+    pub fn set_config(&mut self, config: Config) {
+        self.config = config;
+    }
+
+    /// Returns what was done since the scheduler was created.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Returns what the scheduler holds now.
+    pub fn to_gauges(&self, now_ms: u64) -> Gauges {
+        let mut slots = 0;
+        let mut ejected = 0;
+        for endpoint in self.endpoints.values() {
+            if endpoint.is_serving() {
+                slots += endpoint.to_limit(now_ms);
+            } else if endpoint.is_usable() {
+                ejected += 1;
+            }
+        }
+        Gauges {
+            waiting: self.queue.to_lengths(),
+            running: self.running.len(),
+            slots,
+            ejected,
         }
     }
 
+    /// Returns the evidence about contents that crash endpoints, for other VMs.
+    pub fn to_findings(&self, now_ms: u64) -> Vec<Finding> {
+        self.evidence.to_findings(now_ms)
+    }
+
+    /// Returns whether the content is refused because it crashes endpoints.
+    pub fn is_refused(&self, content: &[u8; 32]) -> bool {
+        self.evidence.to_loss_count(content) >= self.config.poison_endpoints_max as usize
+    }
+
     /// Applies one input at `now_ms` and returns what has to be done.
     pub fn step(&mut self, now_ms: u64, input: Input) -> Vec<Effect> {
         let mut effects = Vec::new();
         match input {
-            Input::Enqueue(ask) => {
-                if self.queue.len() >= self.config.queue_max as usize {
-                    effects.push(Effect::Refuse {
-                        ticket: ask.ticket,
-                        reason: Reason::QueueFull,
-                        retry_after_ms: 1_000,
-                    });
-                } else {
-                    self.queue.push_back(*ask);
-                }
-            }
-            Input::Cancel(ticket) => {
-                self.queue.retain(|ask| ask.ticket != ticket);
-                self.running.remove(&ticket);
+            Input::Enqueue(ask) => self.enqueue(now_ms, ask, &mut effects),
+            Input::Cancel(ticket) => self.cancel(now_ms, ticket),
+            Input::Adopt { ask, endpoint } => self.adopt(now_ms, ask, endpoint),
+            Input::FirstToken { ticket, elapsed_ms } => {
+                self.observe_first_token(now_ms, ticket, elapsed_ms);
             }
-            Input::Adopt { ask, endpoint } => {
-                self.running.insert(ask.ticket, endpoint);
+            Input::Progress {
+                ticket,
+                tokens,
+                gap_us,
+            } => self.observe_progress(now_ms, ticket, tokens, gap_us),
+            Input::Finish {
+                ticket,
+                end,
+                tokens,
+            } => self.finish(now_ms, ticket, end, tokens),
+            Input::Endpoints(specs) => self.set_endpoints(specs),
+            Input::MemberGone { incarnation } => self.forget_member(now_ms, incarnation),
+            Input::Load {
+                endpoint,
+                running,
+                waiting,
+            } => self.observe_load(now_ms, &endpoint, running, waiting),
+            Input::Probe {
+                endpoint,
+                is_alive,
+                started_id,
+            } => self.observe_probe(now_ms, &endpoint, is_alive, started_id, &mut effects),
+            Input::Evidence(findings) => {
+                self.evidence.merge(&findings, now_ms);
+                self.refuse_contents(now_ms, &mut effects);
             }
-            Input::Finish { ticket, .. } => {
-                self.running.remove(&ticket);
-            }
-            Input::Endpoints(endpoints) => self.endpoints = endpoints,
-            Input::MemberGone { incarnation } => {
-                self.queue
-                    .retain(|ask| ask.ticket.incarnation != incarnation);
-                self.running
-                    .retain(|ticket, _| ticket.incarnation != incarnation);
-            }
-            Input::FirstToken { .. }
-            | Input::Progress { .. }
-            | Input::Load { .. }
-            | Input::Probe { .. }
-            | Input::Tick => {}
+            Input::Tick => self.tick(now_ms, &mut effects),
         }
         self.grant(now_ms, &mut effects);
+        self.preempt(now_ms, &mut effects);
         effects
     }
 
-    fn grant(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
-        while let Some(ask) = self.queue.pop_front() {
-            if ask.deadline_at_ms <= now_ms {
-                effects.push(Effect::Refuse {
-                    ticket: ask.ticket,
-                    reason: Reason::DeadlinePassed,
-                    retry_after_ms: 0,
-                });
-                continue;
-            }
-            let Some(endpoint) = self.to_free_endpoint(&ask) else {
-                self.queue.push_front(ask);
-                return;
-            };
-            self.running.insert(ask.ticket, endpoint.name.clone());
-            effects.push(Effect::Grant {
-                ticket: ask.ticket,
-                endpoint: endpoint.name,
-                address: endpoint.address,
-            });
-        }
-    }
-
-    fn to_free_endpoint(&self, ask: &Ask) -> Option<EndpointSpec> {
-        let mut best: Option<(usize, &EndpointSpec)> = None;
-        for endpoint in &self.endpoints {
-            if endpoint.leaving || ask.excluded.contains(&endpoint.name) {
-                continue;
-            }
-            let load = self
-                .running
-                .values()
-                .filter(|name| **name == endpoint.name)
-                .count();
-            if load >= endpoint.slots_max as usize {
-                continue;
-            }
-            if best.is_none_or(|(least, _)| load < least) {
-                best = Some((load, endpoint));
-            }
-        }
-        best.map(|(_, endpoint)| endpoint.clone())
+    fn is_baseline(&self) -> bool {
+        self.config.policy == Policy::Baseline
     }
 }
--- /dev/null
+++ b/crates/core/src/coordination/scheduler/admit.rs
@@ -0,0 +1,304 @@
+//! Admission: limits, deadlines, shedding, and the time after which a refused caller may come back.
+
+use super::Ask;
+use super::ClassKey;
+use super::Effect;
+use super::Place;
+use super::Rate;
+use super::Scheduler;
+use super::queue::OrganisationKey;
+use super::queue::WaitKey;
+use super::queue::Waiting;
+use crate::Name;
+use crate::Reason;
+use crate::TicketId;
+
+/// Shortest time after which a refused caller may come back, in milliseconds.
+const RETRY_AFTER_MIN_MS: u64 = 100;
+
+/// Longest time after which a refused caller may come back, in milliseconds.
+const RETRY_AFTER_MAX_MS: u64 = 60_000;
+
+/// Time after which a caller may come back while the pool has no usable endpoint, in milliseconds.
+const NO_ENDPOINT_RETRY_AFTER_MS: u64 = 1_000;
+
+/// Time for which requests wait for the first usable endpoint, in milliseconds; one missed probe must not refuse all.
+const NO_ENDPOINT_GRACE_MS: u64 = 1_000;
+
+/// Slot time of a request while no rate has been observed, in milliseconds.
+const SLOT_TIME_MS: u64 = 1_000;
+
+impl Scheduler {
+    /// Takes a request into the queue or refuses it.
+    pub(super) fn enqueue(&mut self, now_ms: u64, ask: Box<Ask>, effects: &mut Vec<Effect>) {
+        let ticket = ask.ticket;
+        self.withdraw(now_ms, ticket);
+        let ended = self.ended.remove(&ticket);
+        if let Some(ended) = &ended {
+            let lost = ended.tokens.saturating_sub(ask.generated_tokens);
+            self.counters.wasted_tokens += u64::from(lost);
+        }
+        let class = self.class_key(&ask.class);
+        let organisation = self.organisation_key(&ask.organisation);
+        let is_preempted = ended.as_ref().is_some_and(|ended| ended.preemptions > 0);
+        let refusal = self.to_refusal(now_ms, &ask, class, organisation, is_preempted);
+        if let Some(reason) = refusal {
+            let retry_after_ms = self.to_retry_after_ms(now_ms, reason, &ask);
+            self.refuse(ticket, reason, retry_after_ms, effects);
+            return;
+        }
+        let mut waiting = Waiting::new(ask, class, organisation, now_ms);
+        waiting.cost_ms = self.to_expected_ms(&waiting);
+        if let Some(ended) = ended {
+            waiting.since_ms = ended.since_ms;
+            waiting.preemptions = ended.preemptions;
+        }
+        if self.is_baseline() {
+            waiting.tier = 0;
+            waiting.rank = 0;
+            waiting.lane = OrganisationKey::default();
+        }
+        let key = self.join_queue(waiting);
+        self.grant(now_ms, effects);
+        // A preempted request comes back to the place that it was taken from, so it displaces nobody.
+        if !is_preempted && self.queue.len() > self.config.queue_max as usize {
+            self.shed(now_ms, key, effects);
+        }
+    }
+
+    fn to_refusal(
+        &self,
+        now_ms: u64,
+        ask: &Ask,
+        class: ClassKey,
+        organisation: OrganisationKey,
+        is_preempted: bool,
+    ) -> Option<Reason> {
+        if ask.deadline_at_ms <= now_ms {
+            return Some(Reason::DeadlinePassed);
+        }
+        if !self.is_baseline() && self.is_refused(&ask.content_hash) {
+            return Some(Reason::ContentRefused);
+        }
+        if self.is_unusable(now_ms) {
+            return Some(Reason::NoEndpoint);
+        }
+        if !is_preempted && self.classes[class].in_flight >= ask.class_in_flight_max {
+            return Some(Reason::ClassLimit);
+        }
+        let in_flight = self.organisations[organisation].in_flight;
+        if !is_preempted && in_flight >= ask.organisation_in_flight_max {
+            return Some(Reason::OrganisationLimit);
+        }
+        self.to_lateness(now_ms, ask, class)
+    }
+
+    /// Returns why the request can no longer meet its deadline, if so.
+    pub(super) fn to_lateness(&self, now_ms: u64, ask: &Ask, class: ClassKey) -> Option<Reason> {
+        if ask.deadline_at_ms <= now_ms {
+            return Some(Reason::DeadlinePassed);
+        }
+        if self.is_baseline() {
+            return None;
+        }
+        let shortest_ms = self.classes[class].to_shortest_ms(ask.generated_tokens, &self.gaps_us);
+        let is_late = now_ms.saturating_add(shortest_ms) > ask.deadline_at_ms;
+        is_late.then_some(Reason::DeadlineUnreachable)
+    }
+
+    /// Removes one request because the queue is too long: the least needed one, or else the newest.
+    fn shed(&mut self, now_ms: u64, newest: WaitKey, effects: &mut Vec<Effect>) {
+        let Some(incoming) = self.queue.get(newest) else {
+            return;
+        };
+        let mut victim = newest;
+        if !self.is_baseline()
+            && let Some((key, least)) = self.queue.to_sheddable()
+            && (least.ask.idempotent || least.ask.tier > incoming.ask.tier)
+        {
+            victim = key;
+        }
+        let reason = match victim == newest {
+            true => Reason::QueueFull,
+            false => Reason::Shed,
+        };
+        self.refuse_waiting(now_ms, victim, reason, effects);
+    }
+
+    /// Refuses waiting requests that can no longer meet their deadline.
+    pub(super) fn refuse_late(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
+        let mut late = Vec::new();
+        for (class_key, class) in &self.classes {
+            let margin_ms = match self.is_baseline() {
+                true => 0,
+                false => class.to_shortest_ms(0, &self.gaps_us),
+            };
+            let until_ms = now_ms.saturating_add(margin_ms);
+            for (deadline_ms, key) in &class.deadlines {
+                if *deadline_ms > until_ms {
+                    break;
+                }
+                let Some(waiting) = self.queue.get(*key) else {
+                    continue;
+                };
+                // A resumed request needs less time than the margin of its class.
+                if let Some(reason) = self.to_lateness(now_ms, &waiting.ask, class_key) {
+                    late.push((*key, reason));
+                }
+            }
+        }
+        for (key, reason) in late {
+            self.refuse_waiting(now_ms, key, reason, effects);
+        }
+    }
+
+    /// Refuses all waiting requests that no endpoint can take.
+    pub(super) fn refuse_unplaceable(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
+        let is_usable = self.endpoints.values().any(|endpoint| endpoint.is_usable());
+        match is_usable {
+            true => self.unusable_since_ms = None,
+            false => {
+                self.unusable_since_ms.get_or_insert(now_ms);
+            }
+        }
+        let is_unusable = self.is_unusable(now_ms);
+        let mut unplaceable = Vec::new();
+        for (key, waiting) in self.queue.iter() {
+            let is_excluded = is_usable && !waiting.ask.excluded.is_empty() && {
+                let mut usable = self.endpoints.values().filter(|e| e.is_usable());
+                usable.all(|e| waiting.ask.excluded.contains(&e.spec.name))
+            };
+            if is_unusable || is_excluded {
+                unplaceable.push(key);
+            }
+        }
+        for key in unplaceable {
+            self.refuse_waiting(now_ms, key, Reason::NoEndpoint, effects);
+        }
+    }
+
+    fn is_unusable(&self, now_ms: u64) -> bool {
+        let since = self.unusable_since_ms;
+        since.is_some_and(|since_ms| now_ms >= since_ms.saturating_add(NO_ENDPOINT_GRACE_MS))
+    }
+
+    /// Refuses a waiting request.
+    pub(super) fn refuse_waiting(
+        &mut self,
+        now_ms: u64,
+        key: WaitKey,
+        reason: Reason,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(waiting) = self.leave_queue(key) else {
+            return;
+        };
+        self.counters.wasted_tokens += u64::from(waiting.ask.generated_tokens);
+        let retry_after_ms = self.to_retry_after_ms(now_ms, reason, &waiting.ask);
+        self.refuse(waiting.ask.ticket, reason, retry_after_ms, effects);
+    }
+
+    fn refuse(
+        &mut self,
+        ticket: TicketId,
+        reason: Reason,
+        retry_after_ms: u64,
+        effects: &mut Vec<Effect>,
+    ) {
+        *self.counters.refusals.entry(reason).or_default() += 1;
+        effects.push(Effect::Refuse {
+            ticket,
+            reason,
+            retry_after_ms,
+        });
+    }
+
+    /// Adds a request to the queue and the counts of its class and organisation.
+    fn join_queue(&mut self, waiting: Waiting) -> WaitKey {
+        let ticket = waiting.ask.ticket;
+        let class = waiting.class;
+        let deadline_ms = waiting.ask.deadline_at_ms;
+        self.organisations[waiting.organisation].in_flight += 1;
+        let key = self.queue.insert(waiting);
+        self.classes[class].in_flight += 1;
+        self.classes[class].deadlines.insert((deadline_ms, key));
+        self.places.insert(ticket, Place::Waiting(key));
+        key
+    }
+
+    /// Takes a request out of the queue and of all counts.
+    pub(super) fn leave_queue(&mut self, key: WaitKey) -> Option<Waiting> {
+        let waiting = self.queue.remove(key)?;
+        let class = &mut self.classes[waiting.class];
+        class.in_flight -= 1;
+        class.deadlines.remove(&(waiting.ask.deadline_at_ms, key));
+        self.organisations[waiting.organisation].in_flight -= 1;
+        self.places.remove(&waiting.ask.ticket);
+        Some(waiting)
+    }
+
+    fn to_expected_ms(&self, waiting: &Waiting) -> u64 {
+        let ask = &waiting.ask;
+        let class = &self.classes[waiting.class];
+        class.to_expected_ms(ask.expected_tokens, ask.generated_tokens, &self.gaps_us)
+    }
+
+    /// Returns when a refused caller may come back: when the observed rate has served what is ahead of it.
+    fn to_retry_after_ms(&self, now_ms: u64, reason: Reason, ask: &Ask) -> u64 {
+        let wait_ms = match reason {
+            Reason::ContentRefused => return self.config.evidence_lifetime_ms,
+            Reason::NoEndpoint => return NO_ENDPOINT_RETRY_AFTER_MS,
+            Reason::ClassLimit => {
+                let class = self.class_keys.get(&ask.class);
+                let class = class.and_then(|key| self.classes.get(*key));
+                self.to_wait_ms(now_ms, class.map(|class| &class.rate), 1)
+            }
+            Reason::OrganisationLimit => {
+                let organisation = self.organisation_keys.get(&ask.organisation);
+                let organisation = organisation.and_then(|key| self.organisations.get(*key));
+                self.to_wait_ms(now_ms, organisation.map(|o| &o.rate), 1)
+            }
+            _ => {
+                let mut ahead = 1;
+                for (tier, length) in self.queue.to_lengths() {
+                    if tier <= ask.tier || self.is_baseline() {
+                        ahead += length;
+                    }
+                }
+                self.to_wait_ms(now_ms, Some(&self.rate), ahead)
+            }
+        };
+        wait_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS)
+    }
+
+    fn to_wait_ms(&self, now_ms: u64, rate: Option<&Rate>, requests: usize) -> u64 {
+        let per_ms = rate.and_then(|rate| rate.to_per_ms(now_ms));
+        match per_ms {
+            Some(per_ms) => (requests as f64 / per_ms) as u64,
+            None => {
+                let slots = u64::from(self.to_gauges(now_ms).slots.max(1));
+                SLOT_TIME_MS * requests as u64 / slots
+            }
+        }
+    }
+
+    /// Returns the key of a class, which is created on first use.
+    pub(super) fn class_key(&mut self, name: &Name) -> ClassKey {
+        if let Some(key) = self.class_keys.get(name) {
+            return *key;
+        }
+        let key = self.classes.insert(super::Class::default());
+        self.class_keys.insert(name.clone(), key);
+        key
+    }
+
+    /// Returns the key of an organisation, which is created on first use.
+    pub(super) fn organisation_key(&mut self, name: &Name) -> OrganisationKey {
+        if let Some(key) = self.organisation_keys.get(name) {
+            return *key;
+        }
+        let key = self.organisations.insert(super::Organisation::default());
+        self.organisation_keys.insert(name.clone(), key);
+        key
+    }
+}
--- /dev/null
+++ b/crates/core/src/coordination/scheduler/preempt.rs
@@ -0,0 +1,74 @@
+//! Preemption of running requests for tier 0.
+
+use std::cmp::Reverse;
+
+use super::Effect;
+use super::Scheduler;
+use super::place;
+use super::place::Wish;
+use super::running::RunKey;
+use super::running::Running;
+
+impl Scheduler {
+    /// Asks running requests for their slot, one for each waiting tier 0 request that no free slot suits.
+    pub(super) fn preempt(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
+        if self.is_baseline() {
+            return;
+        }
+        let waiting = self.queue.to_length(0);
+        let mut under_way = 0;
+        if waiting > 0 {
+            let preempting = self.endpoints.values().map(|e| e.preempting as usize);
+            under_way = preempting.sum();
+        }
+        while under_way < waiting {
+            let Some(victim) = self.to_victim(now_ms, under_way) else {
+                return;
+            };
+            under_way += 1;
+            let running = &mut self.running[victim];
+            running.is_preempting = true;
+            self.endpoints[running.endpoint].preempting += 1;
+            self.counters.preemptions += 1;
+            effects.push(Effect::Preempt {
+                ticket: running.ask.ticket,
+            });
+        }
+    }
+
+    /// Returns the request of the lowest tier that has done the least work where the waiting request may run.
+    fn to_victim(&self, now_ms: u64, position: usize) -> Option<RunKey> {
+        let (_, waiting) = self.queue.in_tier(0).nth(position)?;
+        let lost = self.to_lost_endpoints(&waiting.ask);
+        let wish = Wish {
+            ask: &waiting.ask,
+            suspect_of: lost.as_deref(),
+        };
+        let candidates = self
+            .running
+            .iter()
+            .filter(|(_, running)| self.is_preemptible(now_ms, running, &wish));
+        candidates
+            .min_by_key(|(_, running)| {
+                let work = (running.tokens, Reverse(running.granted_ms));
+                (Reverse(running.ask.tier), work, running.ask.ticket)
+            })
+            .map(|(key, _)| key)
+    }
+
+    fn is_preemptible(&self, now_ms: u64, running: &Running, wish: &Wish<'_>) -> bool {
+        let ask = &running.ask;
+        if ask.tier == 0 || !ask.preemptible || !ask.idempotent || running.is_preempting {
+            return false;
+        }
+        // An aged request would otherwise lose the slot that its age has earned.
+        if running.is_aged || running.preemptions >= self.config.preempt_max {
+            return false;
+        }
+        let endpoint = &self.endpoints[running.endpoint];
+        let left = endpoint.running - endpoint.preempting - 1;
+        endpoint.is_serving()
+            && left < endpoint.to_limit(now_ms)
+            && place::is_allowed(endpoint, wish)
+    }
+}
--- /dev/null
+++ b/crates/core/src/coordination/scheduler/queue.rs
@@ -0,0 +1,213 @@
+//! Waiting requests in the order in which they get slots.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use super::Ask;
+use super::class::ClassKey;
+
+new_key_type! {
+    /// Key of a waiting request.
+    pub(super) struct WaitKey;
+    /// Key of an organisation.
+    pub(super) struct OrganisationKey;
+}
+
+/// Fixed-point scale of virtual time.
+const SCALE: u64 = 1_024;
+
+/// A request that waits for a slot.
+#[derive(Debug)]
+pub(super) struct Waiting {
+    pub(super) ask: Box<Ask>,
+    pub(super) class: ClassKey,
+    pub(super) organisation: OrganisationKey,
+    /// Organisation that it shares a tier as; the baseline has one for all.
+    pub(super) lane: OrganisationKey,
+    /// When the request first asked; a preempted request keeps its time.
+    pub(super) since_ms: u64,
+    pub(super) preemptions: u32,
+    /// Place within the organisation; the lowest goes first.
+    pub(super) rank: u64,
+    /// Queue that it waits in.
+    pub(super) tier: u8,
+    /// Expected slot time in milliseconds.
+    pub(super) cost_ms: u64,
+    sequence: u64,
+}
+
+impl Waiting {
+    /// Creates a waiting request; the queue sets its sequence.
+    pub(super) fn new(
+        ask: Box<Ask>,
+        class: ClassKey,
+        organisation: OrganisationKey,
+        now_ms: u64,
+    ) -> Self {
+        Self {
+            tier: ask.tier,
+            rank: ask.deadline_at_ms,
+            ask,
+            class,
+            organisation,
+            lane: organisation,
+            since_ms: now_ms,
+            preemptions: 0,
+            cost_ms: 1,
+            sequence: 0,
+        }
+    }
+
+    fn to_aged_at_ms(&self) -> u64 {
+        self.since_ms.saturating_add(self.ask.ageing_ms)
+    }
+}
+
+/// Requests of one organisation within a tier, earliest deadline first.
+#[derive(Debug, Default)]
+struct Lane {
+    virtual_time: u64,
+    requests: BTreeSet<(u64, u64, WaitKey)>,
+}
+
+/// Requests of one tier.
+#[derive(Debug, Default)]
+struct Tier {
+    virtual_time: u64,
+    lanes: HashMap<OrganisationKey, Lane>,
+    active: BTreeSet<(u64, OrganisationKey)>,
+    /// Order of shedding, from the end: repeatable before non-idempotent, then the latest deadline.
+    sheddable: BTreeSet<(bool, u64, WaitKey)>,
+}
+
+/// All waiting requests of a shard.
+#[derive(Debug, Default)]
+pub(super) struct Queue {
+    waiting: SlotMap<WaitKey, Waiting>,
+    tiers: BTreeMap<u8, Tier>,
+    ageing: BTreeSet<(u64, WaitKey)>,
+    sequence: u64,
+}
+
+impl Queue {
+    pub(super) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub(super) fn get(&self, key: WaitKey) -> Option<&Waiting> {
+        self.waiting.get(key)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (WaitKey, &Waiting)> {
+        self.waiting.iter()
+    }
+
+    /// Returns the length of the queue of each tier.
+    pub(super) fn to_lengths(&self) -> BTreeMap<u8, usize> {
+        let mut lengths = BTreeMap::new();
+        for (tier, queue) in &self.tiers {
+            lengths.insert(*tier, queue.sheddable.len());
+        }
+        lengths
+    }
+
+    /// Returns the number of waiting requests of a tier.
+    pub(super) fn to_length(&self, tier: u8) -> usize {
+        self.tiers
+            .get(&tier)
+            .map_or(0, |queue| queue.sheddable.len())
+    }
+
+    /// Adds a request.
+    pub(super) fn insert(&mut self, mut waiting: Waiting) -> WaitKey {
+        self.sequence += 1;
+        waiting.sequence = self.sequence;
+        let key = self.waiting.insert(waiting);
+        let waiting = &self.waiting[key];
+        if waiting.tier > 0 {
+            self.ageing.insert((waiting.to_aged_at_ms(), key));
+        }
+        let tier = self.tiers.entry(waiting.tier).or_default();
+        let entry = (waiting.ask.idempotent, waiting.ask.deadline_at_ms, key);
+        tier.sheddable.insert(entry);
+        let lane = tier.lanes.entry(waiting.lane).or_default();
+        if lane.requests.is_empty() {
+            // An organisation that was idle must not use up the share that it did not ask for.
+            lane.virtual_time = lane.virtual_time.max(tier.virtual_time);
+            tier.active.insert((lane.virtual_time, waiting.lane));
+        }
+        lane.requests.insert((waiting.rank, waiting.sequence, key));
+        key
+    }
+
+    /// Removes a request that gets no slot.
+    pub(super) fn remove(&mut self, key: WaitKey) -> Option<Waiting> {
+        self.take(key, false)
+    }
+
+    /// Removes a request that gets a slot, and charges its organisation.
+    pub(super) fn grant(&mut self, key: WaitKey) -> Option<Waiting> {
+        self.take(key, true)
+    }
+
+    fn take(&mut self, key: WaitKey, is_charged: bool) -> Option<Waiting> {
+        let waiting = self.waiting.remove(key)?;
+        self.ageing.remove(&(waiting.to_aged_at_ms(), key));
+        let tier = self.tiers.get_mut(&waiting.tier)?;
+        let entry = (waiting.ask.idempotent, waiting.ask.deadline_at_ms, key);
+        tier.sheddable.remove(&entry);
+        let lane = tier.lanes.get_mut(&waiting.lane)?;
+        lane.requests.remove(&(waiting.rank, waiting.sequence, key));
+        tier.active.remove(&(lane.virtual_time, waiting.lane));
+        if is_charged {
+            tier.virtual_time = tier.virtual_time.max(lane.virtual_time);
+            let weight = u64::from(waiting.ask.weight.max(1));
+            let charge = waiting.cost_ms.saturating_mul(SCALE) / weight;
+            lane.virtual_time = lane.virtual_time.saturating_add(charge.max(1));
+        }
+        if !lane.requests.is_empty() {
+            tier.active.insert((lane.virtual_time, waiting.lane));
+        } else if lane.virtual_time <= tier.virtual_time {
+            tier.lanes.remove(&waiting.lane);
+        }
+        if tier.sheddable.is_empty() {
+            self.tiers.remove(&waiting.tier);
+        }
+        Some(waiting)
+    }
+
+    /// Returns the requests of one tier in order of service.
+    pub(super) fn in_tier(&self, tier: u8) -> impl Iterator<Item = (WaitKey, &Waiting)> {
+        let queue = self.tiers.get(&tier);
+        let lanes = queue.into_iter().flat_map(|queue| {
+            let lane = |(_, organisation): &(u64, OrganisationKey)| queue.lanes.get(organisation);
+            queue.active.iter().filter_map(lane)
+        });
+        lanes
+            .flat_map(|lane| lane.requests.iter())
+            .filter_map(|(_, _, key)| Some((*key, self.waiting.get(*key)?)))
+    }
+
+    /// Returns the tiers that have waiting requests, most urgent first.
+    pub(super) fn tiers(&self) -> impl Iterator<Item = u8> {
+        self.tiers.keys().copied()
+    }
+
+    /// Returns the requests below tier 0 that have aged, the longest aged first.
+    pub(super) fn aged(&self, now_ms: u64) -> impl Iterator<Item = (WaitKey, &Waiting)> {
+        let aged = self.ageing.iter();
+        aged.take_while(move |(at_ms, _)| *at_ms <= now_ms)
+            .filter_map(|(_, key)| Some((*key, self.waiting.get(*key)?)))
+    }
+
+    /// Returns the request that is shed first: lowest tier, repeatable, latest deadline.
+    pub(super) fn to_sheddable(&self) -> Option<(WaitKey, &Waiting)> {
+        let (_, tier) = self.tiers.last_key_value()?;
+        let (_, _, key) = tier.sheddable.last()?;
+        Some((*key, self.waiting.get(*key)?))
+    }
+}
--- /dev/null
+++ b/crates/core/src/coordination/scheduler/speed.rs
@@ -0,0 +1,294 @@
+//! What is learned about the speed of endpoints, and what follows: limits, ejection and readmission.
+
+use std::collections::HashSet;
+
+use super::Effect;
+use super::Endpoint;
+use super::EndpointKey;
+use super::EndpointSpec;
+use super::Place;
+use super::RunKey;
+use super::Scheduler;
+use super::class::SAMPLES_MIN;
+use super::endpoint::FAILURES_MAX;
+use super::endpoint::Health;
+use super::running::Running;
+use crate::Name;
+use crate::TicketId;
+
+/// Time between checks of all requests and endpoints, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 100;
+
+/// Time below which a missing first token is never held against an endpoint, in milliseconds.
+const LATE_MIN_MS: u64 = 100;
+
+/// Probe intervals without a request to probe with, after which an ejected endpoint is taken back on trial.
+const IDLE_INTERVALS_MAX: u64 = 10;
+
+impl Scheduler {
+    /// Replaces the endpoints of the shard.
+    pub(super) fn set_endpoints(&mut self, specs: Vec<EndpointSpec>) {
+        let listed: HashSet<Name> = specs.iter().map(|spec| spec.name.clone()).collect();
+        for spec in specs {
+            match self.endpoint_keys.get(&spec.name) {
+                Some(key) => self.endpoints[*key].update(spec),
+                None => {
+                    let name = spec.name.clone();
+                    let key = self.endpoints.insert(Endpoint::new(spec, true));
+                    self.endpoint_keys.insert(name, key);
+                }
+            }
+        }
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.is_listed = listed.contains(&endpoint.spec.name);
+        }
+        self.endpoints
+            .retain(|_, endpoint| endpoint.is_listed || endpoint.running > 0);
+        let endpoints = &self.endpoints;
+        self.endpoint_keys
+            .retain(|_, key| endpoints.contains_key(*key));
+        self.readmit_surplus();
+    }
+
+    /// Does what only the passing of time asks for.
+    pub(super) fn tick(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
+        self.refuse_late(now_ms, effects);
+        if now_ms < self.next_check_ms {
+            return;
+        }
+        self.next_check_ms = now_ms + CHECK_INTERVAL_MS;
+        self.refuse_unplaceable(now_ms, effects);
+        self.drop_overdue(now_ms);
+        self.evidence.expire(now_ms);
+        self.observe_silence(now_ms);
+        self.readmit_idle(now_ms);
+    }
+
+    /// Learns a load report.
+    pub(super) fn observe_load(&mut self, now_ms: u64, name: &Name, running: u32, waiting: u32) {
+        if let Some(key) = self.endpoint_keys.get(name) {
+            let least = self.config.slots_min;
+            self.endpoints[*key].observe_load(now_ms, running, waiting, least);
+        }
+    }
+
+    /// Learns the time to the first token.
+    pub(super) fn observe_first_token(&mut self, now_ms: u64, ticket: TicketId, elapsed_ms: u64) {
+        let Some(key) = self.to_run_key(ticket) else {
+            return;
+        };
+        let running = &mut self.running[key];
+        running.first_token_ms = Some(elapsed_ms);
+        running.tokens = running.tokens.max(1);
+        let is_counted = std::mem::replace(&mut running.is_late, true);
+        let is_late = elapsed_ms > running.ask.target_ms;
+        let is_probe = running.is_probe;
+        let endpoint_key = running.endpoint;
+        let class = &mut self.classes[running.class];
+        let relative = match class.first_token_ms.to_count() {
+            0..SAMPLES_MIN => 1.0,
+            _ => elapsed_ms as f32 / class.first_token_ms.to_quantile(0.5).max(1) as f32,
+        };
+        let endpoint = &mut self.endpoints[endpoint_key];
+        if endpoint.health == Health::Serving {
+            class.first_token_ms.add(elapsed_ms);
+        }
+        endpoint.observe_target(now_ms, is_late, &self.config);
+        if is_probe {
+            self.end_probe(endpoint_key, relative);
+        } else if !is_counted {
+            self.observe_speed(now_ms, endpoint_key, relative);
+        }
+    }
+
+    /// Learns the time between tokens.
+    pub(super) fn observe_progress(
+        &mut self,
+        now_ms: u64,
+        ticket: TicketId,
+        tokens: u32,
+        gap_us: u64,
+    ) {
+        let Some(key) = self.to_run_key(ticket) else {
+            return;
+        };
+        let running = &mut self.running[key];
+        running.tokens = running.tokens.max(tokens);
+        let endpoint_key = running.endpoint;
+        let relative = match self.gaps_us.to_count() {
+            0..SAMPLES_MIN => 1.0,
+            _ => gap_us as f32 / self.gaps_us.to_quantile(0.5).max(1) as f32,
+        };
+        let endpoint = &mut self.endpoints[endpoint_key];
+        if endpoint.health == Health::Serving {
+            self.gaps_us.add(gap_us);
+        }
+        let is_late = gap_us > self.config.gap_target_us;
+        endpoint.observe_target(now_ms, is_late, &self.config);
+        self.observe_speed(now_ms, endpoint_key, relative);
+    }
+
+    /// Learns the time of a whole answer that came without tokens.
+    pub(super) fn observe_duration(&mut self, now_ms: u64, running: &Running) {
+        let elapsed_ms = now_ms.saturating_sub(running.granted_ms);
+        let class = &mut self.classes[running.class];
+        let relative = match class.duration_ms.to_count() {
+            0..SAMPLES_MIN => 1.0,
+            _ => elapsed_ms as f32 / class.duration_ms.to_quantile(0.5).max(1) as f32,
+        };
+        let Some(endpoint) = self.endpoints.get_mut(running.endpoint) else {
+            return;
+        };
+        if endpoint.health == Health::Serving {
+            class.duration_ms.add(elapsed_ms);
+        }
+        let is_late = elapsed_ms > running.ask.target_ms;
+        endpoint.observe_target(now_ms, is_late, &self.config);
+        if running.is_probe {
+            self.end_probe(running.endpoint, relative);
+        } else if !running.is_late {
+            self.observe_speed(now_ms, running.endpoint, relative);
+        }
+    }
+
+    /// Counts an attempt that failed because of the endpoint.
+    pub(super) fn observe_failure(&mut self, now_ms: u64, key: EndpointKey) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        endpoint.failures += 1;
+        if endpoint.failures >= FAILURES_MAX {
+            self.eject(now_ms, key);
+        }
+    }
+
+    /// Holds first tokens that are long overdue against the endpoint before they arrive.
+    fn observe_silence(&mut self, now_ms: u64) {
+        let mut silent = Vec::new();
+        for (key, running) in &self.running {
+            if running.is_late {
+                continue;
+            }
+            let class = &self.classes[running.class];
+            let usual = match class.first_token_ms.to_count() {
+                0..SAMPLES_MIN => &class.duration_ms,
+                _ => &class.first_token_ms,
+            };
+            if usual.to_count() < SAMPLES_MIN {
+                continue;
+            }
+            let usual_ms = usual.to_quantile(0.5).max(1) as f32;
+            let elapsed_ms = now_ms.saturating_sub(running.granted_ms);
+            if elapsed_ms >= LATE_MIN_MS && elapsed_ms as f32 >= usual_ms * self.config.slow_factor
+            {
+                silent.push((key, elapsed_ms as f32 / usual_ms));
+            }
+        }
+        for (key, relative) in silent {
+            let running = &mut self.running[key];
+            running.is_late = true;
+            let endpoint = running.endpoint;
+            self.observe_speed(now_ms, endpoint, relative);
+        }
+    }
+
+    fn observe_speed(&mut self, now_ms: u64, key: EndpointKey, relative: f32) {
+        let endpoint = &mut self.endpoints[key];
+        endpoint.observe_speed(relative);
+        let Some(slowness) = endpoint.to_slowness() else {
+            return;
+        };
+        if slowness < self.config.slow_factor || endpoint.health != Health::Serving {
+            return;
+        }
+        let mut others = Vec::new();
+        for (_, endpoint) in self.endpoints.iter().filter(|(other, _)| *other != key) {
+            if endpoint.is_serving() {
+                others.push(endpoint.to_recent());
+            }
+        }
+        others.sort_by(f32::total_cmp);
+        let median = others.get(others.len() / 2).copied().unwrap_or(f32::MAX);
+        // Both must hold: old samples alone are relative to what was usual when they were taken.
+        let least = slowness.min(self.endpoints[key].to_recent());
+        if least >= self.config.slow_factor * median {
+            self.eject(now_ms, key);
+        }
+    }
+
+    fn eject(&mut self, now_ms: u64, key: EndpointKey) {
+        if self.is_baseline() || self.endpoints[key].health != Health::Serving {
+            return;
+        }
+        if self.to_ejected().len() < self.to_ejected_max() {
+            self.endpoints[key].eject(now_ms, &self.config);
+            self.counters.ejections += 1;
+        }
+    }
+
+    /// Returns the ejected endpoints, the longest ejected first.
+    fn to_ejected(&self) -> Vec<EndpointKey> {
+        let mut ejected = Vec::new();
+        for (key, endpoint) in &self.endpoints {
+            if let Health::Ejected { since_ms, .. } = endpoint.health
+                && endpoint.is_usable()
+            {
+                ejected.push((since_ms, key));
+            }
+        }
+        ejected.sort();
+        ejected.into_iter().map(|(_, key)| key).collect()
+    }
+
+    fn to_ejected_max(&self) -> usize {
+        let usable = self.endpoints.values().filter(|e| e.is_usable()).count();
+        let share = usable as f64 * self.config.eject_share_max;
+        // Rounding must not turn a third of three into none.
+        let max = (share + 1e-9) as usize;
+        max.min(usable.saturating_sub(1))
+    }
+
+    /// Takes endpoints back when too many are ejected, since others left or died.
+    pub(super) fn readmit_surplus(&mut self) {
+        let ejected = self.to_ejected();
+        let surplus = ejected.len().saturating_sub(self.to_ejected_max());
+        for key in ejected.into_iter().take(surplus) {
+            self.readmit(key);
+        }
+    }
+
+    /// Takes endpoints back on trial when no request came that could probe them.
+    fn readmit_idle(&mut self, now_ms: u64) {
+        let idle_ms = self.config.probe_interval_ms * IDLE_INTERVALS_MAX;
+        for key in self.to_ejected() {
+            if let Health::Ejected {
+                next_probe_ms,
+                probe: None,
+                ..
+            } = self.endpoints[key].health
+                && now_ms >= next_probe_ms.saturating_add(idle_ms)
+            {
+                self.readmit(key);
+            }
+        }
+    }
+
+    fn end_probe(&mut self, key: EndpointKey, relative: f32) {
+        let endpoint = &self.endpoints[key];
+        if endpoint.health != Health::Serving && relative < self.config.slow_factor {
+            self.readmit(key);
+        }
+    }
+
+    fn readmit(&mut self, key: EndpointKey) {
+        self.endpoints[key].readmit();
+        self.counters.readmissions += 1;
+    }
+
+    fn to_run_key(&self, ticket: TicketId) -> Option<RunKey> {
+        match self.places.get(&ticket) {
+            Some(Place::Running(key)) => Some(*key),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/ageing_share.rs
@@ -0,0 +1,57 @@
+//! Guards against starvation of lower tiers, and against ageing that takes more than its share from urgent work.
+
+#[path = "fixture/shard.rs"]
+mod shard;
+
+use waxwing_core::coordination::scheduler::Config;
+
+use shard::Shard;
+use shard::ask;
+use shard::granted;
+
+fn count_aged(ageing_ms: u64) -> usize {
+    let mut shard = Shard::new(Config::default(), &[1]);
+    shard.enqueue(ask(0, 0));
+    for sequence in 1_000..1_050 {
+        let mut low = ask(sequence, 3);
+        low.ageing_ms = ageing_ms;
+        shard.enqueue(low);
+    }
+    let mut running = 0;
+    let mut aged = 0;
+    for sequence in 1..=200 {
+        shard.enqueue(ask(sequence, 0));
+        shard.now_ms += 10;
+        running = granted(&shard.done(running)).expect("the slot is free and requests wait");
+        aged += usize::from(running >= 1_000);
+    }
+    aged
+}
+
+#[test]
+fn aged_requests_get_one_grant_in_twenty() {
+    assert_eq!(count_aged(0), 10);
+}
+
+#[test]
+fn young_requests_wait_for_urgent_work() {
+    assert_eq!(count_aged(1_000_000), 0);
+}
+
+#[test]
+fn longest_aged_goes_first() {
+    let config = Config {
+        ageing_share: 1,
+        ..Config::default()
+    };
+    let mut shard = Shard::new(config, &[1]);
+    shard.enqueue(ask(1, 0));
+    let mut young = ask(2, 2);
+    young.ageing_ms = 100;
+    shard.enqueue(young);
+    let mut old = ask(3, 3);
+    old.ageing_ms = 50;
+    shard.enqueue(old);
+    shard.now_ms += 200;
+    assert_eq!(granted(&shard.done(1)), Some(3));
+}
--- /dev/null
+++ b/crates/core/tests/baseline_order.rs
@@ -0,0 +1,52 @@
+//! Guards against a baseline that is not first in, first out, and against comparisons with another seed.
+
+#[path = "fixture/shard.rs"]
+mod shard;
+
+use waxwing_core::coordination::scheduler::Config;
+use waxwing_core::state::settings::Policy;
+
+use shard::Shard;
+use shard::ask;
+use shard::granted;
+use shard::grants;
+use shard::refusals;
+
+fn baseline(queue_max: u32) -> Config {
+    Config {
+        policy: Policy::Baseline,
+        queue_max,
+        ..Config::default()
+    }
+}
+
+#[test]
+fn first_in_first_out_whatever_the_tier() {
+    let mut shard = Shard::new(baseline(2), &[1]);
+    shard.enqueue(ask(1, 3));
+    shard.enqueue(ask(2, 2));
+    shard.enqueue(ask(3, 1));
+    assert_eq!(
+        refusals(&shard.enqueue(ask(4, 0))).len(),
+        1,
+        "nothing is shed"
+    );
+    assert_eq!(granted(&shard.done(1)), Some(2));
+    assert_eq!(granted(&shard.done(2)), Some(3));
+}
+
+#[test]
+fn random_choice_repeats_with_its_seed() {
+    let place = || {
+        let mut shard = Shard::new(baseline(1), &[1; 20]);
+        let effects = (1..=20).flat_map(|n| shard.enqueue(ask(n, 0)));
+        grants(&effects.collect::<Vec<_>>())
+    };
+    assert_eq!(place(), place());
+    let first: Vec<String> = place().into_iter().map(|(_, name)| name).collect();
+    let mut sorted = first.clone();
+    sorted.sort();
+    sorted.dedup();
+    assert_eq!(sorted.len(), 20);
+    assert_ne!(first, sorted);
+}
--- /dev/null
+++ b/crates/core/tests/crash_blame.rs
@@ -0,0 +1,136 @@
+//! Guards against a request that crashes endpoint after endpoint, and against blame for innocent requests.
+
+#[path = "fixture/shard.rs"]
+mod shard;
+
+use waxwing_core::Reason;
+use waxwing_core::coordination::scheduler::Ask;
+use waxwing_core::coordination::scheduler::Config;
+use waxwing_core::coordination::scheduler::Effect;
+use waxwing_core::coordination::scheduler::End;
+use waxwing_core::coordination::scheduler::Input;
+
+use shard::Shard;
+use shard::ask;
+use shard::grants;
+use shard::refusals;
+
+const POISON: u8 = 66;
+
+fn with_content(sequence: u64, content: u8) -> Ask {
+    Ask {
+        content_hash: [content; 32],
+        ..ask(sequence, 1)
+    }
+}
+
+fn to_endpoint(effects: &[Effect]) -> Option<String> {
+    grants(effects).first().map(|(_, name)| name.clone())
+}
+
+/// Loses the connections of the requests and then the endpoint; it comes back with a new identity.
+fn crash(shard: &mut Shard, name: &str, sequences: &[u64]) {
+    for sequence in sequences {
+        shard.end(*sequence, End::Lost, 0);
+    }
+    shard.probe(name, false, 0);
+    shard.probe(name, true, shard.now_ms);
+}
+
+#[test]
+fn second_crash_identifies_the_content() {
+    let mut shard = Shard::new(Config::default(), &[4, 4, 4]);
+    let first = to_endpoint(&shard.enqueue(with_content(1, POISON))).expect("slots are free");
+    crash(&mut shard, &first, &[1]);
+    let second = to_endpoint(&shard.enqueue(with_content(2, POISON))).expect("slots are free");
+    assert_ne!(first, second, "a suspect avoids the endpoint that it lost");
+    crash(&mut shard, &second, &[2]);
+    let refused = shard.enqueue(with_content(3, POISON));
+    assert_eq!(refusals(&refused), vec![(3, Reason::ContentRefused)]);
+    assert_eq!(shard.scheduler.counters().crashes, 2);
+}
+
+#[test]
+fn crash_seen_by_the_prober_first_counts() {
+    let mut shard = Shard::new(Config::default(), &[4, 4]);
+    let first = to_endpoint(&shard.enqueue(with_content(1, POISON))).expect("slots are free");
+    shard.probe(&first, false, 0);
+    shard.end(1, End::Lost, 0);
+    assert_eq!(shard.scheduler.to_findings(shard.now_ms).len(), 1);
+}
+
+#[test]
+fn lost_connection_without_crash_blames_nobody() {
+    let mut shard = Shard::new(Config::default(), &[4, 4]);
+    shard.probe("e1", true, 1);
+    shard.probe("e2", true, 1);
+    for sequence in 1..=2 {
+        let endpoint = to_endpoint(&shard.enqueue(with_content(sequence, POISON)));
+        shard.end(sequence, End::Lost, 0);
+        shard.probe(&endpoint.expect("slots are free"), true, 1);
+    }
+    assert!(shard.scheduler.to_findings(shard.now_ms).is_empty());
+}
+
+#[test]
+fn suspects_run_apart_and_innocents_are_cleared() {
+    let mut shard = Shard::new(Config::default(), &[4, 4, 4]);
+    let mut running = Vec::new();
+    for sequence in 1..=12 {
+        running.extend(grants(
+            &shard.enqueue(with_content(sequence, sequence as u8)),
+        ));
+    }
+    let mut on_first = Vec::new();
+    for (sequence, endpoint) in running {
+        if endpoint == "e1" {
+            on_first.push(sequence);
+        } else {
+            shard.done(sequence);
+        }
+    }
+    assert_eq!(on_first.len(), 4);
+    crash(&mut shard, "e1", &on_first);
+    let mut isolated = Vec::new();
+    for sequence in on_first {
+        let effects = shard.enqueue(with_content(sequence, sequence as u8));
+        isolated.extend(grants(&effects));
+    }
+    let endpoints: Vec<&str> = isolated.iter().map(|(_, name)| name.as_str()).collect();
+    assert_eq!(
+        endpoints.len(),
+        2,
+        "two other endpoints take one suspect each"
+    );
+    assert_ne!(endpoints[0], endpoints[1]);
+    let next = shard.done(isolated[0].0);
+    assert_eq!(
+        grants(&next).len(),
+        1,
+        "a cleared suspect makes room for the next"
+    );
+    let content = [isolated[0].0 as u8; 32];
+    let findings = shard.scheduler.to_findings(shard.now_ms);
+    let blamed = findings.iter().filter(|f| f.endpoint.is_some());
+    assert!(blamed.into_iter().all(|f| f.content != content));
+}
+
+#[test]
+fn evidence_of_other_vms_counts() {
+    let mut there = Shard::new(Config::default(), &[4, 4]);
+    let first = to_endpoint(&there.enqueue(with_content(1, POISON))).expect("slots are free");
+    crash(&mut there, &first, &[1]);
+    let mut here = Shard::new(Config::default(), &[]);
+    let specs = vec![shard::endpoint("e8", 1), shard::endpoint("e9", 1)];
+    here.step(Input::Endpoints(specs));
+    let second = to_endpoint(&here.enqueue(with_content(1, POISON))).expect("slots are free");
+    crash(&mut here, &second, &[1]);
+    let findings = there.scheduler.to_findings(there.now_ms);
+    let mut refused = here.step(Input::Evidence(findings.clone()));
+    here.step(Input::Evidence(findings));
+    refused.extend(here.enqueue(with_content(4, POISON)));
+    let reason = Reason::ContentRefused;
+    assert!(refusals(&refused).contains(&(4, reason)), "{refused:?}");
+    assert!(here.scheduler.is_refused(&[POISON; 32]));
+    assert!(!here.scheduler.is_refused(&[0; 32]));
+}
--- a/crates/router/src/scheduling.rs
+++ b/crates/router/src/scheduling.rs
@@ -220,8 +220,10 @@
 
 fn to_config(pool: &Pool) -> Config {
     Config {
+        policy: pool.policy,
         reserved_slots: pool.reserved_slots,
         queue_max: pool.queue_max,
+        ..Config::default()
     }
 }
 
