Probe the endpoints of owned shards and publish scheduler figures

The scheduler needs probes to confirm crashes and load reports to lower slot limits, and nothing fed them in.

Contents of a lost connection are now suspects before the probe confirms the crash. Without that, innocent requests that are retried together with the guilty one would lose a second endpoint too and be refused.

Ruled out: probing only after failures, since a leaving or restarted endpoint without traffic would stay unknown.

--- a/crates/core/src/coordination/scheduler.rs
+++ b/crates/core/src/coordination/scheduler.rs
@@ -1,6 +1,7 @@
 //! The scheduler of one shard: who gets which slot of which endpoint, and when.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
@@ -9,6 +10,7 @@
 use crate::Name;
 use crate::Reason;
 use crate::TicketId;
+use crate::state::evidence::Content;
 use crate::state::evidence::Evidence;
 use crate::state::evidence::Finding;
 use crate::state::settings::Policy;
@@ -302,6 +304,8 @@
     gaps_us: Histogram,
     rate: Rate,
     evidence: Evidence,
+    /// Contents of lost connections that no probe has explained yet.
+    unconfirmed: HashSet<Content>,
     counters: Counters,
     grants_since_aged: u32,
     unusable_since_ms: Option<u64>,
@@ -334,6 +338,7 @@
             gaps_us: Histogram::default(),
             rate: Rate::default(),
             evidence,
+            unconfirmed: HashSet::new(),
             counters: Counters::default(),
             grants_since_aged: 0,
             unusable_since_ms: None,
--- a/crates/core/src/coordination/scheduler/crash.rs
+++ b/crates/core/src/coordination/scheduler/crash.rs
@@ -2,25 +2,57 @@
 
 use super::Ask;
 use super::Effect;
+use super::Endpoint;
 use super::RunKey;
 use super::Scheduler;
 use super::endpoint::Loss;
 use crate::Name;
 use crate::Reason;
 use crate::state::evidence::Content;
+use crate::state::evidence::NO_CONTENT;
 
 impl Scheduler {
     /// Returns whether the content was lost with an endpoint and is neither cleared nor refused.
+    ///
+    /// A lost connection makes a suspect before the probe confirms the crash: retries come sooner than the probe, and
+    /// innocent contents that follow the guilty one to its next endpoint would be lost twice as well.
     pub(super) fn is_suspect(&self, ask: &Ask) -> bool {
-        if self.evidence.is_empty() || self.is_baseline() {
+        if self.is_baseline() {
             return false;
         }
+        if self.unconfirmed.contains(&ask.content_hash) {
+            return true;
+        }
         let losses = self.evidence.to_loss_count(&ask.content_hash);
         losses > 0 && losses < self.config.poison_endpoints_max as usize
     }
 
+    /// Returns whether the endpoint was lost while it ran the content.
+    pub(super) fn has_lost(&self, content: &Content, endpoint: &Endpoint) -> bool {
+        let is_unconfirmed = endpoint
+            .loss
+            .as_ref()
+            .is_some_and(|loss| loss.contents.contains(content));
+        is_unconfirmed || self.evidence.has_lost(content, &endpoint.spec.name)
+    }
+
+    fn collect_unconfirmed(&mut self) {
+        self.unconfirmed.clear();
+        for endpoint in self.endpoints.values() {
+            if let Some(loss) = &endpoint.loss {
+                self.unconfirmed.extend(&loss.contents);
+            }
+        }
+        self.unconfirmed.remove(&NO_CONTENT);
+    }
+
     /// Notes a lost connection, which counts as a crash once a probe confirms it.
     pub(super) fn note_loss(&mut self, now_ms: u64, key: RunKey) {
+        self.add_loss(now_ms, key);
+        self.collect_unconfirmed();
+    }
+
+    fn add_loss(&mut self, now_ms: u64, key: RunKey) {
         let lost = &self.running[key];
         let content = lost.ask.content_hash;
         let endpoint_key = lost.endpoint;
@@ -65,6 +97,7 @@
         let endpoint = &mut self.endpoints[*key];
         let contents = endpoint.observe_probe(now_ms, is_alive, started_id);
         self.readmit_surplus();
+        self.collect_unconfirmed();
         let Some(contents) = contents else {
             return;
         };
@@ -80,8 +113,17 @@
 
     /// Clears a content that finished, unless it is already refused.
     pub(super) fn clear_content(&mut self, now_ms: u64, content: &Content) {
-        if !self.evidence.is_empty() && !self.is_refused(content) {
-            self.evidence.clear(*content, now_ms);
+        if self.is_refused(content) {
+            return;
+        }
+        self.evidence.clear(*content, now_ms);
+        if !self.unconfirmed.remove(content) {
+            return;
+        }
+        for endpoint in self.endpoints.values_mut() {
+            if let Some(loss) = &mut endpoint.loss {
+                loss.contents.retain(|lost| lost != content);
+            }
         }
     }
 
--- a/crates/core/src/coordination/scheduler/grant.rs
+++ b/crates/core/src/coordination/scheduler/grant.rs
@@ -251,7 +251,7 @@
         let mut has_other = false;
         for endpoint in self.endpoints.values().filter(|e| e.is_usable()) {
             let name = &endpoint.spec.name;
-            if self.evidence.has_lost(&ask.content_hash, name) {
+            if self.has_lost(&ask.content_hash, endpoint) {
                 lost.push(name.clone());
             } else if !ask.excluded.contains(name) {
                 has_other = true;
--- a/crates/core/tests/crash_blame.rs
+++ b/crates/core/tests/crash_blame.rs
@@ -134,3 +134,36 @@
     assert!(here.scheduler.is_refused(&[POISON; 32]));
     assert!(!here.scheduler.is_refused(&[0; 32]));
 }
+
+#[test]
+fn innocents_do_not_follow_the_guilty_before_the_probe() {
+    let mut shard = Shard::new(Config::default(), &[8]);
+    let innocents = 1..=4;
+    for sequence in innocents.clone() {
+        shard.enqueue(with_content(sequence, sequence as u8));
+    }
+    shard.enqueue(with_content(9, POISON));
+    let specs = ["e1", "e2", "e3"].map(|name| shard::endpoint(name, 8));
+    shard.step(Input::Endpoints(specs.to_vec()));
+    let mut placed = Vec::new();
+    for sequence in [9, 1, 2, 3, 4] {
+        shard.end(sequence, End::Lost, 0);
+        let content = if sequence == 9 {
+            POISON
+        } else {
+            sequence as u8
+        };
+        placed.extend(grants(&shard.enqueue(with_content(sequence, content))));
+    }
+    let guilty = placed.iter().find(|(sequence, _)| *sequence == 9);
+    let (_, second) = guilty.expect("it is placed").clone();
+    let followed = placed.iter().filter(|(_, name)| *name == second).count();
+    assert_eq!(followed, 1, "only the guilty content runs on its endpoint");
+    shard.end(9, End::Lost, 0);
+    shard.probe("e1", false, 0);
+    shard.probe(&second, false, 0);
+    assert!(shard.scheduler.is_refused(&[POISON; 32]));
+    for innocent in innocents {
+        assert!(!shard.scheduler.is_refused(&[innocent as u8; 32]));
+    }
+}
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -11,6 +11,7 @@
 use crate::logging;
 use crate::metric;
 use crate::operator;
+use crate::prober;
 use crate::scheduling;
 use crate::scheduling::Scheduling;
 use crate::settings_sync;
@@ -64,6 +65,7 @@
     let shared = Arc::new(Shared::new(config, scheduling));
     scheduling::start(Arc::clone(&shared), inbox);
     settings_sync::start(Arc::clone(&shared));
+    prober::start(Arc::clone(&shared));
     operator::start(Arc::clone(&shared), metrics)?;
     front::start(Arc::clone(&shared), listener)?;
     Ok(shared)
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod logging;
 pub mod metric;
 pub mod operator;
+pub mod prober;
 pub mod request;
 pub mod scheduling;
 pub mod settings_sync;
--- a/crates/router/src/metric.rs
+++ b/crates/router/src/metric.rs
@@ -2,7 +2,9 @@
 
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
+use waxwing_core::Name;
 use waxwing_core::Refusal;
+use waxwing_core::coordination::scheduler::Scheduler;
 
 /// Counter of refusals by reason and class.
 pub const REFUSALS: &str = "waxwing_refusals_total";
@@ -19,6 +21,26 @@
 /// Histogram of the time from receipt to the whole answer, in seconds.
 pub const TOTAL: &str = "waxwing_total_seconds";
 
+/// Counter of endpoint probes by result.
+pub const PROBES: &str = "waxwing_probes_total";
+/// Counter of refusals of the scheduler by reason and pool.
+pub const SCHEDULER_REFUSALS: &str = "waxwing_scheduler_refusals_total";
+/// Counter of grants by pool and kind.
+pub const GRANTS: &str = "waxwing_grants_total";
+/// Counter of preemptions by pool.
+pub const PREEMPTIONS: &str = "waxwing_preemptions_total";
+/// Counter of tokens that no answer contains, by pool.
+pub const WASTED_TOKENS: &str = "waxwing_wasted_tokens_total";
+/// Counter of endpoint health changes by pool and change.
+pub const ENDPOINT_CHANGES: &str = "waxwing_endpoint_changes_total";
+/// Gauge of waiting requests by pool and tier.
+pub const QUEUE_LENGTH: &str = "waxwing_queue_length";
+/// Gauge of slots by pool and state.
+pub const SLOTS: &str = "waxwing_slots";
+
+/// Tiers that always have a gauge, so that an emptied queue shows as 0.
+const TIERS: u8 = 4;
+
 const BUCKETS_S: &[f64] = &[
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0,
 ];
@@ -36,3 +58,41 @@
     let reason = refusal.reason.as_str();
     metrics::counter!(REFUSALS, "reason" => reason, "class" => class.to_owned()).increment(1);
 }
+
+/// Counts a repeated attempt.
+pub fn count_retry(reason: &'static str) {
+    metrics::counter!(RETRIES, "reason" => reason).increment(1);
+}
+
+/// Publishes the counters and gauges of a pool's scheduler.
+pub fn publish_scheduler(pool: &Name, scheduler: &Scheduler, now_ms: u64) {
+    let pool = pool.to_string();
+    let counters = scheduler.counters();
+    for (reason, count) in &counters.refusals {
+        let reason = reason.as_str();
+        metrics::counter!(SCHEDULER_REFUSALS, "pool" => pool.clone(), "reason" => reason)
+            .absolute(*count);
+    }
+    let in_order = counters.grants - counters.aged_grants;
+    for (kind, count) in [("in_order", in_order), ("aged", counters.aged_grants)] {
+        metrics::counter!(GRANTS, "pool" => pool.clone(), "kind" => kind).absolute(count);
+    }
+    metrics::counter!(PREEMPTIONS, "pool" => pool.clone()).absolute(counters.preemptions);
+    metrics::counter!(WASTED_TOKENS, "pool" => pool.clone()).absolute(counters.wasted_tokens);
+    for (change, count) in [
+        ("ejected", counters.ejections),
+        ("readmitted", counters.readmissions),
+        ("crashed", counters.crashes),
+    ] {
+        metrics::counter!(ENDPOINT_CHANGES, "pool" => pool.clone(), "change" => change)
+            .absolute(count);
+    }
+    let gauges = scheduler.to_gauges(now_ms);
+    for tier in 0..TIERS {
+        let length = gauges.waiting.get(&tier).copied().unwrap_or(0);
+        metrics::gauge!(QUEUE_LENGTH, "pool" => pool.clone(), "tier" => tier.to_string())
+            .set(length as f64);
+    }
+    metrics::gauge!(SLOTS, "pool" => pool.clone(), "state" => "usable").set(gauges.slots);
+    metrics::gauge!(SLOTS, "pool" => pool, "state" => "running").set(gauges.running as f64);
+}
--- a/crates/router/src/scheduling.rs
+++ b/crates/router/src/scheduling.rs
@@ -2,22 +2,28 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::RwLock;
 use std::thread;
 use std::time::Duration;
 
 use flume::Receiver;
 use flume::Sender;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use waxwing_core::Name;
 use waxwing_core::Reason;
 use waxwing_core::TicketId;
 use waxwing_core::coordination::scheduler::Ask;
 use waxwing_core::coordination::scheduler::Config;
 use waxwing_core::coordination::scheduler::Effect;
+use waxwing_core::coordination::scheduler::End;
 use waxwing_core::coordination::scheduler::EndpointSpec;
 use waxwing_core::coordination::scheduler::Input;
 use waxwing_core::coordination::scheduler::Scheduler;
+use waxwing_core::state::evidence::Finding;
 use waxwing_core::state::settings::Pool;
 
+use crate::metric;
 use crate::shared::Shared;
 
 /// Inputs that may wait for the scheduler thread.
@@ -29,6 +35,9 @@
 /// Time between ticks of a scheduler, in milliseconds.
 const TICK_MS: u64 = 10;
 
+/// Time between publications of counters and gauges, in milliseconds.
+const PUBLISH_INTERVAL_MS: u64 = 1_000;
+
 /// What the scheduler tells a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Order {
@@ -70,6 +79,8 @@
 #[derive(Clone, Debug)]
 pub struct Scheduling {
     messages: Sender<Message>,
+    losses: (Sender<()>, Receiver<()>),
+    findings: Arc<RwLock<HashMap<Name, Vec<Finding>>>>,
 }
 
 /// The other end of [`Scheduling`], for the thread.
@@ -82,7 +93,12 @@
     /// Creates the access and the inbox of its thread.
     pub fn new() -> (Self, Inbox) {
         let (sender, receiver) = flume::bounded(INPUTS_MAX);
-        (Self { messages: sender }, Inbox { messages: receiver })
+        let scheduling = Self {
+            messages: sender,
+            losses: flume::bounded(1),
+            findings: Arc::default(),
+        };
+        (scheduling, Inbox { messages: receiver })
     }
 
     /// Asks for a slot; the orders for the request arrive on the returned channel.
@@ -102,12 +118,36 @@
 
     /// Passes an input to the scheduler of a pool.
     pub fn input(&self, pool: &Name, input: Input) {
+        if let Input::Finish { end: End::Lost, .. } = input {
+            // A notice that already waits covers this loss too.
+            let _ = self.losses.0.try_send(());
+        }
         self.send(Message::Input {
             pool: pool.clone(),
             input,
         });
     }
 
+    /// Waits until a connection to an endpoint is lost, so that a crash is found before the next regular probe.
+    pub fn wait_for_loss(&self, timeout: Duration) {
+        let _ = self.losses.1.recv_timeout(timeout);
+    }
+
+    /// Returns the evidence about contents that crash endpoints of a pool, at most a second old.
+    ///
+    /// Evidence of other VMs goes in as [`Input::Evidence`].
+    pub fn to_findings(&self, pool: &Name) -> Vec<Finding> {
+        let findings = self.findings.read();
+        let findings = findings.unwrap_or_else(|poisoned| poisoned.into_inner());
+        findings.get(pool).cloned().unwrap_or_default()
+    }
+
+    fn set_findings(&self, pool: &Name, findings: Vec<Finding>) {
+        let all = self.findings.write();
+        let mut all = all.unwrap_or_else(|poisoned| poisoned.into_inner());
+        all.insert(pool.clone(), findings);
+    }
+
     fn send(&self, message: Message) {
         // The thread ends only with the process, so a failed send has no reader to miss it.
         let _ = self.messages.send(message);
@@ -132,6 +172,7 @@
         requests: HashMap::new(),
     };
     let mut next_tick_ms = 0;
+    let mut next_publish_ms = 0;
     loop {
         let wait = Duration::from_millis(TICK_MS);
         let message = inbox.messages.recv_timeout(wait);
@@ -152,6 +193,14 @@
             next_tick_ms = now_ms + TICK_MS;
             state.tick(now_ms);
         }
+        if now_ms >= next_publish_ms {
+            next_publish_ms = now_ms + PUBLISH_INTERVAL_MS;
+            for (pool, scheduler) in &state.schedulers {
+                metric::publish_scheduler(pool, scheduler, now_ms);
+                let findings = scheduler.to_findings(now_ms);
+                shared.scheduling.set_findings(pool, findings);
+            }
+        }
     }
 }
 
@@ -165,9 +214,13 @@
         self.schedulers
             .retain(|pool, _| view.settings.pools.contains_key(pool));
         for (name, pool) in &view.settings.pools {
-            if !self.schedulers.contains_key(name) {
-                self.schedulers
-                    .insert(name.clone(), Scheduler::new(to_config(pool)));
+            match self.schedulers.get_mut(name) {
+                Some(scheduler) => scheduler.set_config(to_config(pool)),
+                None => {
+                    let random = ChaCha8Rng::from_os_rng();
+                    let scheduler = Scheduler::with_random(to_config(pool), random);
+                    self.schedulers.insert(name.clone(), scheduler);
+                }
             }
             self.step(shared.now_ms(), name, Input::Endpoints(to_endpoints(pool)));
         }
--- /dev/null
+++ b/crates/router/tests/endpoint_probes.rs
@@ -0,0 +1,136 @@
+//! Guards against endpoints whose failure or load the scheduler never learns of.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use tiny_http::Response;
+use tiny_http::Server;
+use waxwing_core::Name;
+use waxwing_core::Reason;
+use waxwing_core::coordination::scheduler::Ask;
+use waxwing_core::coordination::scheduler::End;
+use waxwing_core::coordination::scheduler::Input;
+use waxwing_core::state::settings::Settings;
+use waxwingrouter::config::Config;
+use waxwingrouter::prober;
+use waxwingrouter::scheduling;
+use waxwingrouter::scheduling::Order;
+use waxwingrouter::scheduling::Scheduling;
+use waxwingrouter::shared::Shared;
+
+const CONFIG: &str = r#"
+[vm]
+name = "vm-1"
+data_centre = "dc-1"
+caller_address = "127.0.0.1:1"
+peer_address = "127.0.0.1:1"
+operator_address = "127.0.0.1:1"
+[platform]
+log_address = "127.0.0.1:1"
+"#;
+
+/// Starts the scheduler and prober threads for one pool with one endpoint.
+fn start(address: &str) -> Arc<Shared> {
+    let config = Config::parse("test", CONFIG).expect("the settings are valid");
+    let (access, inbox) = Scheduling::new();
+    let shared = Arc::new(Shared::new(config, access));
+    let text = format!(
+        "[pools.chat]\nkind = \"model\"\n[[pools.chat.endpoints]]\nname = \"e1\"\n\
+         address = \"{address}\"\ndata_centre = \"dc-1\"\nslots_max = 4\n"
+    );
+    let settings: Settings = toml::from_str(&text).expect("the settings are valid");
+    shared.update_view(|view| {
+        view.settings = settings;
+        view.settings_version = 1;
+    });
+    scheduling::start(Arc::clone(&shared), inbox);
+    prober::start(Arc::clone(&shared));
+    shared
+}
+
+fn ask(shared: &Shared) -> Ask {
+    Ask {
+        ticket: shared.to_ticket(),
+        class: Name::from("c"),
+        organisation: Name::from("o"),
+        weight: 1,
+        tier: 0,
+        deadline_at_ms: shared.now_ms() + 60_000,
+        target_ms: 1_000,
+        ageing_ms: 1_000,
+        idempotent: true,
+        preemptible: false,
+        expected_tokens: 1,
+        generated_tokens: 0,
+        class_in_flight_max: 100,
+        organisation_in_flight_max: 100,
+        prefix_hash: 0,
+        content_hash: [0; 32],
+        data_centre: Name::from("dc-1"),
+        excluded: Vec::new(),
+    }
+}
+
+fn finish(shared: &Shared, ask: &Ask) {
+    let input = Input::Finish {
+        ticket: ask.ticket,
+        end: End::Done,
+        tokens: 0,
+    };
+    shared.scheduling.input(&Name::from("chat"), input);
+    shared.scheduling.leave(&Name::from("chat"), ask.ticket);
+}
+
+/// Repeats a check until it holds, for at most 20 s.
+fn wait_for(mut check: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !check() {
+        assert!(began.elapsed() < Duration::from_secs(20), "it never held");
+    }
+}
+
+#[test]
+fn dead_endpoint_is_found_by_its_probe() {
+    let server = Server::http("127.0.0.1:0").expect("a free port");
+    let address = server.server_addr().to_string();
+    drop(server);
+    let shared = start(&address);
+    wait_for(|| {
+        let ask = ask(&shared);
+        let orders = shared.scheduling.enqueue(&Name::from("chat"), ask.clone());
+        let order = orders.recv_timeout(Duration::from_secs(5));
+        finish(&shared, &ask);
+        let reason = Reason::NoEndpoint;
+        matches!(order, Ok(Order::Refuse { reason: found, .. }) if found == reason)
+    });
+}
+
+#[test]
+fn load_report_lowers_the_slots() {
+    let server = Server::http("127.0.0.1:0").expect("a free port");
+    let address = server.server_addr().to_string();
+    std::thread::spawn(move || {
+        for request in server.incoming_requests() {
+            let body = match request.url() {
+                "/load" => {
+                    r#"{"running":1,"waiting":3,"started_id":7,"report_age_ms":0,"fence":0}"#
+                }
+                _ => r#"{"started_id":7}"#,
+            };
+            let _ = request.respond(Response::from_string(body));
+        }
+    });
+    let shared = start(&address);
+    wait_for(|| {
+        let asks = [ask(&shared), ask(&shared)];
+        let pool = Name::from("chat");
+        let orders = asks
+            .clone()
+            .map(|ask| shared.scheduling.enqueue(&pool, ask));
+        let first = orders[0].recv_timeout(Duration::from_millis(200));
+        let second = orders[1].recv_timeout(Duration::from_millis(200));
+        asks.iter().for_each(|ask| finish(&shared, ask));
+        matches!(first, Ok(Order::Grant { .. })) && second.is_err()
+    });
+}
