--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,4 +3,10 @@
 pub mod caller;
 pub mod chat;
 pub mod claim;
+pub mod peer;
 pub mod platform;
+
+/// Code generated from `peer.capnp`.
+#[rustfmt::skip]
+#[allow(missing_docs, unreachable_pub, clippy::all, clippy::ptr_as_ptr, clippy::needless_bitwise_bool)]
+pub mod peer_capnp;
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,480 @@
+//! Messages between the entry VMs, as own types around the generated ones.
+
+use thiserror::Error;
+use waxwing_core::Name;
+use waxwing_core::Reason;
+use waxwing_core::TicketId;
+use waxwing_core::coordination::scheduler::Ask;
+use waxwing_core::coordination::scheduler::End;
+
+use crate::peer_capnp;
+
+mod claims;
+
+/// Version of the protocol between entry VMs.
+pub const PROTOCOL_VERSION: u16 = 1;
+
+/// Length of a content hash, in bytes.
+const HASH_BYTES: usize = 32;
+
+/// Result of decoding a message.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A message that does not decode.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The encoding is damaged or a text is not UTF-8.
+    #[error("the message does not decode: {0}")]
+    Encoding(#[from] capnp::Error),
+    /// A union or enumeration holds a value that this version does not know.
+    #[error("the message holds a value that this version does not know: {0}")]
+    Unknown(#[from] capnp::NotInSchema),
+    /// A text is not UTF-8.
+    #[error("a text of the message is not UTF-8: {0}")]
+    Text(#[from] std::str::Utf8Error),
+    /// A field has a value out of its range.
+    #[error("field {field}: expected {expected}")]
+    Field {
+        /// Name of the field in the schema.
+        field: &'static str,
+        /// What it has to be.
+        expected: &'static str,
+    },
+}
+
+/// One pool in one scheduling domain.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Shard {
+    /// Pool.
+    pub pool: Name,
+    /// Data centre; `None` stands for the whole deployment.
+    pub data_centre: Option<Name>,
+}
+
+/// First message of both sides of a connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Hello {
+    /// Version of the protocol.
+    pub version: u16,
+    /// Identity of the process.
+    pub incarnation: u64,
+    /// Name of the VM.
+    pub name: Name,
+}
+
+/// State of a VM, exchanged as a heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Digest {
+    /// Name of the VM.
+    pub name: Name,
+    /// Identity of the process.
+    pub incarnation: u64,
+    /// Whether a planned stop has begun.
+    pub is_draining: bool,
+    /// Version of the settings in force.
+    pub settings_version: u64,
+    /// Requests in progress.
+    pub load: u32,
+    /// Endpoints that the VM list marks as leaving.
+    pub leaving: Vec<Name>,
+}
+
+/// A request that another VM schedules; the deadline in `ask` is the time left, in milliseconds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RemoteAsk {
+    ask: Ask,
+}
+
+/// Answer to an enqueue.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The request may call the endpoint now.
+    Grant {
+        /// Endpoint.
+        endpoint: Name,
+        /// IP address and port.
+        address: String,
+    },
+    /// The request is refused; it was not run under this enqueue.
+    Refuse {
+        /// Why.
+        reason: Reason,
+        /// When to come back, in milliseconds from now.
+        retry_after_ms: u64,
+    },
+    /// Another member schedules the shard.
+    NotOwner,
+}
+
+/// An observation of a running request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Shard that granted the request.
+    pub shard: Shard,
+    /// The request.
+    pub ticket: TicketId,
+    /// What was observed.
+    pub event: ReportEvent,
+}
+
+/// What was observed of a running request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportEvent {
+    /// The first token arrived.
+    FirstToken {
+        /// Time since the call was sent, in milliseconds.
+        elapsed_ms: u64,
+    },
+    /// More tokens arrived.
+    Progress {
+        /// Tokens so far in this attempt.
+        tokens: u32,
+        /// Mean time between tokens since the last report, in microseconds.
+        gap_us: u64,
+    },
+    /// The attempt ended.
+    Finish {
+        /// How it ended.
+        end: End,
+        /// Tokens of this attempt.
+        tokens: u32,
+    },
+}
+
+/// A content that ran on an endpoint when it crashed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Evidence {
+    /// BLAKE3 hash of organisation, pool and canonical body.
+    pub content_hash: [u8; HASH_BYTES],
+    /// The lost endpoint.
+    pub endpoint: Name,
+    /// Time since the loss, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// Settings state of a VM; the bytes are opaque to the protocol.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SettingsState {
+    /// Version of the state.
+    pub version: u64,
+    /// The state.
+    pub bytes: Vec<u8>,
+}
+
+impl RemoteAsk {
+    /// Creates the message from a request whose deadline is on the clock that now reads `now_ms`.
+    pub fn from_ask(ask: &Ask, now_ms: u64) -> Self {
+        let mut ask = ask.clone();
+        ask.deadline_at_ms = ask.deadline_at_ms.saturating_sub(now_ms);
+        Self { ask }
+    }
+
+    /// Returns the request with its deadline on the clock that now reads `now_ms`.
+    pub fn to_ask(&self, now_ms: u64) -> Ask {
+        let mut ask = self.ask.clone();
+        ask.deadline_at_ms = ask.deadline_at_ms.saturating_add(now_ms);
+        ask
+    }
+
+    /// Returns the time left until the deadline, in milliseconds.
+    pub fn left_ms(&self) -> u64 {
+        self.ask.deadline_at_ms
+    }
+
+    /// Returns the identity of the request.
+    pub fn ticket(&self) -> TicketId {
+        self.ask.ticket
+    }
+
+    /// Writes the message.
+    pub fn write(&self, mut builder: peer_capnp::ask::Builder<'_>) {
+        let ask = &self.ask;
+        write_ticket(ask.ticket, builder.reborrow().init_ticket());
+        builder.set_class(ask.class.as_str());
+        builder.set_organisation(ask.organisation.as_str());
+        builder.set_weight(ask.weight);
+        builder.set_tier(ask.tier);
+        builder.set_left_ms(ask.deadline_at_ms);
+        builder.set_target_ms(ask.target_ms);
+        builder.set_ageing_ms(ask.ageing_ms);
+        builder.set_idempotent(ask.idempotent);
+        builder.set_preemptible(ask.preemptible);
+        builder.set_expected_tokens(ask.expected_tokens);
+        builder.set_generated_tokens(ask.generated_tokens);
+        builder.set_class_in_flight_max(ask.class_in_flight_max);
+        builder.set_organisation_in_flight_max(ask.organisation_in_flight_max);
+        builder.set_prefix_hash(ask.prefix_hash);
+        builder.set_content_hash(&ask.content_hash);
+        builder.set_data_centre(ask.data_centre.as_str());
+        let excluded = builder.init_excluded(ask.excluded.len() as u32);
+        write_names(&ask.excluded, excluded);
+    }
+}
+
+impl TryFrom<peer_capnp::ask::Reader<'_>> for RemoteAsk {
+    type Error = Error;
+
+    fn try_from(reader: peer_capnp::ask::Reader<'_>) -> Result<Self> {
+        let ask = Ask {
+            ticket: to_ticket(reader.get_ticket()?),
+            class: to_name(reader.get_class()?)?,
+            organisation: to_name(reader.get_organisation()?)?,
+            weight: reader.get_weight(),
+            tier: reader.get_tier(),
+            deadline_at_ms: reader.get_left_ms(),
+            target_ms: reader.get_target_ms(),
+            ageing_ms: reader.get_ageing_ms(),
+            idempotent: reader.get_idempotent(),
+            preemptible: reader.get_preemptible(),
+            expected_tokens: reader.get_expected_tokens(),
+            generated_tokens: reader.get_generated_tokens(),
+            class_in_flight_max: reader.get_class_in_flight_max(),
+            organisation_in_flight_max: reader.get_organisation_in_flight_max(),
+            prefix_hash: reader.get_prefix_hash(),
+            content_hash: to_hash("contentHash", reader.get_content_hash()?)?,
+            data_centre: to_name(reader.get_data_centre()?)?,
+            excluded: to_names(reader.get_excluded()?)?,
+        };
+        Ok(Self { ask })
+    }
+}
+
+impl Shard {
+    /// Writes the message.
+    pub fn write(&self, mut builder: peer_capnp::shard::Builder<'_>) {
+        builder.set_pool(self.pool.as_str());
+        builder.set_data_centre(self.data_centre.as_ref().map_or("", Name::as_str));
+    }
+}
+
+impl TryFrom<peer_capnp::shard::Reader<'_>> for Shard {
+    type Error = Error;
+
+    fn try_from(reader: peer_capnp::shard::Reader<'_>) -> Result<Self> {
+        let data_centre = to_name(reader.get_data_centre()?)?;
+        Ok(Self {
+            pool: to_name(reader.get_pool()?)?,
+            data_centre: (!data_centre.as_str().is_empty()).then_some(data_centre),
+        })
+    }
+}
+
+impl Digest {
+    /// Writes the message.
+    pub fn write(&self, mut builder: peer_capnp::digest::Builder<'_>) {
+        builder.set_name(self.name.as_str());
+        builder.set_incarnation(self.incarnation);
+        builder.set_is_draining(self.is_draining);
+        builder.set_settings_version(self.settings_version);
+        builder.set_load(self.load);
+        let leaving = builder.init_leaving(self.leaving.len() as u32);
+        write_names(&self.leaving, leaving);
+    }
+}
+
+impl TryFrom<peer_capnp::digest::Reader<'_>> for Digest {
+    type Error = Error;
+
+    fn try_from(reader: peer_capnp::digest::Reader<'_>) -> Result<Self> {
+        Ok(Self {
+            name: to_name(reader.get_name()?)?,
+            incarnation: reader.get_incarnation(),
+            is_draining: reader.get_is_draining(),
+            settings_version: reader.get_settings_version(),
+            load: reader.get_load(),
+            leaving: to_names(reader.get_leaving()?)?,
+        })
+    }
+}
+
+impl Verdict {
+    /// Writes the message.
+    pub fn write(&self, mut builder: peer_capnp::verdict::Builder<'_>) {
+        match self {
+            Self::Grant { endpoint, address } => {
+                let mut grant = builder.init_grant();
+                grant.set_endpoint(endpoint.as_str());
+                grant.set_address(address);
+            }
+            Self::Refuse {
+                reason,
+                retry_after_ms,
+            } => {
+                let mut refuse = builder.init_refuse();
+                refuse.set_reason(reason.as_str());
+                refuse.set_retry_after_ms(*retry_after_ms);
+            }
+            Self::NotOwner => builder.set_not_owner(()),
+        }
+    }
+}
+
+impl TryFrom<peer_capnp::verdict::Reader<'_>> for Verdict {
+    type Error = Error;
+
+    fn try_from(reader: peer_capnp::verdict::Reader<'_>) -> Result<Self> {
+        use peer_capnp::verdict::Which;
+        match reader.which()? {
+            Which::Grant(grant) => Ok(Self::Grant {
+                endpoint: to_name(grant.get_endpoint()?)?,
+                address: grant.get_address()?.to_str()?.to_owned(),
+            }),
+            Which::Refuse(refuse) => Ok(Self::Refuse {
+                reason: to_reason(refuse.get_reason()?)?,
+                retry_after_ms: refuse.get_retry_after_ms(),
+            }),
+            Which::NotOwner(()) => Ok(Self::NotOwner),
+        }
+    }
+}
+
+impl Report {
+    /// Writes the message.
+    pub fn write(&self, mut builder: peer_capnp::report::Builder<'_>) {
+        self.shard.write(builder.reborrow().init_shard());
+        write_ticket(self.ticket, builder.reborrow().init_ticket());
+        match self.event {
+            ReportEvent::FirstToken { elapsed_ms } => {
+                builder.init_first_token().set_elapsed_ms(elapsed_ms);
+            }
+            ReportEvent::Progress { tokens, gap_us } => {
+                let mut progress = builder.init_progress();
+                progress.set_tokens(tokens);
+                progress.set_gap_us(gap_us);
+            }
+            ReportEvent::Finish { end, tokens } => {
+                let mut finish = builder.init_finish();
+                finish.set_end(from_end(end));
+                finish.set_finish_tokens(tokens);
+            }
+        }
+    }
+}
+
+impl TryFrom<peer_capnp::report::Reader<'_>> for Report {
+    type Error = Error;
+
+    fn try_from(reader: peer_capnp::report::Reader<'_>) -> Result<Self> {
+        use peer_capnp::report::Which;
+        let event = match reader.which()? {
+            Which::FirstToken(first) => ReportEvent::FirstToken {
+                elapsed_ms: first.get_elapsed_ms(),
+            },
+            Which::Progress(progress) => ReportEvent::Progress {
+                tokens: progress.get_tokens(),
+                gap_us: progress.get_gap_us(),
+            },
+            Which::Finish(finish) => ReportEvent::Finish {
+                end: to_end(finish.get_end()?),
+                tokens: finish.get_finish_tokens(),
+            },
+        };
+        Ok(Self {
+            shard: Shard::try_from(reader.get_shard()?)?,
+            ticket: to_ticket(reader.get_ticket()?),
+            event,
+        })
+    }
+}
+
+impl Evidence {
+    /// Writes the message.
+    pub fn write(&self, mut builder: peer_capnp::evidence::Builder<'_>) {
+        builder.set_content_hash(&self.content_hash);
+        builder.set_endpoint(self.endpoint.as_str());
+        builder.set_age_ms(self.age_ms);
+    }
+}
+
+impl TryFrom<peer_capnp::evidence::Reader<'_>> for Evidence {
+    type Error = Error;
+
+    fn try_from(reader: peer_capnp::evidence::Reader<'_>) -> Result<Self> {
+        Ok(Self {
+            content_hash: to_hash("contentHash", reader.get_content_hash()?)?,
+            endpoint: to_name(reader.get_endpoint()?)?,
+            age_ms: reader.get_age_ms(),
+        })
+    }
+}
+
+/// Writes the identity of a request.
+pub fn write_ticket(ticket: TicketId, mut builder: peer_capnp::ticket::Builder<'_>) {
+    builder.set_incarnation(ticket.incarnation);
+    builder.set_sequence(ticket.sequence);
+}
+
+/// Returns the identity of a request.
+pub fn to_ticket(reader: peer_capnp::ticket::Reader<'_>) -> TicketId {
+    TicketId {
+        incarnation: reader.get_incarnation(),
+        sequence: reader.get_sequence(),
+    }
+}
+
+/// Writes names into a list of the same length.
+pub fn write_names(names: &[Name], mut builder: capnp::text_list::Builder<'_>) {
+    for (index, name) in names.iter().enumerate() {
+        builder.set(index as u32, name.as_str());
+    }
+}
+
+/// Returns a list of names.
+///
+/// # Errors
+///
+/// Fails if the list is damaged or a name is not UTF-8.
+pub fn to_names(reader: capnp::text_list::Reader<'_>) -> Result<Vec<Name>> {
+    let mut names = Vec::new();
+    for text in reader {
+        names.push(to_name(text?)?);
+    }
+    Ok(names)
+}
+
+/// Returns a name.
+///
+/// # Errors
+///
+/// Fails if the text is not UTF-8.
+pub fn to_name(text: capnp::text::Reader<'_>) -> Result<Name> {
+    Ok(Name::from(text.to_str()?))
+}
+
+fn to_reason(text: capnp::text::Reader<'_>) -> Result<Reason> {
+    let text = text.to_str()?;
+    let known = Reason::ALL.iter().find(|reason| reason.as_str() == text);
+    known.copied().ok_or(Error::Field {
+        field: "reason",
+        expected: "a reason of a refusal",
+    })
+}
+
+fn to_hash(field: &'static str, bytes: &[u8]) -> Result<[u8; HASH_BYTES]> {
+    bytes.try_into().map_err(|_| Error::Field {
+        field,
+        expected: "32 bytes",
+    })
+}
+
+fn from_end(end: End) -> peer_capnp::End {
+    match end {
+        End::Done => peer_capnp::End::Done,
+        End::NotSent => peer_capnp::End::NotSent,
+        End::Failed => peer_capnp::End::Failed,
+        End::Lost => peer_capnp::End::Lost,
+        End::Cancelled => peer_capnp::End::Cancelled,
+        End::Preempted => peer_capnp::End::Preempted,
+    }
+}
+
+fn to_end(end: peer_capnp::End) -> End {
+    match end {
+        peer_capnp::End::Done => End::Done,
+        peer_capnp::End::NotSent => End::NotSent,
+        peer_capnp::End::Failed => End::Failed,
+        peer_capnp::End::Lost => End::Lost,
+        peer_capnp::End::Cancelled => End::Cancelled,
+        peer_capnp::End::Preempted => End::Preempted,
+    }
+}
