--- a/crates/router/src/metric.rs
+++ b/crates/router/src/metric.rs
@@ -19,6 +19,21 @@
 /// Histogram of the time from receipt to the whole answer, in seconds.
 pub const TOTAL: &str = "waxwing_total_seconds";
 
+/// Counter of bytes on connections between entry VMs, by direction.
+pub const PEER_BYTES: &str = "waxwing_peer_bytes_total";
+/// Counter of failed calls to other entry VMs, by reason.
+pub const PEER_FAILURES: &str = "waxwing_peer_failures_total";
+/// Counter of connections to other entry VMs that were closed after silence.
+pub const PEER_SILENT: &str = "waxwing_peer_silent_connections_total";
+/// Counter of messages from other entry VMs that were answered with an error, by reason.
+pub const PEER_REJECTED: &str = "waxwing_peer_rejected_total";
+/// Counter of requests that were given to another VM to schedule, by outcome.
+pub const REMOTE_ENQUEUES: &str = "waxwing_remote_enqueues_total";
+/// Counter of requests that moved to another owner of their shard.
+pub const MOVED: &str = "waxwing_moved_requests_total";
+/// Histogram of the time from an enqueue to its grant, in seconds, by where the shard is scheduled.
+pub const GRANT: &str = "waxwing_grant_seconds";
+
 const BUCKETS_S: &[f64] = &[
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0,
 ];
--- a/crates/router/src/operator.rs
+++ b/crates/router/src/operator.rs
@@ -53,7 +53,7 @@
         }
         ("GET", "/status") => Response::json(&to_status(shared)),
         ("POST", "/drain") => {
-            shared.is_draining.store(true, Ordering::SeqCst);
+            shared.drain();
             Response::json(&to_status(shared))
         }
         _ => Response::text("unknown path\n").with_status_code(404),
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -5,7 +5,9 @@
 pub mod exchange;
 pub mod run;
 
+use std::cmp::Reverse;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use hyper::Method;
 use waxwing_core::Reason;
@@ -18,6 +20,15 @@
 use crate::request::exchange::Exchange;
 use crate::shared::Shared;
 
+/// Time after which a caller of a stopping VM may come back, in milliseconds; other VMs serve at once.
+const STOPPING_RETRY_AFTER_MS: u64 = 1_000;
+
+/// Weight of the least loaded VM.
+const WEIGHT_MAX: u32 = 100;
+
+/// Requests by which loads are raised before they are compared, so that a few requests make little difference.
+const WEIGHT_LOAD_OFFSET: u32 = 16;
+
 /// Serves one request to its end.
 pub fn handle(shared: &Arc<Shared>, exchange: Exchange, answerer: Answerer) {
     let path = exchange.path().to_owned();
@@ -25,7 +36,7 @@
     match path.as_str() {
         "/v1/chat/completions" if is_post => route(shared, &exchange, answerer, Target::Chat),
         "/v1/entries" if !is_post => entries(shared, &exchange, answerer),
-        "/healthz" if !is_post => answerer.json(200, &"serving"),
+        "/healthz" if !is_post => health(shared, answerer),
         _ => match to_service(&path) {
             Some(target) if is_post => route(shared, &exchange, answerer, target),
             _ => {
@@ -46,6 +57,13 @@
 }
 
 fn route(shared: &Arc<Shared>, exchange: &Exchange, answerer: Answerer, target: Target) {
+    if shared.is_stopping.load(Ordering::SeqCst) {
+        let message = "this VM is stopping; use another entry address";
+        let refusal = Refusal::not_run(Reason::Stopping, STOPPING_RETRY_AFTER_MS, message);
+        crate::metric::count_refusal("", &refusal);
+        answerer.refuse(&refusal);
+        return;
+    }
     match admit::to_job(shared, exchange, target) {
         Ok(job) => run::run(shared, job, answerer),
         Err(refusal) => {
@@ -55,25 +73,56 @@
     }
 }
 
+fn health(shared: &Shared, answerer: Answerer) {
+    match shared.is_stopping.load(Ordering::SeqCst) {
+        true => answerer.json(503, &"stopping"),
+        false => answerer.json(200, &"serving"),
+    }
+}
+
 /// Answers which entry addresses to use, those of the caller's data centre first.
 fn entries(shared: &Shared, exchange: &Exchange, answerer: Answerer) {
     let view = shared.view();
     let near = exchange.query("data_centre");
-    let mut entries = Vec::new();
+    let mut loads = Vec::new();
     for member in &view.members {
-        if member.is_draining {
+        let is_own = member.name == shared.config.vm.name;
+        let is_draining = match is_own {
+            true => shared.is_draining.load(Ordering::SeqCst),
+            false => member.is_draining,
+        };
+        if is_draining || !member.is_reachable {
             continue;
         }
+        let load = match is_own {
+            true => shared.in_progress.load(Ordering::SeqCst) as u32,
+            false => member.load,
+        };
+        loads.push((member, load));
+    }
+    let least = loads.iter().map(|(_, load)| *load).min().unwrap_or(0);
+    let mut entries = Vec::new();
+    for (member, load) in loads {
         entries.push(Entry {
             address: member.caller_address.clone(),
             data_centre: member.data_centre.to_string(),
-            weight: 1,
+            weight: to_weight(load, least),
         });
     }
-    entries.sort_by_key(|entry| Some(&entry.data_centre) != near.as_ref());
+    entries.sort_by_key(|entry| {
+        let is_far = Some(&entry.data_centre) != near.as_ref();
+        (is_far, Reverse(entry.weight))
+    });
     let body = Entries {
         entries,
         lifetime_s: shared.config.limits.entries_lifetime_s,
     };
     answerer.json(200, &body);
 }
+
+/// Returns the weight of a VM with `load` requests in progress, where the least loaded one has `least`.
+fn to_weight(load: u32, least: u32) -> u32 {
+    let full = u64::from(WEIGHT_MAX) * u64::from(least + WEIGHT_LOAD_OFFSET);
+    let weight = full / (u64::from(load) + u64::from(WEIGHT_LOAD_OFFSET));
+    u32::try_from(weight).unwrap_or(WEIGHT_MAX).max(1)
+}
--- /dev/null
+++ b/crates/router/src/scheduling/shard.rs
@@ -0,0 +1,86 @@
+//! Which member schedules a shard.
+
+use std::collections::BTreeSet;
+
+use waxwing_core::Name;
+use waxwing_core::coordination::rendezvous;
+use waxwing_core::state::settings::Policy;
+use waxwing_core::state::settings::Pool;
+use waxwing_core::state::settings::Scheduling;
+use waxwing_wire::peer::Shard;
+
+use crate::config::Vm;
+use crate::shared::Member;
+use crate::shared::View;
+
+/// Returns the shard for requests that a VM of `data_centre` takes.
+///
+/// A data centre without endpoints of the pool uses those of another one, which all its VMs choose alike.
+pub(super) fn to_shard(name: &Name, pool: &Pool, data_centre: &Name) -> Shard {
+    let data_centre = match (pool.policy, pool.scheduling) {
+        (Policy::Baseline, _) | (_, Scheduling::Deployment) => None,
+        (Policy::Tiers, Scheduling::DataCentre) => {
+            let all: BTreeSet<&Name> = pool.endpoints.iter().map(|it| &it.data_centre).collect();
+            if all.is_empty() || all.contains(data_centre) {
+                Some(data_centre.clone())
+            } else {
+                let order = rendezvous::to_order(&format!("{name}/{data_centre}"), all);
+                order.first().copied().cloned()
+            }
+        }
+    };
+    Shard {
+        pool: name.clone(),
+        data_centre,
+    }
+}
+
+/// Returns the member that schedules the shard, unless it is in `skipped`.
+///
+/// Draining and unreachable members come last, so that a shard always has an owner.
+pub(super) fn to_owner<'a>(view: &'a View, shard: &Shard, skipped: &[Name]) -> Option<&'a Member> {
+    let data_centre = shard.data_centre.as_ref();
+    let is_near = |member: &Member| data_centre.is_none_or(|name| member.data_centre == *name);
+    let mut candidates: Vec<&Member> = Vec::new();
+    for member in &view.members {
+        if !skipped.contains(&member.name) && member.is_reachable {
+            candidates.push(member);
+        }
+    }
+    let preferences: [&dyn Fn(&Member) -> bool; 3] = [
+        &|member| !member.is_draining && is_near(member),
+        &|member| !member.is_draining,
+        &|_| true,
+    ];
+    let subject = match data_centre {
+        Some(name) => format!("{}/{name}", shard.pool),
+        None => format!("{}/", shard.pool),
+    };
+    for is_preferred in preferences {
+        let names = candidates
+            .iter()
+            .filter(|member| is_preferred(member))
+            .map(|member| &member.name);
+        if let Some(first) = rendezvous::to_order(&subject, names).first() {
+            return candidates.into_iter().find(|member| member.name == **first);
+        }
+    }
+    None
+}
+
+/// Returns the other members that schedule requests of a VM.
+pub(crate) fn to_owners(view: &View, vm: &Vm) -> BTreeSet<Name> {
+    let mut owners = BTreeSet::new();
+    for (name, pool) in &view.settings.pools {
+        if pool.policy == Policy::Baseline {
+            continue;
+        }
+        let shard = to_shard(name, pool, &vm.data_centre);
+        if let Some(owner) = to_owner(view, &shard, &[])
+            && owner.name != vm.name
+        {
+            owners.insert(owner.name.clone());
+        }
+    }
+    owners
+}
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -1,6 +1,8 @@
 //! What the threads of a daemon share.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -10,11 +12,15 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use flume::Receiver;
+use flume::Sender;
 use waxwing_core::Name;
 use waxwing_core::TicketId;
 use waxwing_core::state::settings::Settings;
 
 use crate::config::Config;
+use crate::members::Members;
+use crate::peer::Peers;
 use crate::scheduling::Scheduling;
 
 /// State that all threads of the daemon reach.
@@ -26,10 +32,20 @@
     pub incarnation: u64,
     /// Access to the scheduler of each pool.
     pub scheduling: Scheduling,
+    /// Access to the other entry VMs.
+    pub peers: Peers,
+    /// Access to the members thread.
+    pub members: Members,
     /// Requests in progress.
     pub in_progress: AtomicUsize,
+    /// Open connections of callers.
+    pub connections: AtomicUsize,
     /// Whether a planned stop has begun.
     pub is_draining: AtomicBool,
+    /// Whether new requests are refused, which follows draining after the lifetime of the entry addresses.
+    pub is_stopping: AtomicBool,
+    draining: Latch,
+    stopping: Latch,
     view: RwLock<Arc<View>>,
     sequence: AtomicU64,
     started: Instant,
@@ -44,6 +60,10 @@
     pub settings: Settings,
     /// Live entry VMs, this one included.
     pub members: Vec<Member>,
+    /// Endpoints that the VM list or a peer marks as leaving.
+    pub leaving: BTreeSet<Name>,
+    /// Endpoints that the VM list of this VM marks as leaving.
+    pub listed_leaving: BTreeSet<Name>,
 }
 
 /// A live entry VM.
@@ -57,19 +77,58 @@
     pub caller_address: String,
     /// Address for other entry VMs.
     pub peer_address: String,
-    /// Whether it accepts new callers.
+    /// Whether a planned stop has begun.
     pub is_draining: bool,
+    /// Random identity of its process; 0 while it has not been heard of.
+    pub incarnation: u64,
+    /// Whether the last new connection to it succeeded.
+    pub is_reachable: bool,
+    /// Requests in progress there, as last heard.
+    pub load: u32,
+    /// Version of its settings, as last heard.
+    pub settings_version: u64,
+}
+
+/// An event that happens once and that any number of threads and tasks may await.
+#[derive(Debug)]
+struct Latch {
+    sender: Mutex<Option<Sender<()>>>,
+    receiver: Receiver<()>,
+}
+
+impl Latch {
+    fn new() -> Self {
+        let (sender, receiver) = flume::bounded(1);
+        Self {
+            sender: Mutex::new(Some(sender)),
+            receiver,
+        }
+    }
+
+    /// Dropping the only sender wakes every receiver.
+    fn open(&self) {
+        let mut guard = self
+            .sender
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        guard.take();
+    }
 }
 
 impl Shared {
     /// Creates the shared state of a process.
-    pub fn new(config: Config, scheduling: Scheduling) -> Self {
+    pub fn new(config: Config, scheduling: Scheduling, peers: Peers, members: Members) -> Self {
+        let incarnation = rand::random();
         let own = Member {
             name: config.vm.name.clone(),
             data_centre: config.vm.data_centre.clone(),
             caller_address: config.vm.caller_address.clone(),
             peer_address: config.vm.peer_address.clone(),
             is_draining: false,
+            incarnation,
+            is_reachable: true,
+            load: 0,
+            settings_version: 0,
         };
         let view = View {
             members: vec![own],
@@ -77,16 +136,48 @@
         };
         Self {
             config,
-            incarnation: rand::random(),
+            incarnation,
             scheduling,
+            peers,
+            members,
             in_progress: AtomicUsize::new(0),
+            connections: AtomicUsize::new(0),
             is_draining: AtomicBool::new(false),
+            is_stopping: AtomicBool::new(false),
+            draining: Latch::new(),
+            stopping: Latch::new(),
             view: RwLock::new(Arc::new(view)),
             sequence: AtomicU64::new(0),
             started: Instant::now(),
         }
     }
 
+    /// Begins a planned stop; later calls have no effect.
+    pub fn drain(&self) {
+        if self.is_draining.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        self.members.announce();
+        self.draining.open();
+    }
+
+    /// Refuses new requests from now on.
+    pub fn stop(&self) {
+        self.is_stopping.store(true, Ordering::SeqCst);
+        self.stopping.open();
+    }
+
+    /// Waits until a planned stop has begun.
+    pub fn wait_for_draining(&self) {
+        // The latch never sends; the receive fails when it opens.
+        let _ = self.draining.receiver.recv();
+    }
+
+    /// Resolves when new requests are refused.
+    pub async fn wait_for_stopping(&self) {
+        let _ = self.stopping.receiver.recv_async().await;
+    }
+
     /// Returns the current view.
     pub fn view(&self) -> Arc<View> {
         let guard = self
--- a/crates/router/src/transport/front.rs
+++ b/crates/router/src/transport/front.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -17,6 +18,8 @@
 use flume::r#async::RecvStream;
 use futures::FutureExt;
 use futures::StreamExt;
+use futures::future::Either;
+use futures::future::select;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use http_body_util::StreamBody;
@@ -26,6 +29,7 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
+use hyper::service::HttpService;
 use hyper::service::service_fn;
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
@@ -76,23 +80,44 @@
         // Without this, a token waits for the acknowledgement of the one before it.
         let _ = stream.get_ref().set_nodelay(true);
         let shared = Arc::clone(&shared);
+        shared.connections.fetch_add(1, Ordering::SeqCst);
         let connection = async move {
-            let limits = shared.config.limits.clone();
-            let service = service_fn(move |request| serve(Arc::clone(&shared), request));
-            let served = http1::Builder::new()
+            let limits = &shared.config.limits;
+            let serving = Arc::clone(&shared);
+            let service = service_fn(move |request| serve(Arc::clone(&serving), request));
+            let connection = http1::Builder::new()
                 .timer(SmolTimer::new())
                 .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
                 .max_buf_size(limits.head_max_bytes.max(8_192))
-                .serve_connection(FuturesIo::new(stream), service)
-                .await;
-            if let Err(error) = served {
+                .serve_connection(FuturesIo::new(stream), service);
+            if let Err(error) = finish_when_stopping(&shared, connection).await {
                 log::debug!("a caller's connection ended: {error}");
             }
+            shared.connections.fetch_sub(1, Ordering::SeqCst);
         };
         executor.spawn(connection).detach();
     }
 }
 
+/// Serves a connection; when the VM stops, the connection ends after the answer in progress.
+async fn finish_when_stopping<S>(
+    shared: &Shared,
+    connection: http1::Connection<FuturesIo<Async<TcpStream>>, S>,
+) -> hyper::Result<()>
+where
+    S: HttpService<Incoming, ResBody = AnswerBody, Error = Infallible>,
+{
+    let stopping = shared.wait_for_stopping();
+    futures::pin_mut!(connection, stopping);
+    match select(connection, stopping).await {
+        Either::Left((result, _)) => result,
+        Either::Right(((), mut connection)) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    }
+}
+
 async fn serve(
     shared: Arc<Shared>,
     request: Request<Incoming>,
