Add platform stand-ins with settable faults and a harness of real processes

The stand-ins of the demo had no faults, no rate limits and no retention, and an engine noticed a departed client only at its next write. They now run on hyper like the caller front, because tiny_http neither closes its listener at run time nor reports a closed connection. Faults are set by PUT /faults on a control address of its own, since a stand-in that refuses connections cannot be told to stop doing so on the refused port.

The harness starts the daemon, stand-ins and fault proxies as processes, takes ports below the range of outgoing connections, and ends everything on drop. It uses nix for SIGSTOP and SIGCONT and tempfile for its folder.

--- /dev/null
+++ b/crates/harness/src/deployment.rs
@@ -0,0 +1,219 @@
+//! A log service, a VM list, endpoints and daemons that belong together.
+
+use std::fmt::Write;
+
+use waxwing_wire::platform::Vm;
+use waxwing_wire::platform::VmList;
+use waxwing_wire::platform::VmRole;
+use waxwing_wire::platform::VmState;
+
+use crate::caller::Caller;
+use crate::daemon::Daemon;
+use crate::daemon::Options;
+use crate::publish;
+use crate::run::Run;
+use crate::standin::Standin;
+
+/// API key of the organisation of a plan.
+pub const API_KEY: &str = "harness-key";
+
+/// Classes of [`Plan::to_settings`]; tests add their own in [`Plan::extra_settings`].
+const CLASSES: &str = r#"
+[teams.desk.classes.draft]
+pool = "chat"
+tier = 1
+target_ms = 1000
+deadline_ms = 30000
+[teams.desk.classes.digest]
+pool = "chat"
+tier = 2
+target_ms = 10000
+deadline_ms = 30000
+delivery = "job"
+"#;
+
+/// Classes of the service pool, if there is one.
+const SERVICE_CLASSES: &str = r#"
+[teams.desk.classes.lookup]
+pool = "dispatch"
+tier = 0
+target_ms = 800
+deadline_ms = 10000
+[teams.desk.classes.booking]
+pool = "dispatch"
+tier = 0
+target_ms = 800
+deadline_ms = 10000
+idempotent = false
+"#;
+
+/// What a deployment consists of.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Number of engines, in the pool `chat`.
+    pub engines: usize,
+    /// Options of each engine.
+    pub engine_options: Vec<&'static str>,
+    /// Number of plain services, in the pool `dispatch`.
+    pub services: usize,
+    /// Options of each plain service.
+    pub service_options: Vec<&'static str>,
+    /// Number of daemons.
+    pub daemons: usize,
+    /// Options of the log service.
+    pub log_options: Vec<&'static str>,
+    /// Further text for the settings file of each VM.
+    pub vm_extra: String,
+    /// Further text for the settings tree.
+    pub extra_settings: String,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            engines: 1,
+            engine_options: Vec::new(),
+            services: 0,
+            service_options: Vec::new(),
+            daemons: 1,
+            log_options: Vec::new(),
+            vm_extra: String::new(),
+            extra_settings: String::new(),
+        }
+    }
+}
+
+/// A running deployment; dropping it ends all its processes.
+#[derive(Debug)]
+pub struct Deployment {
+    /// What the processes have in common.
+    pub run: Run,
+    /// Daemons `vm-1` and up.
+    pub daemons: Vec<Daemon>,
+    /// Engines `engine-1` and up.
+    pub engines: Vec<Standin>,
+    /// Plain services `service-1` and up.
+    pub services: Vec<Standin>,
+    /// VM list.
+    pub vm_list: Standin,
+    /// Log service.
+    pub log: Standin,
+}
+
+impl Deployment {
+    /// Starts all processes of a plan, publishes its settings and waits until each daemon has them.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a process does not start.
+    pub fn start(plan: &Plan) -> Self {
+        let run = Run::new();
+        let log = Standin::start(&run, "log", "log", &plan.log_options);
+        let vm_list = Standin::start(&run, "vm-list", "vm-list", &[]);
+        let to_endpoints = |count, kind, options: &[&str]| {
+            let mut endpoints = Vec::new();
+            for number in 1..=count {
+                let name = format!("{kind}-{number}");
+                endpoints.push(Standin::start(&run, &name, kind, options));
+            }
+            endpoints
+        };
+        let engines = to_endpoints(plan.engines, "engine", &plan.engine_options);
+        let services = to_endpoints(plan.services, "service", &plan.service_options);
+        let mut deployment = Self {
+            daemons: Vec::new(),
+            engines,
+            services,
+            vm_list,
+            log,
+            run,
+        };
+        let settings = deployment.to_settings(&plan.extra_settings);
+        assert!(
+            publish::publish_settings(&deployment.log.address(), &settings),
+            "the settings are published"
+        );
+        let options = Options {
+            log_address: deployment.log.address(),
+            vm_list_address: deployment.vm_list.address(),
+            extra: plan.vm_extra.clone(),
+            ..Options::default()
+        };
+        for number in 1..=plan.daemons {
+            let name = format!("vm-{number}");
+            let daemon = Daemon::start(&deployment.run, &name, &options);
+            deployment.daemons.push(daemon);
+        }
+        deployment.vm_list.set_vms(&deployment.to_vms());
+        for daemon in &deployment.daemons {
+            daemon.wait_for_settings();
+        }
+        deployment
+    }
+
+    /// Returns the settings tree with `extra` at its end.
+    pub fn to_settings(&self, extra: &str) -> String {
+        let hash = blake3::hash(API_KEY.as_bytes()).to_hex();
+        let mut text = to_pool("chat", "model", &self.engines);
+        if !self.services.is_empty() {
+            text += &to_pool("dispatch", "service", &self.services);
+            text += SERVICE_CLASSES;
+        }
+        text += CLASSES;
+        text += &format!("[organisations.harness]\nteam = \"desk\"\nkey_hashes = [\"{hash}\"]\n");
+        text + extra
+    }
+
+    /// Returns the list of all VMs, live.
+    pub fn to_vms(&self) -> VmList {
+        let mut vms = Vec::new();
+        for (index, daemon) in self.daemons.iter().enumerate() {
+            vms.push(Vm {
+                name: format!("vm-{}", index + 1),
+                role: VmRole::Entry,
+                address: daemon.caller_address().to_owned(),
+                peer_address: daemon.peer_address().to_owned(),
+                data_centre: "dc-1".to_owned(),
+                state: VmState::Live,
+            });
+        }
+        for (kind, endpoints) in [("engine", &self.engines), ("service", &self.services)] {
+            for (index, endpoint) in endpoints.iter().enumerate() {
+                vms.push(Vm {
+                    name: format!("{kind}-{}", index + 1),
+                    role: VmRole::Endpoint,
+                    address: endpoint.address(),
+                    peer_address: String::new(),
+                    data_centre: "dc-1".to_owned(),
+                    state: VmState::Live,
+                });
+            }
+        }
+        VmList { vms }
+    }
+
+    /// Returns a caller of the daemon at `index`.
+    pub fn caller(&self, index: usize) -> Caller {
+        Caller::new(self.daemons[index].caller_address(), API_KEY)
+    }
+}
+
+fn to_pool(pool: &str, kind: &str, endpoints: &[Standin]) -> String {
+    let mut text = format!("[pools.{pool}]\nkind = \"{kind}\"\n");
+    let prefix = if kind == "model" { "engine" } else { kind };
+    for (index, endpoint) in endpoints.iter().enumerate() {
+        // Writing to a string does not fail.
+        let _ = write!(
+            text,
+            r#"[[pools.{pool}.endpoints]]
+name = "{prefix}-{}"
+address = "{}"
+data_centre = "dc-1"
+checks_fencing = true
+"#,
+            index + 1,
+            endpoint.address()
+        );
+    }
+    text
+}
--- /dev/null
+++ b/crates/harness/src/lib.rs
@@ -0,0 +1,18 @@
+//! Test harness that runs the daemon, the stand-ins and fault proxies as real processes on loopback.
+
+pub mod caller;
+pub mod condition;
+pub mod daemon;
+pub mod deployment;
+pub mod publish;
+pub mod raw;
+
+mod binary;
+mod control;
+mod process;
+mod run;
+mod standin;
+
+pub use process::Process;
+pub use run::Run;
+pub use standin::Standin;
--- /dev/null
+++ b/crates/harness/src/process.rs
@@ -0,0 +1,162 @@
+//! A process that a test has started.
+
+use std::fs;
+use std::fs::File;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::thread;
+
+use nix::sys::signal;
+use nix::sys::signal::Signal;
+use nix::unistd::Pid;
+
+use crate::binary;
+use crate::condition;
+use crate::run::Run;
+
+/// Lines of output that are printed for each process when a test fails.
+const TAIL_LINES: usize = 60;
+
+/// A process that a test has started; dropping it ends it.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    program: &'static str,
+    arguments: Vec<String>,
+    output: PathBuf,
+    child: Child,
+    // Holds the folder of the output.
+    _run: Run,
+}
+
+impl Process {
+    /// Starts a program of this workspace.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the program cannot be started.
+    pub fn start(run: &Run, name: &str, program: &'static str, arguments: Vec<String>) -> Self {
+        let output = run.folder().join(format!("{name}.out"));
+        let child = spawn(program, &arguments, &output);
+        Self {
+            name: name.to_owned(),
+            program,
+            arguments,
+            output,
+            child,
+            _run: run.clone(),
+        }
+    }
+
+    /// Returns the name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Replaces the arguments of the next start.
+    pub(crate) fn set_arguments(&mut self, arguments: Vec<String>) {
+        self.arguments = arguments;
+    }
+
+    /// Starts the program again after its end.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the program cannot be started.
+    pub fn restart(&mut self) {
+        self.kill();
+        self.child = spawn(self.program, &self.arguments, &self.output);
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Stops the process in the middle of whatever it does.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has ended.
+    pub fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets a frozen process go on.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has ended.
+    pub fn wake(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Asks the process to end in its own time.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has ended.
+    pub fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Returns the exit status if the process has ended.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process cannot be asked.
+    pub fn to_exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("a child can be waited for")
+    }
+
+    /// Waits for the end of the process.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process does not end.
+    pub fn wait(&mut self) -> ExitStatus {
+        let what = format!("{} ends", self.name);
+        condition::wait_for(&what, || self.to_exit_status())
+    }
+
+    /// Returns what the process has written since its first start.
+    pub fn to_output(&self) -> String {
+        fs::read_to_string(&self.output).unwrap_or_default()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).expect("process ids are positive");
+        signal::kill(Pid::from_raw(id), signal).expect("the process is there");
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+        if !thread::panicking() {
+            return;
+        }
+        let output = self.to_output();
+        let lines: Vec<&str> = output.lines().collect();
+        let tail = &lines[lines.len().saturating_sub(TAIL_LINES)..];
+        println!("--- last output of {}:\n{}", self.name, tail.join("\n"));
+    }
+}
+
+fn spawn(program: &str, arguments: &[String], output: &PathBuf) -> Child {
+    let file = File::options().create(true).append(true).open(output);
+    let file = file.expect("the output file can be opened");
+    let errors = file.try_clone().expect("a file can be cloned");
+    Command::new(binary::to_path(program))
+        .args(arguments)
+        .stdin(Stdio::null())
+        .stdout(file)
+        .stderr(errors)
+        .spawn()
+        .expect("the program can be started")
+}
--- /dev/null
+++ b/crates/harness/src/standin.rs
@@ -0,0 +1,146 @@
+//! Stand-ins and fault proxies as processes.
+
+use serde::Serialize;
+use waxwing_standin::Started;
+use waxwing_standin::service::Ledger;
+use waxwing_wire::platform::VmList;
+
+use crate::condition;
+use crate::control;
+use crate::process::Process;
+use crate::run::Run;
+
+/// A stand-in or fault proxy that runs as a process.
+#[derive(Debug)]
+pub struct Standin {
+    process: Process,
+    kind: &'static str,
+    options: Vec<String>,
+    started: Started,
+}
+
+impl Standin {
+    /// Starts a stand-in on a free port with options such as `["--gap-ms", "10"]`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not start.
+    pub fn start(run: &Run, name: &str, kind: &'static str, options: &[&str]) -> Self {
+        let options = options.iter().map(|&option| option.to_owned()).collect();
+        Self::start_on(run, name, kind, run.to_free_address(), options)
+    }
+
+    /// Starts a fault proxy in front of `target`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not start.
+    pub fn start_proxy(run: &Run, name: &str, target: &str) -> Self {
+        let options = vec![target.to_owned()];
+        Self::start_on(run, name, "proxy", run.to_free_address(), options)
+    }
+
+    fn start_on(
+        run: &Run,
+        name: &str,
+        kind: &'static str,
+        address: String,
+        options: Vec<String>,
+    ) -> Self {
+        let arguments = to_arguments(kind, address, &options);
+        let mut process = Process::start(run, name, "standin", arguments);
+        let started = wait_for_start(&mut process, 0);
+        Self {
+            process,
+            kind,
+            options,
+            started,
+        }
+    }
+
+    /// Returns the address as `IP:PORT`.
+    pub fn address(&self) -> String {
+        self.started.address.to_string()
+    }
+
+    /// Returns the process.
+    pub fn process(&mut self) -> &mut Process {
+        &mut self.process
+    }
+
+    /// Starts the stand-in again on the same address; what it held is lost and its identity changes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not start.
+    pub fn restart(&mut self) {
+        let seen = self.process.to_output().len();
+        let address = self.started.address.to_string();
+        let arguments = to_arguments(self.kind, address, &self.options);
+        self.process.set_arguments(arguments);
+        self.process.restart();
+        self.started = wait_for_start(&mut self.process, seen);
+    }
+
+    /// Sets the faults.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stand-in does not accept them.
+    pub fn set_faults<F: Serialize>(&self, faults: &F) {
+        let url = format!("http://{}/faults", self.started.control);
+        assert!(
+            control::put(&url, faults),
+            "{} did not accept its faults",
+            self.process.name()
+        );
+    }
+
+    /// Returns the ledger of a plain service.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the service does not answer.
+    pub fn to_ledger(&self) -> Ledger {
+        let url = format!("http://{}/ledger", self.started.address);
+        control::get(&url).expect("the service answers with its ledger")
+    }
+
+    /// Returns the counts of a log service.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the log service does not answer.
+    pub fn to_log_counts(&self) -> waxwing_standin::log::Counts {
+        let url = format!("http://{}/counts", self.started.address);
+        control::get(&url).expect("the log service answers with its counts")
+    }
+
+    /// Sets the list of a VM list.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the VM list does not accept it.
+    pub fn set_vms(&self, list: &VmList) {
+        let url = format!("http://{}/vms", self.started.address);
+        assert!(control::put(&url, list), "the VM list is set");
+    }
+}
+
+fn to_arguments(kind: &str, address: String, options: &[String]) -> Vec<String> {
+    let mut arguments = vec![kind.to_owned(), address];
+    arguments.extend(options.iter().cloned());
+    arguments
+}
+
+/// Waits for the line with the addresses in the output after the first `seen` bytes.
+fn wait_for_start(process: &mut Process, seen: usize) -> Started {
+    let what = format!("{} starts", process.name());
+    condition::wait_for(&what, || {
+        let status = process.to_exit_status();
+        assert!(status.is_none(), "{} ended: {status:?}", process.name());
+        let output = process.to_output();
+        let new = output.get(seen..)?;
+        new.lines().find_map(|line| serde_json::from_str(line).ok())
+    })
+}
--- a/crates/router/src/demo.rs
+++ b/crates/router/src/demo.rs
@@ -22,7 +22,7 @@
 ///
 /// Fails if an address cannot be bound or a thread cannot be started.
 pub fn run() -> daemon::Result<()> {
-    let log_address = log_service::start("127.0.0.1:0")?;
+    let log_address = log_service::start("127.0.0.1:0", log_service::Config::default())?;
     let engine_address = engine::start("127.0.0.1:0", engine::Config::default())?;
     let settings = format!(
         r#"
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,16 +1,16 @@
 //! Stand-in for a model engine with continuous batching.
 
-use std::io::Write;
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::Ordering;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
+use hyper::Method;
+use serde::Deserialize;
+use serde::Serialize;
 use serde_json::Value;
-use tiny_http::Method;
-use tiny_http::Request;
 use waxwing_wire::chat::ChatChunk;
 use waxwing_wire::chat::ChatRequest;
 use waxwing_wire::chat::ChunkChoice;
@@ -18,16 +18,52 @@
 use waxwing_wire::chat::Delta;
 use waxwing_wire::platform::Health;
 use waxwing_wire::platform::LoadReport;
+use waxwing_wire::platform::Order;
+use waxwing_wire::platform::OrderKind;
 
+use crate::fault::Common;
+use crate::fault::FaultCell;
+use crate::fence::Fences;
+use crate::fence::OrderAnswer;
+use crate::fence::STALE_FENCE_STATUS;
 use crate::http;
+use crate::http::Call;
+use crate::http::ClientGone;
+use crate::http::Started;
+use crate::load::Slots;
+use crate::prefix_cache::PrefixCache;
 
-/// Speed of an engine.
-#[derive(Clone, Debug)]
+/// Longest sleep before a generation looks for a departed client, in milliseconds.
+const POLL_MS: u64 = 20;
+
+/// Properties of an engine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Config {
-    /// Time to the first token of an idle engine, in milliseconds.
+    /// Time to the first token of a request whose prompt is cached, below the knee, in milliseconds.
     pub first_token_ms: u64,
-    /// Time between tokens of an idle engine, in milliseconds.
+    /// Time for each prompt token that is not cached, in microseconds.
+    pub prefill_us_per_token: u64,
+    /// Time between tokens below the knee, in milliseconds.
     pub gap_ms: u64,
+    /// Running requests above which both times grow in proportion.
+    pub knee: u32,
+    /// Most running requests; others wait by `priority`.
+    pub running_max: u32,
+    /// Length of an answer whose request sets no `max_tokens`, in tokens.
+    pub answer_tokens: u64,
+    /// Requests without `max_tokens` in a thousand that are stragglers, chosen by their prompt.
+    pub stragglers_per_mille: u16,
+    /// How many times longer the answer of a straggler is.
+    pub straggler_factor: u64,
+    /// Size of the prefix cache, in tokens.
+    pub cache_tokens: u64,
+    /// Time by which load reports lag, in milliseconds.
+    pub report_lag_ms: u64,
+    /// Whether orders with a stale fencing token are rejected.
+    pub checks_fencing: bool,
+    /// Time for an order to load a model or adapter, in milliseconds.
+    pub load_ms: u64,
     /// Identity of the process.
     pub started_id: u64,
 }
@@ -36,122 +72,236 @@
     fn default() -> Self {
         Self {
             first_token_ms: 20,
+            prefill_us_per_token: 20,
             gap_ms: 5,
-            started_id: 1,
+            knee: 8,
+            running_max: 64,
+            answer_tokens: 20,
+            stragglers_per_mille: 0,
+            straggler_factor: 20,
+            cache_tokens: 100_000,
+            report_lag_ms: 500,
+            checks_fencing: true,
+            load_ms: 100,
+            started_id: rand::random(),
         }
     }
 }
 
+/// Faults of an engine.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Faults that all stand-ins have.
+    pub common: Common,
+    /// Factor by which generation is slower; 0 and 1 have no effect.
+    pub slow_down: f64,
+    /// Tokens of an answer after which its connection breaks.
+    pub cut_after_tokens: Option<u64>,
+    /// Tokens of an answer after which its connection stays open and nothing more is sent.
+    pub silent_after_tokens: Option<u64>,
+}
+
+impl AsRef<Common> for Faults {
+    fn as_ref(&self) -> &Common {
+        &self.common
+    }
+}
+
 struct Engine {
     config: Config,
-    running: AtomicU32,
+    faults: Arc<FaultCell<Faults>>,
+    slots: Slots,
+    fences: Mutex<Fences>,
+    cache: Mutex<PrefixCache>,
 }
 
-/// Starts an engine on `address` and returns the address that it listens on.
+/// Starts an engine on `address`.
 ///
 /// # Errors
 ///
 /// Fails if the address cannot be bound.
-pub fn start(address: &str, config: Config) -> std::io::Result<SocketAddr> {
-    let engine = Arc::new(Engine {
+pub fn start(address: &str, config: Config) -> std::io::Result<Started> {
+    let faults = Arc::new(FaultCell::new());
+    let engine = Engine {
+        slots: Slots::new(config.running_max, config.report_lag_ms),
+        fences: Mutex::new(Fences::new(config.checks_fencing)),
+        cache: Mutex::new(PrefixCache::new(config.cache_tokens)),
+        faults: Arc::clone(&faults),
         config,
-        running: AtomicU32::new(0),
-    });
-    http::serve(address, move |request| engine.handle(request))
+    };
+    http::serve(address, faults, move |call| engine.handle(call))
 }
 
 impl Engine {
-    fn handle(&self, mut request: Request) {
-        let url = request.url().to_owned();
-        match (request.method(), url.as_str()) {
-            (Method::Post, "/v1/chat/completions") => {
-                match http::to_body::<ChatRequest>(&mut request) {
-                    Some(body) => self.generate(request, &body),
-                    None => http::answer(request, 400, &"malformed body"),
-                }
+    fn handle(&self, call: Call) {
+        match (&call.method, call.path.as_str()) {
+            (&Method::POST, "/v1/chat/completions") => match call.to_json::<ChatRequest>() {
+                Ok(body) => self.generate(call, &body),
+                Err(error) => call.answer(400, &error),
+            },
+            (&Method::POST, "/orders") => match call.to_json::<Order>() {
+                Ok(order) => self.obey(call, &order),
+                Err(error) => call.answer(400, &error),
+            },
+            (&Method::GET, "/healthz") => {
+                let started_id = self.config.started_id;
+                call.answer(200, &Health { started_id });
             }
-            (Method::Get, "/healthz") => http::answer(
-                request,
-                200,
-                &Health {
-                    started_id: self.config.started_id,
-                },
-            ),
-            (Method::Get, "/load") => {
-                let report = LoadReport {
-                    running: self.running.load(Ordering::Relaxed),
-                    started_id: self.config.started_id,
-                    ..LoadReport::default()
-                };
-                http::answer(request, 200, &report);
+            (&Method::GET, "/load") => call.answer(200, &self.to_load_report()),
+            _ => call.answer(404, &"unknown path"),
+        }
+    }
+
+    fn to_load_report(&self) -> LoadReport {
+        let (load, age) = self.slots.to_report();
+        LoadReport {
+            running: load.running,
+            waiting: load.waiting,
+            started_id: self.config.started_id,
+            report_age_ms: age.as_millis() as u64,
+            fence: lock(&self.fences).to_highest(),
+        }
+    }
+
+    fn obey(&self, call: Call, order: &Order) {
+        let raised = lock(&self.fences).raise(&order.scope, order.fence);
+        let fence = match raised {
+            Ok(fence) => fence,
+            Err(fence) => return call.answer(STALE_FENCE_STATUS, &OrderAnswer { fence }),
+        };
+        match order.kind {
+            OrderKind::LoadModel { .. } | OrderKind::LoadAdapter { .. } => {
+                thread::sleep(Duration::from_millis(self.config.load_ms));
             }
-            _ => http::answer(request, 404, &"unknown path"),
+            OrderKind::SetRole { .. } | OrderKind::RaiseFence => {}
         }
+        call.answer(200, &OrderAnswer { fence });
     }
 
-    fn generate(&self, request: Request, body: &ChatRequest) {
-        self.running.fetch_add(1, Ordering::Relaxed);
-        let mut writer = request.into_writer();
-        // A write fails when the caller has closed the connection, which cancels the generation.
-        let _ = self.stream(&mut *writer, body);
-        self.running.fetch_sub(1, Ordering::Relaxed);
+    fn generate(&self, call: Call, body: &ChatRequest) {
+        let priority = body.other.get("priority").and_then(Value::as_i64);
+        let Some(_slot) = self
+            .slots
+            .take(priority.unwrap_or(0), || call.is_client_gone())
+        else {
+            return;
+        };
+        // A generation whose client is gone ends here, which frees its slot.
+        if let Ok(true) = self.stream(&call, body) {
+            call.end_stream();
+        }
     }
 
-    fn stream(&self, writer: &mut dyn Write, body: &ChatRequest) -> std::io::Result<()> {
-        let (prompt, done_tokens) = to_prompt(body);
-        let digest = blake3::hash(prompt.as_bytes());
-        let tokens = body
-            .other
-            .get("max_tokens")
-            .and_then(Value::as_u64)
-            .unwrap_or(20);
-        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-        writer.write_all(head.as_bytes())?;
-        writer.flush()?;
-        thread::sleep(Duration::from_millis(self.config.first_token_ms));
+    /// Sends the tokens of an answer and returns whether it became whole.
+    fn stream(&self, call: &Call, body: &ChatRequest) -> Result<bool, ClientGone> {
+        let (messages, done_tokens) = to_prompt(body);
+        let digest = to_digest(messages);
+        let tokens = self.to_length(body, &digest);
+        let missing_tokens = lock(&self.cache).insert(messages);
+        call.begin_stream();
+        let prefill_us = missing_tokens * self.config.prefill_us_per_token;
+        self.pause(call, self.config.first_token_ms * 1_000 + prefill_us)?;
         for index in done_tokens..tokens {
             if index > done_tokens {
-                thread::sleep(Duration::from_millis(self.config.gap_ms));
+                self.pause(call, self.config.gap_ms * 1_000)?;
+            }
+            let faults = self.faults.get();
+            if faults.cut_after_tokens == Some(index - done_tokens) {
+                return Ok(false);
             }
-            let chunk = ChatChunk {
-                id: format!("chatcmpl-{}", &digest.to_hex()[..16]),
-                object: "chat.completion.chunk".to_owned(),
-                created: 0,
-                model: "standin".to_owned(),
-                choices: vec![ChunkChoice {
-                    index: 0,
-                    delta: Delta {
-                        role: None,
-                        content: Some(to_token(&digest, index)),
-                    },
-                    finish_reason: (index + 1 == tokens).then(|| "stop".to_owned()),
-                }],
-            };
-            write_event(writer, &serde_json::to_string(&chunk)?)?;
+            if faults.silent_after_tokens == Some(index - done_tokens) {
+                self.stay_silent(call)?;
+            }
+            let chunk = to_chunk(&digest, index, tokens);
+            call.event(&serde_json::to_string(&chunk).unwrap_or_default())?;
         }
-        write_event(writer, DONE)?;
-        writer.write_all(b"0\r\n\r\n")?;
-        writer.flush()
+        call.event(DONE)?;
+        Ok(true)
+    }
+
+    /// Returns the length of the answer in tokens.
+    fn to_length(&self, body: &ChatRequest, digest: &blake3::Hash) -> u64 {
+        if let Some(tokens) = body.other.get("max_tokens").and_then(Value::as_u64) {
+            return tokens;
+        }
+        let draw = u16::from_le_bytes([digest.as_bytes()[0], digest.as_bytes()[1]]);
+        if draw % 1_000 < self.config.stragglers_per_mille {
+            return self.config.answer_tokens * self.config.straggler_factor;
+        }
+        self.config.answer_tokens
+    }
+
+    /// Sleeps for a step of a generation, stretched by the load and the faults in force.
+    fn pause(&self, call: &Call, idle_us: u64) -> Result<(), ClientGone> {
+        let crowding = f64::from(self.slots.to_running()) / f64::from(self.config.knee.max(1));
+        let slow_down = self.faults.get().slow_down.max(1.0);
+        let us = idle_us as f64 * crowding.max(1.0) * slow_down;
+        let until = Instant::now() + Duration::from_micros(us as u64);
+        loop {
+            if call.is_client_gone() {
+                return Err(ClientGone);
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Ok(());
+            }
+            thread::sleep(left.min(Duration::from_millis(POLL_MS)));
+        }
+    }
+
+    fn stay_silent(&self, call: &Call) -> Result<(), ClientGone> {
+        while self.faults.get().silent_after_tokens.is_some() {
+            if call.is_client_gone() {
+                return Err(ClientGone);
+            }
+            thread::sleep(Duration::from_millis(POLL_MS));
+        }
+        Ok(())
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+fn to_chunk(digest: &blake3::Hash, index: u64, tokens: u64) -> ChatChunk {
+    ChatChunk {
+        id: format!("chatcmpl-{}", &digest.to_hex()[..16]),
+        object: "chat.completion.chunk".to_owned(),
+        created: 0,
+        model: "standin".to_owned(),
+        choices: vec![ChunkChoice {
+            index: 0,
+            delta: Delta {
+                role: None,
+                content: Some(to_token(digest, index)),
+            },
+            finish_reason: (index + 1 == tokens).then(|| "stop".to_owned()),
+        }],
     }
 }
 
-/// Returns the prompt, and the tokens of the answer that the body already holds.
-fn to_prompt(body: &ChatRequest) -> (String, u64) {
-    let mut messages = body.messages.as_slice();
-    let mut done_tokens = 0;
+/// Returns the messages of the prompt, and the tokens of the answer that the body already holds.
+fn to_prompt(body: &ChatRequest) -> (&[Value], u64) {
     let continues = body
         .other
         .get("continue_final_message")
         .and_then(Value::as_bool);
     if continues == Some(true)
-        && let Some((last, before)) = messages.split_last()
+        && let Some((last, before)) = body.messages.split_last()
     {
         let partial = last.get("content").and_then(Value::as_str).unwrap_or("");
-        done_tokens = partial.split_whitespace().count() as u64;
-        messages = before;
+        return (before, partial.split_whitespace().count() as u64);
     }
-    let text = serde_json::to_string(messages).unwrap_or_default();
-    (text, done_tokens)
+    (&body.messages, 0)
+}
+
+fn to_digest(messages: &[Value]) -> blake3::Hash {
+    let prompt = serde_json::to_string(messages).unwrap_or_default();
+    blake3::hash(prompt.as_bytes())
 }
 
 /// Returns the token at `index` of the answer to a prompt, so that tests can tell a missing or repeated token.
@@ -162,8 +312,8 @@
     format!("{}-{index} ", &hasher.finalize().to_hex()[..6])
 }
 
-fn write_event(writer: &mut dyn Write, data: &str) -> std::io::Result<()> {
-    let event = format!("data: {data}\n\n");
-    write!(writer, "{:x}\r\n{event}\r\n", event.len())?;
-    writer.flush()
+/// Returns the whole answer of an engine to the messages of a prompt.
+pub fn to_answer(messages: &[Value], tokens: u64) -> String {
+    let digest = to_digest(messages);
+    (0..tokens).map(|index| to_token(&digest, index)).collect()
 }
--- /dev/null
+++ b/crates/standin/src/fence.rs
@@ -0,0 +1,50 @@
+//! Fencing tokens that an endpoint has seen.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Highest fencing token of each scope.
+#[derive(Debug, Default)]
+pub(crate) struct Fences {
+    highest: BTreeMap<String, u64>,
+    is_checked: bool,
+}
+
+/// Answer to an order, with status 200 if it was taken and 412 if its fencing token is stale.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderAnswer {
+    /// Highest fencing token of the scope.
+    pub fence: u64,
+}
+
+/// HTTP status of an order or call with a stale fencing token.
+pub(crate) const STALE_FENCE_STATUS: u16 = 412;
+
+impl Fences {
+    pub(crate) fn new(is_checked: bool) -> Self {
+        Self {
+            is_checked,
+            ..Self::default()
+        }
+    }
+
+    /// Takes the token and returns the highest of the scope, as an error if the token is stale and tokens are checked.
+    pub(crate) fn raise(&mut self, scope: &str, fence: u64) -> Result<u64, u64> {
+        let highest = self.highest.entry(scope.to_owned()).or_default();
+        if self.is_checked && fence < *highest {
+            return Err(*highest);
+        }
+        *highest = fence.max(*highest);
+        Ok(*highest)
+    }
+
+    /// Returns the highest token of all scopes, or 0 if tokens are not checked.
+    pub(crate) fn to_highest(&self) -> u64 {
+        if !self.is_checked {
+            return 0;
+        }
+        self.highest.values().copied().max().unwrap_or(0)
+    }
+}
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -1,62 +1,364 @@
-//! Helpers around `tiny_http` that all stand-ins share.
+//! HTTP server that all stand-ins share: one executor thread, and each call on a thread of its own.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
 use std::thread;
+use std::time::Duration;
 
+use async_executor::LocalExecutor;
+use async_executor::Task;
+use async_io::Async;
+use async_io::Timer;
+use flume::Sender;
+use flume::r#async::RecvStream;
+use futures::FutureExt;
+use futures::StreamExt;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tiny_http::Header;
-use tiny_http::Request;
-use tiny_http::Response;
-use tiny_http::Server;
+use smol_hyper::rt::FuturesIo;
 
-/// Starts a server that handles each request on its own thread, and returns its address.
-pub(crate) fn serve<H>(address: &str, handle: H) -> std::io::Result<SocketAddr>
-where
-    H: Fn(Request) + Send + Sync + 'static,
+use crate::fault::Common;
+use crate::fault::FaultCell;
+use crate::fault::Outage;
+
+/// Time between two looks at whether a fault has ended, in milliseconds.
+const POLL_MS: u64 = 10;
+
+/// Pieces of an answer that may wait for the connection.
+const PIECES_MAX: usize = 64;
+
+/// Exit code of a process that a call has crashed.
+const CRASH_EXIT_CODE: i32 = 134;
+
+/// Addresses of a stand-in; it is displayed as its own address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Started {
+    /// Address of the stand-in.
+    pub address: SocketAddr,
+    /// Address that takes `PUT /faults` while the other is out of order.
+    pub control: SocketAddr,
+}
+
+impl fmt::Display for Started {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.address.fmt(f)
+    }
+}
+
+/// Faults of a stand-in.
+pub(crate) trait Faults:
+    AsRef<Common> + Clone + Default + Serialize + DeserializeOwned + Send + 'static
 {
-    let server = Server::http(address).map_err(std::io::Error::other)?;
-    let bound = server
-        .server_addr()
-        .to_ip()
-        .ok_or_else(|| std::io::Error::other("no IP address"))?;
+}
+
+impl<F> Faults for F where
+    F: AsRef<Common> + Clone + Default + Serialize + DeserializeOwned + Send + 'static
+{
+}
+
+/// Starts a server whose calls go through the common faults before `handle`.
+pub(crate) fn serve<F: Faults>(
+    address: &str,
+    faults: Arc<FaultCell<F>>,
+    handle: impl Fn(Call) + Send + Sync + 'static,
+) -> std::io::Result<Started> {
+    let listener = TcpListener::bind(address)?;
+    let address = listener.local_addr()?;
+    let control = start_control(Arc::clone(&faults))?;
     let handle = Arc::new(handle);
     thread::spawn(move || {
-        for request in server.incoming_requests() {
-            let handle = Arc::clone(&handle);
-            thread::spawn(move || handle(request));
+        let executor = LocalExecutor::new();
+        let service = {
+            let faults = Arc::clone(&faults);
+            move |call: Call| {
+                let faults = Arc::clone(&faults);
+                let handle = Arc::clone(&handle);
+                thread::spawn(move || dispatch(&faults, &*handle, call));
+            }
+        };
+        async_io::block_on(executor.run(accept(&executor, listener, &faults, service)));
+    });
+    Ok(Started { address, control })
+}
+
+/// Starts a server on a free port that only reads and sets faults.
+pub(crate) fn start_control<F>(faults: Arc<FaultCell<F>>) -> std::io::Result<SocketAddr>
+where
+    F: Clone + Default + Serialize + DeserializeOwned + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let control = listener.local_addr()?;
+    let listener = Async::new(listener)?;
+    thread::spawn(move || {
+        let executor = LocalExecutor::new();
+        let accept_all = async {
+            while let Ok((stream, _)) = listener.accept().await {
+                let faults = Arc::clone(&faults);
+                let service = move |call: Call| {
+                    if let Some(call) = handle_faults(&faults, call) {
+                        call.answer(404, &"unknown path");
+                    }
+                };
+                executor.spawn(connect(stream, service)).detach();
+            }
+        };
+        async_io::block_on(executor.run(accept_all));
+    });
+    Ok(control)
+}
+
+async fn accept<F: Faults>(
+    executor: &LocalExecutor<'_>,
+    listener: TcpListener,
+    faults: &FaultCell<F>,
+    service: impl Fn(Call) + Clone + 'static,
+) {
+    let Ok(address) = listener.local_addr() else {
+        return;
+    };
+    let mut listener = Async::new(listener).ok();
+    let mut connections = Vec::new();
+    loop {
+        if faults.get().as_ref().outage == Some(Outage::Refuse) {
+            // A closed listener is the only way to have connections refused.
+            listener = None;
+            connections.clear();
+            Timer::after(Duration::from_millis(POLL_MS)).await;
+            continue;
+        }
+        let Some(bound) = &listener else {
+            listener = Async::<TcpListener>::bind(address).ok();
+            Timer::after(Duration::from_millis(POLL_MS)).await;
+            continue;
+        };
+        let accepted = futures::select! {
+            accepted = bound.accept().fuse() => accepted,
+            _ = faults.changes().recv_async() => continue,
+        };
+        connections.retain(|connection: &Task<()>| !connection.is_finished());
+        if let Ok((stream, _)) = accepted {
+            connections.push(executor.spawn(connect(stream, service.clone())));
         }
+    }
+}
+
+async fn connect(stream: Async<TcpStream>, service: impl Fn(Call) + Clone) {
+    // Without this, a token waits for the acknowledgement of the one before it.
+    let _ = stream.get_ref().set_nodelay(true);
+    let service = service_fn(move |request| {
+        let service = service.clone();
+        async move { answer_request(request, service).await }
     });
-    Ok(bound)
+    let served = http1::Builder::new().serve_connection(FuturesIo::new(stream), service);
+    // A client that leaves early is an ordinary end of a connection.
+    let _ = served.await;
 }
 
-/// Answers with a JSON body.
-pub(crate) fn answer<T: Serialize>(request: Request, status: u16, body: &T) {
-    let text = serde_json::to_string(body).unwrap_or_default();
-    let mut response = Response::from_string(text).with_status_code(status);
-    if let Ok(header) = Header::from_bytes("Content-Type", "application/json") {
-        response.add_header(header);
+async fn answer_request(
+    request: Request<Incoming>,
+    service: impl Fn(Call),
+) -> std::io::Result<Response<StreamBody<PieceStream>>> {
+    let (parts, incoming) = request.into_parts();
+    let body = incoming.collect().await.map_err(std::io::Error::other)?;
+    let (head_sender, head) = flume::bounded(1);
+    let (piece_sender, pieces) = flume::bounded(PIECES_MAX);
+    service(Call {
+        method: parts.method,
+        path: parts.uri.path().to_owned(),
+        query: parts.uri.query().unwrap_or("").to_owned(),
+        headers: parts.headers,
+        body: body.to_bytes(),
+        head: head_sender,
+        pieces: piece_sender,
+    });
+    // An error here closes the connection without an answer.
+    let head: Head = head.recv_async().await.map_err(std::io::Error::other)?;
+    let mut response = Response::builder()
+        .status(head.status)
+        .header("Content-Type", head.content_type);
+    if let Some(seconds) = head.retry_after_s {
+        response = response.header("Retry-After", seconds);
     }
-    // The client may be gone; a stand-in has nobody to tell.
-    let _ = request.respond(response);
+    response
+        .body(StreamBody::new(PieceStream(pieces.into_stream())))
+        .map_err(std::io::Error::other)
 }
 
-/// Reads a JSON body.
-pub(crate) fn to_body<T: DeserializeOwned>(request: &mut Request) -> Option<T> {
-    let mut bytes = Vec::new();
-    request.as_reader().read_to_end(&mut bytes).ok()?;
-    serde_json::from_slice(&bytes).ok()
+fn dispatch<F: Faults>(faults: &FaultCell<F>, handle: &dyn Fn(Call), call: Call) {
+    let Some(call) = handle_faults(faults, call) else {
+        return;
+    };
+    let in_force = faults.get();
+    let common = in_force.as_ref();
+    if common.outage.is_some() {
+        return call.answer(503, &"out of order");
+    }
+    if let Some(text) = &common.crash_text
+        && String::from_utf8_lossy(&call.body).contains(text)
+    {
+        eprintln!("crashed by a body that contains {text:?}");
+        std::process::exit(CRASH_EXIT_CODE);
+    }
+    thread::sleep(Duration::from_millis(common.delay_ms));
+    if common.silent {
+        while faults.get().as_ref().silent {
+            thread::sleep(Duration::from_millis(POLL_MS));
+        }
+        return;
+    }
+    handle(call);
 }
 
-/// Splits a URL into its path and the value of each query parameter.
-pub(crate) fn to_path(url: &str) -> (&str, Vec<(&str, &str)>) {
-    let (path, query) = url.split_once('?').unwrap_or((url, ""));
-    let mut pairs = Vec::new();
-    for part in query.split('&') {
-        if let Some(pair) = part.split_once('=') {
-            pairs.push(pair);
+/// Reads or sets the faults, or returns a call that does neither.
+fn handle_faults<F>(faults: &FaultCell<F>, call: Call) -> Option<Call>
+where
+    F: Clone + Default + Serialize + DeserializeOwned,
+{
+    if call.path != "/faults" {
+        return Some(call);
+    }
+    if call.method != Method::PUT {
+        call.answer(200, &faults.get());
+        return None;
+    }
+    match serde_json::from_slice(&call.body) {
+        Ok(new) => {
+            faults.set(new);
+            call.answer(200, &faults.get());
+        }
+        Err(error) => call.answer(400, &format!("the faults do not decode: {error}")),
+    }
+    None
+}
+
+struct Head {
+    status: u16,
+    content_type: &'static str,
+    retry_after_s: Option<u64>,
+}
+
+enum Piece {
+    Bytes(Bytes),
+    End,
+}
+
+/// One call; dropping it without an answer closes the connection.
+pub(crate) struct Call {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    query: String,
+    head: Sender<Head>,
+    pieces: Sender<Piece>,
+}
+
+impl Call {
+    /// Returns a query parameter that is a number.
+    pub(crate) fn query_number(&self, name: &str) -> Option<u64> {
+        for part in self.query.split('&') {
+            if let Some((key, value)) = part.split_once('=')
+                && key == name
+            {
+                return value.parse().ok();
+            }
         }
+        None
+    }
+
+    /// Returns a header as text.
+    pub(crate) fn header(&self, name: &str) -> Option<String> {
+        Some(self.headers.get(name)?.to_str().ok()?.to_owned())
+    }
+
+    /// Decodes the body.
+    pub(crate) fn to_json<T: DeserializeOwned>(&self) -> Result<T, String> {
+        serde_json::from_slice(&self.body).map_err(|error| error.to_string())
+    }
+
+    /// Returns whether the client has closed the connection.
+    pub(crate) fn is_client_gone(&self) -> bool {
+        self.pieces.is_disconnected()
+    }
+
+    /// Answers with a JSON body.
+    pub(crate) fn answer<T: Serialize + ?Sized>(self, status: u16, body: &T) {
+        self.answer_with(status, None, body);
+    }
+
+    /// Answers with a JSON body and the time after which to call again.
+    pub(crate) fn answer_later<T: Serialize + ?Sized>(self, status: u16, wait_s: u64, body: &T) {
+        self.answer_with(status, Some(wait_s), body);
+    }
+
+    fn answer_with<T: Serialize + ?Sized>(self, status: u16, retry_after_s: Option<u64>, body: &T) {
+        let text = serde_json::to_string(body).unwrap_or_default();
+        let head = Head {
+            status,
+            content_type: "application/json",
+            retry_after_s,
+        };
+        // The client may be gone; a stand-in has nobody to tell.
+        let _ = self.head.send(head);
+        let _ = self.pieces.send(Piece::Bytes(text.into()));
+        let _ = self.pieces.send(Piece::End);
+    }
+
+    /// Sends the head of a stream of server-sent events.
+    pub(crate) fn begin_stream(&self) {
+        let _ = self.head.send(Head {
+            status: 200,
+            content_type: "text/event-stream",
+            retry_after_s: None,
+        });
+    }
+
+    /// Sends one server-sent event; fails when the client is gone.
+    pub(crate) fn event(&self, data: &str) -> Result<(), ClientGone> {
+        let event = format!("data: {data}\n\n");
+        let sent = self.pieces.send(Piece::Bytes(event.into()));
+        sent.map_err(|_| ClientGone)
+    }
+
+    /// Ends a stream as whole.
+    pub(crate) fn end_stream(self) {
+        let _ = self.pieces.send(Piece::End);
+    }
+}
+
+/// The client has closed the connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ClientGone;
+
+/// The pieces of a body; one that ends without [`Piece::End`] breaks the connection.
+struct PieceStream(RecvStream<'static, Piece>);
+
+impl futures::Stream for PieceStream {
+    type Item = std::io::Result<Frame<Bytes>>;
+
+    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        self.0.poll_next_unpin(context).map(|piece| match piece {
+            Some(Piece::Bytes(bytes)) => Some(Ok(Frame::data(bytes))),
+            Some(Piece::End) => None,
+            None => Some(Err(std::io::Error::other("the answer was cut"))),
+        })
     }
-    (path, pairs)
 }
