--- a/crates/core/src/coordination.rs
+++ b/crates/core/src/coordination.rs
@@ -1,6 +1,7 @@
 //! Decisions that the processes make together.
 
 pub mod hedge;
+pub mod membership;
 pub mod rendezvous;
 pub mod retry;
 pub mod scheduler;
--- a/crates/router/src/metric.rs
+++ b/crates/router/src/metric.rs
@@ -2,9 +2,9 @@
 
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
-use waxwing_core::Name;
 use waxwing_core::Refusal;
 use waxwing_core::coordination::scheduler::Scheduler;
+use waxwing_wire::peer::Shard;
 
 /// Counter of refusals by reason and class.
 pub const REFUSALS: &str = "waxwing_refusals_total";
@@ -14,8 +14,6 @@
 pub const RETRIES: &str = "waxwing_retries_total";
 /// Counter of requests whose caller closed the connection, by class.
 pub const CALLERS_GONE: &str = "waxwing_callers_gone_total";
-/// Counter of tokens that no caller received, by reason.
-pub const WASTED_TOKENS: &str = "waxwing_wasted_tokens_total";
 /// Histogram of the wait for a slot, in seconds.
 pub const QUEUE_WAIT: &str = "waxwing_queue_wait_seconds";
 /// Histogram of the time from receipt to the first token, in seconds.
@@ -44,6 +42,20 @@
 
 /// Tiers that always have a gauge, so that an emptied queue shows as 0.
 const TIERS: u8 = 4;
+/// Counter of bytes on connections between entry VMs, by direction.
+pub const PEER_BYTES: &str = "waxwing_peer_bytes_total";
+/// Counter of failed calls to other entry VMs, by reason.
+pub const PEER_FAILURES: &str = "waxwing_peer_failures_total";
+/// Counter of connections to other entry VMs that were closed after silence.
+pub const PEER_SILENT: &str = "waxwing_peer_silent_connections_total";
+/// Counter of messages from other entry VMs that were answered with an error, by reason.
+pub const PEER_REJECTED: &str = "waxwing_peer_rejected_total";
+/// Counter of requests that were given to another VM to schedule, by outcome.
+pub const REMOTE_ENQUEUES: &str = "waxwing_remote_enqueues_total";
+/// Counter of requests that moved to another owner of their shard.
+pub const MOVED: &str = "waxwing_moved_requests_total";
+/// Histogram of the time from an enqueue to its grant, in seconds, by where the shard is scheduled.
+pub const GRANT: &str = "waxwing_grant_seconds";
 
 const BUCKETS_S: &[f64] = &[
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0,
@@ -69,8 +81,11 @@
 }
 
 /// Publishes the counters and gauges of a pool's scheduler.
-pub fn publish_scheduler(pool: &Name, scheduler: &Scheduler, now_ms: u64) {
-    let pool = pool.to_string();
+pub fn publish_scheduler(shard: &Shard, scheduler: &Scheduler, now_ms: u64) {
+    let pool = match &shard.data_centre {
+        Some(data_centre) => format!("{}/{data_centre}", shard.pool),
+        None => shard.pool.to_string(),
+    };
     let counters = scheduler.counters();
     for (reason, count) in &counters.refusals {
         let reason = reason.as_str();
--- a/crates/router/src/prober.rs
+++ b/crates/router/src/prober.rs
@@ -11,16 +11,14 @@
 use flume::Sender;
 use serde::de::DeserializeOwned;
 use waxwing_core::Name;
-use waxwing_core::coordination::rendezvous;
 use waxwing_core::coordination::scheduler::Input;
-use waxwing_core::state::settings::Policy;
-use waxwing_core::state::settings::Pool;
 use waxwing_core::state::settings::PoolKind;
-use waxwing_core::state::settings::Scheduling;
 use waxwing_wire::platform::Health;
 use waxwing_wire::platform::LoadReport;
 
+use crate::config::Vm;
 use crate::metric;
+use crate::scheduling::is_scheduled_by;
 use crate::shared::Shared;
 use crate::shared::View;
 
@@ -69,7 +67,7 @@
     let mut in_progress: HashSet<Name> = HashSet::new();
     loop {
         let began = Instant::now();
-        for target in to_targets(&shared.view(), &shared.config.vm.name) {
+        for target in to_targets(&shared.view(), &shared.config.vm) {
             if in_progress.contains(&target.endpoint) {
                 continue;
             }
@@ -93,12 +91,12 @@
     }
 }
 
-/// Returns the endpoints of the shards that the VM `own` schedules.
-fn to_targets(view: &View, own: &Name) -> Vec<Target> {
+/// Returns the endpoints of the shards that the VM schedules.
+fn to_targets(view: &View, vm: &Vm) -> Vec<Target> {
     let mut targets = Vec::new();
     for (pool_name, pool) in &view.settings.pools {
         for endpoint in &pool.endpoints {
-            if !is_scheduled_by(view, own, pool_name, pool, &endpoint.data_centre) {
+            if !is_scheduled_by(view, vm, pool_name, pool, &endpoint.data_centre) {
                 continue;
             }
             targets.push(Target {
@@ -112,35 +110,6 @@
     targets
 }
 
-fn is_scheduled_by(
-    view: &View,
-    own: &Name,
-    pool_name: &Name,
-    pool: &Pool,
-    data_centre: &Name,
-) -> bool {
-    if pool.policy == Policy::Baseline {
-        return true;
-    }
-    let all = || view.members.iter().map(|member| &member.name);
-    let near = view
-        .members
-        .iter()
-        .filter(|m| m.data_centre == *data_centre);
-    let near: Vec<&Name> = near.map(|member| &member.name).collect();
-    let order = match pool.scheduling {
-        Scheduling::Deployment => rendezvous::to_order(pool_name.as_str(), all()),
-        Scheduling::DataCentre => {
-            let shard = format!("{pool_name}@{data_centre}");
-            match near.is_empty() {
-                true => rendezvous::to_order(&shard, all()),
-                false => rendezvous::to_order(&shard, near),
-            }
-        }
-    };
-    order.first() == Some(&own)
-}
-
 fn work(shared: &Shared, inbox: &Receiver<Target>, results: &Sender<Name>) {
     let mut session = Session::new();
     session.proxy_settings(attohttpc::ProxySettings::builder().build());
--- a/crates/router/src/request/run.rs
+++ b/crates/router/src/request/run.rs
@@ -113,8 +113,9 @@
         loop {
             self.attempts += 1;
             let slot = self.wait_for_slot()?;
+            let tokens_before = self.tokens();
             let ended = self.attempt(&slot);
-            self.release(&slot, &ended);
+            self.release(&slot, &ended, self.tokens() - tokens_before);
             match ended {
                 Ended::Answered(status) => return Ok(status),
                 Ended::CallerGone => return Err(Stop::CallerGone),
@@ -303,7 +304,7 @@
     }
 
     /// Gives the slot back and notes what the attempt means for later refusals.
-    fn release(&mut self, slot: &Slot, ended: &Ended) {
+    fn release(&mut self, slot: &Slot, ended: &Ended, tokens: u32) {
         let (end, text) = match ended {
             Ended::Answered(_) => (End::Done, ""),
             Ended::NotSent(message) => (End::NotSent, message.as_str()),
@@ -314,7 +315,6 @@
             Ended::CallerGone => (End::Cancelled, "caller gone"),
         };
         self.may_have_run |= end != End::NotSent;
-        let tokens = self.relay.as_ref().map_or(0, Relay::tokens);
         let input = Input::Finish {
             ticket: slot.ticket,
             end,
@@ -327,7 +327,7 @@
             self.add(Step::AttemptFailed {
                 endpoint: slot.endpoint.clone(),
                 end: text.to_owned(),
-                tokens,
+                tokens: self.tokens(),
             });
         }
     }
@@ -372,7 +372,7 @@
             idempotent: class.idempotent,
             preemptible: class.preemptible,
             expected_tokens: class.expected_tokens,
-            generated_tokens: self.relay.as_ref().map_or(0, Relay::tokens),
+            generated_tokens: self.tokens(),
             class_in_flight_max: class.in_flight_max,
             organisation_in_flight_max: organisation.in_flight_max,
             prefix_hash: self.job.prefix_hash,
@@ -407,6 +407,11 @@
         }
     }
 
+    /// Returns the tokens received in all attempts.
+    fn tokens(&self) -> u32 {
+        self.relay.as_ref().map_or(0, Relay::tokens)
+    }
+
     fn to_left(&self) -> Duration {
         self.job.deadline.saturating_duration_since(Instant::now())
     }
@@ -425,7 +430,7 @@
         metrics::counter!(metric::ANSWERS, "class" => class.clone()).increment(1);
         metrics::histogram!(metric::TOTAL, "class" => class)
             .record(self.job.received.elapsed().as_secs_f64());
-        let tokens = self.relay.as_ref().map_or(0, Relay::tokens);
+        let tokens = self.tokens();
         self.add(Step::Answered { status, tokens });
     }
 
--- a/crates/router/tests/endpoint_probes.rs
+++ b/crates/router/tests/endpoint_probes.rs
@@ -13,6 +13,8 @@
 use waxwing_core::coordination::scheduler::Input;
 use waxwing_core::state::settings::Settings;
 use waxwingrouter::config::Config;
+use waxwingrouter::members::Members;
+use waxwingrouter::peer::Peers;
 use waxwingrouter::prober;
 use waxwingrouter::scheduling;
 use waxwingrouter::scheduling::Order;
@@ -34,7 +36,9 @@
 fn start(address: &str) -> Arc<Shared> {
     let config = Config::parse("test", CONFIG).expect("the settings are valid");
     let (access, inbox) = Scheduling::new();
-    let shared = Arc::new(Shared::new(config, access));
+    let (peers, _peers_inbox) = Peers::new();
+    let (members, _members_inbox) = Members::new();
+    let shared = Arc::new(Shared::new(config, access, peers, members));
     let text = format!(
         "[pools.chat]\nkind = \"model\"\n[[pools.chat.endpoints]]\nname = \"e1\"\n\
          address = \"{address}\"\ndata_centre = \"dc-1\"\nslots_max = 4\n"
