Run jobs that must not be lost: record first, run by rendezvous, collect from any VM

A submission is accepted only after its record was read back, so a lost acknowledgement needs no special case. The live VM that is first in rendezvous order runs the job through the same code path as a direct request; the first result in the log counts. A submission during a known log outage is refused as not_run; one whose append may have taken effect is refused as unknown. The same Idempotency-Key of an organisation gives the same job.

A VM that does not know a job reads the log up to its end before it denies it, since another VM may just have accepted it.

--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -8,6 +8,7 @@
 use signal_hook::iterator::Signals;
 
 use crate::config::Config;
+use crate::jobs;
 use crate::logging;
 use crate::metric;
 use crate::operator;
@@ -64,6 +65,7 @@
     let shared = Arc::new(Shared::new(config, scheduling));
     scheduling::start(Arc::clone(&shared), inbox);
     settings_sync::start(Arc::clone(&shared));
+    jobs::start(&shared)?;
     operator::start(Arc::clone(&shared), metrics)?;
     front::start(Arc::clone(&shared), listener)?;
     Ok(shared)
--- /dev/null
+++ b/crates/router/src/jobs.rs
@@ -0,0 +1,185 @@
+//! Jobs: what the log holds of them, shared by the threads that read, append and run them.
+
+mod appender;
+mod reader;
+mod runner;
+
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use flume::Receiver;
+use flume::Sender;
+use uuid::Uuid;
+use waxwing_core::Name;
+use waxwing_core::state::jobs;
+use waxwing_core::state::jobs::JobResult;
+use waxwing_core::state::jobs::JobState;
+use waxwing_core::state::jobs::Submission;
+
+use crate::jobs::appender::Message;
+use crate::jobs::appender::Verdict;
+use crate::shared::Shared;
+
+/// Counter of what happened to jobs, by event.
+pub const EVENTS: &str = "waxwing_jobs_total";
+
+/// Messages that may wait for the appender.
+const MESSAGES_MAX: usize = 1_024;
+
+/// Size of the bodies of all pending jobs beyond which submissions are refused, in bytes.
+const PENDING_MAX_BYTES: usize = 64 * 1_024 * 1_024;
+
+/// Time for which a submission waits for its record to be read back, in milliseconds.
+const SUBMIT_WAIT_MS: u64 = 2_000;
+
+/// Time beyond [`SUBMIT_WAIT_MS`] in which the appender ends an append that it has begun, in milliseconds.
+const VERDICT_WAIT_MS: u64 = 4_000;
+
+/// How a submission ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Submitted {
+    /// The log holds it.
+    Recorded,
+    /// The log does not hold it and never will.
+    LogDown,
+    /// The log may hold it.
+    Unknown,
+    /// Too many jobs are pending.
+    Full,
+}
+
+/// A job as its organisation may see it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// It has no result yet.
+    Pending(Submission),
+    /// Its result.
+    Finished(JobResult),
+    /// Its result is in the log at this offset.
+    Stored(u64),
+}
+
+/// Access to the jobs.
+#[derive(Debug)]
+pub struct Jobs {
+    state: Mutex<State>,
+    changed: Condvar,
+    messages: Sender<Message>,
+    inbox: Receiver<Message>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    jobs: jobs::Jobs,
+    /// Offset of the next record to read.
+    next_offset: u64,
+    retention_ms: u64,
+    is_log_up: bool,
+}
+
+/// What a thread runs.
+type Body = fn(&Arc<Shared>);
+
+/// Starts the threads that read, append and run jobs.
+///
+/// # Errors
+///
+/// Fails if a thread cannot be started.
+pub fn start(shared: &Arc<Shared>) -> std::io::Result<()> {
+    let threads: [(&str, Body); 3] = [
+        ("jobs-reader", reader::run),
+        ("jobs-appender", appender::run),
+        ("jobs", runner::run),
+    ];
+    for (name, run) in threads {
+        let shared = Arc::clone(shared);
+        let builder = thread::Builder::new().name(name.to_owned());
+        builder.spawn(move || run(&shared))?;
+    }
+    Ok(())
+}
+
+impl Jobs {
+    /// Creates the access, before the threads are started.
+    #[expect(clippy::new_without_default, reason = "it opens a channel")]
+    pub fn new() -> Self {
+        let (messages, inbox) = flume::bounded(MESSAGES_MAX);
+        Self {
+            state: Mutex::default(),
+            changed: Condvar::new(),
+            messages,
+            inbox,
+        }
+    }
+
+    /// Records a job, and returns once the record was read back or cannot be.
+    pub fn submit(&self, id: Uuid, submission: Submission) -> Submitted {
+        let (is_log_up, pending_bytes) = {
+            let state = self.lock();
+            (state.is_log_up, state.jobs.pending_bytes())
+        };
+        if !is_log_up {
+            return Submitted::LogDown;
+        }
+        if pending_bytes + submission.body.len() > PENDING_MAX_BYTES {
+            return Submitted::Full;
+        }
+        let (reply, verdict) = flume::bounded(1);
+        let message = Message::Submit {
+            id,
+            submission,
+            give_up: Instant::now() + Duration::from_millis(SUBMIT_WAIT_MS),
+            reply,
+        };
+        if self.messages.try_send(message).is_err() {
+            return Submitted::Full;
+        }
+        let wait = Duration::from_millis(SUBMIT_WAIT_MS + VERDICT_WAIT_MS);
+        match verdict.recv_timeout(wait) {
+            Ok(Verdict::Recorded) => Submitted::Recorded,
+            Ok(Verdict::NotRecorded) => Submitted::LogDown,
+            Ok(Verdict::MayBeRecorded) | Err(_) => Submitted::Unknown,
+        }
+    }
+
+    /// Returns a job of the organisation as far as this VM has read the log.
+    pub fn find(&self, organisation: &Name, id: Uuid) -> Option<Found> {
+        let state = self.lock();
+        Some(match state.jobs.get(organisation, id)? {
+            JobState::Pending(submission) => Found::Pending(submission.clone()),
+            JobState::Finished(result) => Found::Finished(result.clone()),
+            JobState::Stored(offset) => Found::Stored(offset),
+        })
+    }
+
+    /// Returns the offset of the next record that this VM will read.
+    pub fn next_offset(&self) -> u64 {
+        self.lock().next_offset
+    }
+
+    /// Waits until this VM has read all records before `offset`, and returns whether it has.
+    pub fn wait_for_offset(&self, offset: u64, wait: Duration) -> bool {
+        let is_behind = |state: &mut State| state.next_offset < offset;
+        let waited = self
+            .changed
+            .wait_timeout_while(self.lock(), wait, is_behind);
+        match waited {
+            Ok((_, timeout)) => !timeout.timed_out(),
+            Err(_) => false,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let guard = self.state.lock();
+        guard.unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
+
+fn count(event: &'static str) {
+    metrics::counter!(EVENTS, "event" => event).increment(1);
+}
--- /dev/null
+++ b/crates/router/src/jobs/reader.rs
@@ -0,0 +1,105 @@
+//! Follows the stream `jobs`.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use waxwing_core::state::jobs;
+use waxwing_core::state::jobs::JobResult;
+use waxwing_core::state::jobs::Stamp;
+use waxwing_core::state::jobs::Submission;
+use waxwing_wire::job_record::JobRecord;
+use waxwing_wire::job_record::STREAM;
+use waxwing_wire::platform::Page;
+use waxwing_wire::platform::Record;
+
+use crate::jobs::Jobs;
+use crate::jobs::appender::Message;
+use crate::shared;
+use crate::shared::Shared;
+use crate::transport::log_client::Error;
+use crate::transport::log_client::LogClient;
+
+/// Time that a read waits for the first record, in milliseconds; it also bounds how late an outage is seen.
+const READ_WAIT_MS: u64 = 1_000;
+
+/// Pause after a failed read, in milliseconds.
+const RETRY_PAUSE_MS: u64 = 200;
+
+pub(crate) fn run(shared: &Arc<Shared>) {
+    let client = LogClient::new(&shared.config.platform.log_address);
+    let jobs = &shared.jobs;
+    loop {
+        match client.read(STREAM, jobs.next_offset(), READ_WAIT_MS) {
+            Ok(page) => jobs.apply_page(&page),
+            Err(Error::Dropped { first_offset, .. }) => {
+                // Pending jobs are appended again before the log drops them, so no job is missed.
+                jobs.lock().next_offset = first_offset;
+            }
+            Err(error) => {
+                log::warn!("jobs cannot be read: {error}");
+                jobs.lock().is_log_up = false;
+                thread::sleep(Duration::from_millis(RETRY_PAUSE_MS));
+            }
+        }
+    }
+}
+
+impl Jobs {
+    fn apply_page(&self, page: &Page) {
+        let mut state = self.lock();
+        state.is_log_up = true;
+        state.retention_ms = page.retention_ms;
+        for record in &page.records {
+            state.next_offset = record.offset + 1;
+            match JobRecord::decode(record) {
+                Ok(decoded) => apply(&mut state.jobs, decoded, record),
+                Err(error) => log::error!("record skipped: {error}"),
+            }
+        }
+        let kept_from_ms = shared::wall_clock_ms().saturating_sub(page.retention_ms);
+        state.jobs.forget(kept_from_ms);
+        drop(state);
+        self.changed.notify_all();
+        if !page.records.is_empty() {
+            // A full inbox makes the appender look at the state anyway.
+            let _ = self.messages.try_send(Message::Wake);
+        }
+    }
+}
+
+fn apply(jobs: &mut jobs::Jobs, decoded: JobRecord, record: &Record) {
+    let stamp = Stamp {
+        offset: record.offset,
+        time_ms: record.time_ms,
+    };
+    match decoded {
+        JobRecord::Submitted {
+            id,
+            organisation,
+            class,
+            body,
+        } => {
+            let submission = Submission {
+                organisation,
+                class,
+                body,
+            };
+            jobs.submit(id, stamp, submission);
+        }
+        JobRecord::Finished {
+            id,
+            organisation,
+            status,
+            content_type,
+            body,
+        } => {
+            let result = JobResult {
+                status,
+                content_type,
+                body,
+            };
+            jobs.finish(id, stamp, organisation, result);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/jobs/runner.rs
@@ -0,0 +1,229 @@
+//! Runs the jobs that are this VM's to run.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use flume::Receiver;
+use uuid::Uuid;
+use waxwing_core::Name;
+use waxwing_core::Reason;
+use waxwing_core::Refusal;
+use waxwing_core::state::jobs::JobResult;
+use waxwing_core::state::jobs::Submission;
+use waxwing_core::state::jobs::Work;
+use waxwing_wire::caller::ErrorBody;
+
+use crate::jobs;
+use crate::jobs::appender::Message;
+use crate::request::admit::Job;
+use crate::request::admit::Target;
+use crate::request::answer::Answer;
+use crate::request::answer::Answerer;
+use crate::request::answer::Head;
+use crate::request::run;
+use crate::shared;
+use crate::shared::Shared;
+
+/// Longest time before a change of membership or a due retry is seen, in milliseconds.
+const POLL_MS: u64 = 100;
+
+/// Jobs that one VM runs at once, including those whose result the log does not hold yet.
+const RUNNING_MAX: usize = 64;
+
+pub(crate) fn run(shared: &Arc<Shared>) {
+    loop {
+        for work in to_work(shared) {
+            match work {
+                Work::Run(id) => start(shared, id),
+                Work::Append(id) => renew(shared, id),
+            }
+        }
+        let state = shared.jobs.lock();
+        let wait = Duration::from_millis(POLL_MS);
+        let _ = shared.jobs.changed.wait_timeout(state, wait);
+    }
+}
+
+fn to_work(shared: &Shared) -> Vec<Work> {
+    let view = shared.view();
+    if view.settings_version == 0 {
+        return Vec::new();
+    }
+    let mut members: Vec<Name> = Vec::new();
+    for member in &view.members {
+        if !member.is_draining {
+            members.push(member.name.clone());
+        }
+    }
+    let own = &shared.config.vm.name;
+    let now_ms = shared::wall_clock_ms();
+    let mut state = shared.jobs.lock();
+    let retention_ms = state.retention_ms;
+    state
+        .jobs
+        .to_work(now_ms, own, &members, retention_ms, RUNNING_MAX)
+}
+
+fn renew(shared: &Shared, id: Uuid) {
+    let state = shared.jobs.lock();
+    let Some((submission, stamp)) = state.jobs.to_pending(id) else {
+        return;
+    };
+    let message = Message::Renew {
+        id,
+        submission: submission.clone(),
+        known_offset: stamp.offset,
+    };
+    // A full inbox is tried again, since the job stays due.
+    let _ = shared.jobs.messages.try_send(message);
+}
+
+fn start(shared: &Arc<Shared>, id: Uuid) {
+    let pending = {
+        let state = shared.jobs.lock();
+        state.jobs.to_pending(id).map(|(job, _)| job.clone())
+    };
+    let Some(submission) = pending else {
+        return;
+    };
+    let worker = thread::Builder::new().name("job".to_owned());
+    let run_shared = Arc::clone(shared);
+    let spawned = worker.spawn(move || run_job(&run_shared, id, &submission));
+    if let Err(error) = spawned {
+        log::error!("a job thread cannot be started: {error}");
+        fail(shared, id, 0);
+    }
+}
+
+fn run_job(shared: &Arc<Shared>, id: Uuid, submission: &Submission) {
+    let answered = to_job(shared, id, submission).and_then(|job| to_answer(shared, job));
+    let result = match answered {
+        Ok(result) => result,
+        Err(refusal) if is_final(refusal.reason) => to_result(&refusal),
+        Err(refusal) => {
+            log::info!("job {id} runs again later: {}", refusal.message);
+            jobs::count("run_failed");
+            return fail(shared, id, refusal.retry_after_ms);
+        }
+    };
+    jobs::count("run");
+    let message = Message::Finish {
+        id,
+        organisation: submission.organisation.clone(),
+        result,
+    };
+    // The appender takes messages during a log outage too, so this wait is short.
+    let _ = shared.jobs.messages.send(message);
+}
+
+fn fail(shared: &Shared, id: Uuid, wait_ms: u64) {
+    let now_ms = shared::wall_clock_ms();
+    shared.jobs.lock().jobs.fail(now_ms, id, wait_ms);
+}
+
+/// Returns whether running the job again cannot help.
+fn is_final(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::BadRequest | Reason::UnknownClass | Reason::ContentRefused
+    )
+}
+
+fn to_result(refusal: &Refusal) -> JobResult {
+    JobResult {
+        status: refusal.reason.to_status(),
+        content_type: "application/json".to_owned(),
+        body: serde_json::to_string(&ErrorBody::from(refusal)).unwrap_or_default(),
+    }
+}
+
+/// Returns the request of a job under the settings in force.
+fn to_job(shared: &Shared, id: Uuid, submission: &Submission) -> Result<Job, Refusal> {
+    let view = shared.view();
+    let unknown = || {
+        let message = format!("class {} no longer exists", submission.class);
+        Refusal::not_run(Reason::UnknownClass, 0, message)
+    };
+    let organisations = &view.settings.organisations;
+    let organisation = organisations
+        .get(&submission.organisation)
+        .ok_or_else(unknown)?;
+    let (team, class) = submission
+        .class
+        .as_str()
+        .split_once('/')
+        .ok_or_else(unknown)?;
+    let (_, class) = view
+        .settings
+        .to_class(&team.into(), class)
+        .ok_or_else(unknown)?;
+    let mut chat: waxwing_wire::chat::ChatRequest = serde_json::from_str(&submission.body)
+        .map_err(|error| Refusal::not_run(Reason::BadRequest, 0, error.to_string()))?;
+    chat.stream = false;
+    let received = Instant::now();
+    Ok(Job {
+        request_id: id.to_string(),
+        organisation: submission.organisation.clone(),
+        organisation_settings: organisation.clone(),
+        class: submission.class.clone(),
+        class_settings: class.clone(),
+        received,
+        deadline: received + Duration::from_millis(class.deadline_ms),
+        idempotency_key: None,
+        target: Target::Chat,
+        body: submission.body.clone().into_bytes(),
+        chat: Some(chat),
+    })
+}
+
+/// Runs a request as if a caller had sent it, and collects its answer.
+fn to_answer(shared: &Arc<Shared>, job: Job) -> Result<JobResult, Refusal> {
+    let (answerer, head, body) = Answerer::new();
+    let runner = Arc::clone(shared);
+    let worker = thread::Builder::new().name("job-request".to_owned());
+    let spawned = worker.spawn(move || run::run(&runner, job, answerer));
+    if let Err(error) = spawned {
+        let message = format!("a request thread cannot be started: {error}");
+        return Err(Refusal::not_run(Reason::QueueFull, 1_000, message));
+    }
+    let lost = || Refusal::unknown(Reason::EndpointFailed, 1_000, "the answer was lost");
+    let head = head.recv().map_err(|_| lost())?;
+    let bytes = to_body(&body).ok_or_else(lost)?;
+    if head.status != 200 {
+        return Err(to_refusal(&bytes).unwrap_or_else(lost));
+    }
+    Ok(JobResult {
+        status: head.status,
+        content_type: to_content_type(&head),
+        body: String::from_utf8(bytes).map_err(|_| lost())?,
+    })
+}
+
+/// Returns the body, or `None` if it was aborted.
+fn to_body(pieces: &Receiver<Answer>) -> Option<Vec<u8>> {
+    let mut bytes = Vec::new();
+    loop {
+        match pieces.recv() {
+            Ok(Answer::Piece(piece)) => bytes.extend_from_slice(&piece),
+            Ok(Answer::End) => return Some(bytes),
+            Err(_) => return None,
+        }
+    }
+}
+
+fn to_content_type(head: &Head) -> String {
+    let found = head.headers.iter().find(|(name, _)| name == "content-type");
+    found.map(|(_, value)| value.clone()).unwrap_or_default()
+}
+
+fn to_refusal(body: &[u8]) -> Option<Refusal> {
+    let body: ErrorBody = serde_json::from_slice(body).ok()?;
+    Some(Refusal {
+        reason: body.error.code,
+        run: body.error.run,
+        retry_after_ms: body.error.retry_after_s * 1_000,
+        message: body.error.message,
+    })
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod config;
 pub mod daemon;
 pub mod demo;
+pub mod jobs;
 pub mod logging;
 pub mod metric;
 pub mod operator;
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -3,6 +3,7 @@
 pub mod admit;
 pub mod answer;
 pub mod exchange;
+pub mod job;
 pub mod run;
 
 use std::sync::Arc;
@@ -24,8 +25,12 @@
     let is_post = exchange.method() == Method::POST;
     match path.as_str() {
         "/v1/chat/completions" if is_post => route(shared, &exchange, answerer, Target::Chat),
+        "/v1/jobs" if is_post => job::submit(shared, &exchange, &answerer),
         "/v1/entries" if !is_post => entries(shared, &exchange, answerer),
         "/healthz" if !is_post => answerer.json(200, &"serving"),
+        _ if !is_post && path.starts_with(job::PATH_PREFIX) => {
+            job::get(shared, &exchange, &answerer);
+        }
         _ => match to_service(&path) {
             Some(target) if is_post => route(shared, &exchange, answerer, target),
             _ => {
--- a/crates/router/src/request/admit.rs
+++ b/crates/router/src/request/admit.rs
@@ -67,6 +67,22 @@
     pub chat: Option<ChatRequest>,
 }
 
+/// Returns the organisation that sent a call which concerns no class.
+///
+/// # Errors
+///
+/// Fails with the refusal that the caller has to receive.
+pub fn to_caller(shared: &Shared, exchange: &Exchange) -> Result<Name> {
+    let view = shared.view();
+    if view.settings_version == 0 {
+        return Err(to_no_settings());
+    }
+    let found = view.settings.to_organisation(to_api_key(exchange)?);
+    let (organisation, _) =
+        found.ok_or_else(|| refuse(Reason::Unauthorised, "the API key is unknown"))?;
+    Ok(organisation.clone())
+}
+
 /// Checks a request.
 ///
 /// # Errors
@@ -75,12 +91,7 @@
 pub fn to_job(shared: &Shared, exchange: &Exchange, target: Target) -> Result<Job> {
     let view = shared.view();
     if view.settings_version == 0 {
-        let message = "this VM has no settings yet";
-        return Err(Refusal::not_run(
-            Reason::NoSettings,
-            NO_SETTINGS_RETRY_AFTER_MS,
-            message,
-        ));
+        return Err(to_no_settings());
     }
     let key = to_api_key(exchange)?;
     let Some((organisation, organisation_settings)) = view.settings.to_organisation(key) else {
@@ -119,6 +130,11 @@
     })
 }
 
+fn to_no_settings() -> Refusal {
+    let message = "this VM has no settings yet";
+    Refusal::not_run(Reason::NoSettings, NO_SETTINGS_RETRY_AFTER_MS, message)
+}
+
 fn refuse(reason: Reason, message: impl Into<String>) -> Refusal {
     Refusal::not_run(reason, 0, message)
 }
--- /dev/null
+++ b/crates/router/src/request/job.rs
@@ -0,0 +1,223 @@
+//! Calls that submit and collect jobs.
+
+use std::time::Duration;
+
+use uuid::Uuid;
+use waxwing_core::Reason;
+use waxwing_core::Refusal;
+use waxwing_core::state::jobs::JobResult;
+use waxwing_core::state::jobs::Submission;
+use waxwing_core::state::settings::Delivery;
+use waxwing_wire::caller::JobAccepted;
+use waxwing_wire::caller::JobPhase;
+use waxwing_wire::caller::JobView;
+use waxwing_wire::job_record::JobRecord;
+use waxwing_wire::job_record::STREAM;
+
+use crate::jobs::Found;
+use crate::jobs::Submitted;
+use crate::metric;
+use crate::request::admit;
+use crate::request::admit::Job;
+use crate::request::admit::Target;
+use crate::request::answer::Answerer;
+use crate::request::exchange::Exchange;
+use crate::shared::Shared;
+use crate::transport::log_client::LogClient;
+
+/// Path of a job without its id.
+pub const PATH_PREFIX: &str = "/v1/jobs/";
+
+/// Time after which a caller may come back when the log cannot be reached, in milliseconds.
+const LOG_RETRY_AFTER_MS: u64 = 5_000;
+
+/// Time after which a caller may come back when too many jobs are pending, in milliseconds.
+const FULL_RETRY_AFTER_MS: u64 = 30_000;
+
+/// Time in which this VM reads the records that were in the log when a call began, in milliseconds.
+const CATCH_UP_MS: u64 = 2_000;
+
+type Result<T> = std::result::Result<T, Refusal>;
+
+/// Accepts a job once the log holds it.
+pub fn submit(shared: &Shared, exchange: &Exchange, answerer: &Answerer) {
+    match to_accepted(shared, exchange) {
+        Ok(accepted) => answerer.json(202, &accepted),
+        Err(refusal) => refuse(answerer, &refusal),
+    }
+}
+
+/// Answers with the state of a job and its result.
+pub fn get(shared: &Shared, exchange: &Exchange, answerer: &Answerer) {
+    match to_view(shared, exchange) {
+        Ok(view) => answerer.json(200, &view),
+        Err(refusal) => refuse(answerer, &refusal),
+    }
+}
+
+fn refuse(answerer: &Answerer, refusal: &Refusal) {
+    metric::count_refusal("", refusal);
+    answerer.refuse(refusal);
+}
+
+fn to_accepted(shared: &Shared, exchange: &Exchange) -> Result<JobAccepted> {
+    let job = admit::to_job(shared, exchange, Target::Chat)?;
+    if job.class_settings.delivery != Delivery::Job || !job.class_settings.idempotent {
+        let message = format!(
+            "class {} is not delivered as a job; send it to /v1/chat/completions",
+            job.class
+        );
+        return Err(Refusal::not_run(Reason::ClassNotAllowed, 0, message));
+    }
+    let id = to_id(&job);
+    let submission = to_submission(job)?;
+    if let Some(found) = shared.jobs.find(&submission.organisation, id) {
+        check_same(&found, &submission)?;
+        return Ok(JobAccepted { id });
+    }
+    match shared.jobs.submit(id, submission.clone()) {
+        Submitted::Recorded => {
+            // Another submission with the same key may have come first.
+            if let Some(found) = shared.jobs.find(&submission.organisation, id) {
+                check_same(&found, &submission)?;
+            }
+            Ok(JobAccepted { id })
+        }
+        Submitted::LogDown => Err(Refusal::not_run(
+            Reason::LogUnavailable,
+            LOG_RETRY_AFTER_MS,
+            "the log cannot be reached, so the job was not accepted",
+        )),
+        Submitted::Unknown => Err(Refusal::unknown(
+            Reason::LogUnavailable,
+            LOG_RETRY_AFTER_MS,
+            "the log did not confirm the job, which may run; submit it again with the same Idempotency-Key",
+        )),
+        Submitted::Full => Err(Refusal::not_run(
+            Reason::QueueFull,
+            FULL_RETRY_AFTER_MS,
+            "too many jobs are pending",
+        )),
+    }
+}
+
+/// Returns the id of a job; the same idempotency key of an organisation always gives the same id.
+fn to_id(job: &Job) -> Uuid {
+    let Some(key) = job.idempotency_key else {
+        return Uuid::now_v7();
+    };
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(job.organisation.as_str().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(key.as_bytes());
+    let mut bytes = [0; 16];
+    hasher.finalize_xof().fill(&mut bytes);
+    uuid::Builder::from_random_bytes(bytes).into_uuid()
+}
+
+fn to_submission(job: Job) -> Result<Submission> {
+    let body = String::from_utf8(job.body).map_err(|error| {
+        Refusal::not_run(
+            Reason::BadRequest,
+            0,
+            format!("the body is not UTF-8: {error}"),
+        )
+    })?;
+    Ok(Submission {
+        organisation: job.organisation,
+        class: job.class,
+        body,
+    })
+}
+
+/// Checks that a repeated submission is the one that its key was used for; a finished job no longer holds its body.
+fn check_same(found: &Found, submission: &Submission) -> Result<()> {
+    match found {
+        Found::Pending(known) if known != submission => Err(Refusal::not_run(
+            Reason::KeyReused,
+            0,
+            "the Idempotency-Key was used for another job",
+        )),
+        _ => Ok(()),
+    }
+}
+
+fn to_view(shared: &Shared, exchange: &Exchange) -> Result<JobView> {
+    let organisation = admit::to_caller(shared, exchange)?;
+    let text = exchange.path().strip_prefix(PATH_PREFIX).unwrap_or("");
+    let id = Uuid::parse_str(text).map_err(|_| to_unknown_job(text))?;
+    let client = LogClient::new(&shared.config.platform.log_address);
+    let mut found = shared.jobs.find(&organisation, id);
+    if found.is_none() {
+        catch_up(shared, &client)?;
+        found = shared.jobs.find(&organisation, id);
+    }
+    let result = match found {
+        None => return Err(to_unknown_job(text)),
+        Some(Found::Pending(_)) => None,
+        Some(Found::Finished(result)) => Some(result),
+        Some(Found::Stored(offset)) => Some(read_result(&client, offset)?),
+    };
+    Ok(to_job_view(id, result))
+}
+
+fn to_job_view(id: Uuid, result: Option<JobResult>) -> JobView {
+    let Some(result) = result else {
+        return JobView {
+            id,
+            state: JobPhase::Pending,
+            status: None,
+            answer: None,
+        };
+    };
+    JobView {
+        id,
+        state: JobPhase::Finished,
+        status: Some(result.status),
+        answer: serde_json::from_str(&result.body).ok(),
+    }
+}
+
+/// Waits until this VM has read what the log holds now, so that a job just accepted by another VM is known here.
+fn catch_up(shared: &Shared, client: &LogClient) -> Result<()> {
+    let unavailable = || {
+        let message = "the log cannot be reached, and this VM does not know the job";
+        Refusal::unknown(Reason::LogUnavailable, LOG_RETRY_AFTER_MS, message)
+    };
+    let page = client
+        .read(STREAM, shared.jobs.next_offset(), 0)
+        .map_err(|_| unavailable())?;
+    let wait = Duration::from_millis(CATCH_UP_MS);
+    if !shared.jobs.wait_for_offset(page.next_offset, wait) {
+        return Err(unavailable());
+    }
+    Ok(())
+}
+
+/// Reads a result that is no longer in memory.
+fn read_result(client: &LogClient, offset: u64) -> Result<JobResult> {
+    let unavailable = || {
+        let message = "the job is finished, but the log that holds its answer cannot be reached";
+        Refusal::unknown(Reason::LogUnavailable, LOG_RETRY_AFTER_MS, message)
+    };
+    let page = client.read(STREAM, offset, 0).map_err(|_| unavailable())?;
+    let record = page.records.first().ok_or_else(unavailable)?;
+    match JobRecord::decode(record) {
+        Ok(JobRecord::Finished {
+            status,
+            content_type,
+            body,
+            ..
+        }) => Ok(JobResult {
+            status,
+            content_type,
+            body,
+        }),
+        _ => Err(unavailable()),
+    }
+}
+
+fn to_unknown_job(id: &str) -> Refusal {
+    let message = format!("no job `{id}` of this organisation is kept");
+    Refusal::unknown(Reason::UnknownJob, 0, message)
+}
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -15,6 +15,7 @@
 use waxwing_core::state::settings::Settings;
 
 use crate::config::Config;
+use crate::jobs::Jobs;
 use crate::scheduling::Scheduling;
 
 /// State that all threads of the daemon reach.
@@ -26,6 +27,8 @@
     pub incarnation: u64,
     /// Access to the scheduler of each pool.
     pub scheduling: Scheduling,
+    /// Jobs.
+    pub jobs: Jobs,
     /// Requests in progress.
     pub in_progress: AtomicUsize,
     /// Whether a planned stop has begun.
@@ -79,6 +82,7 @@
             config,
             incarnation: rand::random(),
             scheduling,
+            jobs: Jobs::new(),
             in_progress: AtomicUsize::new(0),
             is_draining: AtomicBool::new(false),
             view: RwLock::new(Arc::new(view)),
--- a/crates/router/src/transport/log_client.rs
+++ b/crates/router/src/transport/log_client.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use attohttpc::ErrorKind;
 use attohttpc::ProxySettings;
 use attohttpc::Session;
 use thiserror::Error;
 use waxwing_wire::platform::Append;
+use waxwing_wire::platform::Dropped;
 use waxwing_wire::platform::Page;
 
 /// Time to connect, in milliseconds.
@@ -14,6 +16,12 @@
 /// Time for an answer beyond the wait that was asked for, in milliseconds.
 const ANSWER_TIMEOUT_MS: u64 = 2_000;
 
+/// HTTP status of a read whose first record is no longer kept.
+const DROPPED_STATUS: u16 = 410;
+
+/// HTTP status of an append beyond the rate, which the service has not taken.
+const RATE_EXCEEDED_STATUS: u16 = 429;
+
 /// Result of the calls to the log service.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -36,6 +44,14 @@
         /// HTTP status code.
         status: u16,
     },
+    /// The first record that was asked for is no longer kept.
+    #[error("log service at {address}: records before offset {first_offset} are no longer kept")]
+    Dropped {
+        /// Address of the service.
+        address: String,
+        /// Oldest offset that is kept.
+        first_offset: u64,
+    },
     /// The answer does not decode.
     #[error("log service at {address}: the answer does not decode: {source}")]
     Decode {
@@ -46,6 +62,21 @@
     },
 }
 
+impl Error {
+    /// Returns whether an append that failed so has certainly not taken effect.
+    pub fn is_not_appended(&self) -> bool {
+        match self {
+            // Only a refused connection proves that no byte of the call has left.
+            Self::Transport { source, .. } => match source.kind() {
+                ErrorKind::Io(io) => io.kind() == std::io::ErrorKind::ConnectionRefused,
+                _ => false,
+            },
+            Self::Status { status, .. } => *status == RATE_EXCEEDED_STATUS,
+            Self::Dropped { .. } | Self::Decode { .. } => false,
+        }
+    }
+}
+
 /// Client of the platform's log service.
 #[derive(Clone, Debug)]
 pub struct LogClient {
@@ -78,7 +109,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the service does not answer, with status 410 if `from` is no longer kept.
+    /// Fails if the service does not answer, with [`Error::Dropped`] if `from` is no longer kept.
     pub fn read(&self, stream: &str, from: u64, wait_ms: u64) -> Result<Page> {
         let address = &self.address;
         let url =
@@ -90,6 +121,12 @@
 
     fn to_bytes(&self, response: attohttpc::Result<attohttpc::Response>) -> Result<Vec<u8>> {
         let response = response.map_err(|source| self.to_transport_error(source))?;
+        if response.status().as_u16() == DROPPED_STATUS {
+            let bytes = response
+                .bytes()
+                .map_err(|source| self.to_transport_error(source))?;
+            return Err(self.to_dropped(&bytes));
+        }
         if !response.is_success() {
             return Err(Error::Status {
                 address: self.address.clone(),
@@ -101,6 +138,16 @@
             .map_err(|source| self.to_transport_error(source))
     }
 
+    fn to_dropped(&self, body: &[u8]) -> Error {
+        match serde_json::from_slice::<Dropped>(body) {
+            Ok(dropped) => Error::Dropped {
+                address: self.address.clone(),
+                first_offset: dropped.first_offset,
+            },
+            Err(source) => self.to_decode_error(source),
+        }
+    }
+
     fn to_transport_error(&self, source: attohttpc::Error) -> Error {
         Error::Transport {
             address: self.address.clone(),
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -2,6 +2,8 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_json::Value;
+use uuid::Uuid;
 use waxwing_core::Reason;
 use waxwing_core::Refusal;
 use waxwing_core::Run;
@@ -70,3 +72,35 @@
     /// Share of new connections, relative to the other entries.
     pub weight: u32,
 }
+
+/// Answer to a submitted job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobAccepted {
+    /// Id under which any VM tells the state and the answer.
+    pub id: Uuid,
+}
+
+/// State of a job and, once it is finished, its answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobView {
+    /// Id.
+    pub id: Uuid,
+    /// How far it is.
+    pub state: JobPhase,
+    /// HTTP status code that a direct request would have received.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub status: Option<u16>,
+    /// Body that a direct request would have received.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub answer: Option<Value>,
+}
+
+/// How far a job is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JobPhase {
+    /// It waits or runs.
+    Pending,
+    /// It has its final answer.
+    Finished,
+}
