--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,4 +1,5 @@
 //! Shared state: the settings tree and what is replayed from log streams.
 
 pub mod evidence;
+pub mod jobs;
 pub mod settings;
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -11,6 +11,7 @@
 use signal_hook::iterator::Signals;
 
 use crate::config::Config;
+use crate::jobs;
 use crate::logging;
 use crate::members;
 use crate::members::Members;
@@ -107,6 +108,7 @@
     members::start(Arc::clone(&shared), members_inbox)?;
     settings_sync::start(Arc::clone(&shared));
     prober::start(Arc::clone(&shared));
+    jobs::start(&shared)?;
     operator::start(Arc::clone(&shared), metrics)?;
     front::start(Arc::clone(&shared), listener)?;
     Ok(shared)
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -3,6 +3,7 @@
 pub mod admit;
 pub mod answer;
 pub mod exchange;
+pub mod job;
 pub mod relay;
 pub mod run;
 pub mod trace;
@@ -17,13 +18,10 @@
 use waxwing_wire::caller::Entries;
 use waxwing_wire::caller::Entry;
 
-use crate::request::admit::Job;
 use crate::request::admit::Target;
 use crate::request::answer::Answerer;
 use crate::request::exchange::Exchange;
-use crate::request::trace::Trace;
 use crate::shared::Shared;
-use crate::shared::wall_clock_ms;
 
 /// Time after which a caller of a stopping VM may come back, in milliseconds; other VMs serve at once.
 const STOPPING_RETRY_AFTER_MS: u64 = 1_000;
@@ -40,8 +38,12 @@
     let is_post = exchange.method() == Method::POST;
     match path.as_str() {
         "/v1/chat/completions" if is_post => route(shared, &exchange, answerer, Target::Chat),
+        "/v1/jobs" if is_post => job::submit(shared, &exchange, &answerer),
         "/v1/entries" if !is_post => entries(shared, &exchange, answerer),
         "/healthz" if !is_post => health(shared, answerer),
+        _ if !is_post && path.starts_with(job::PATH_PREFIX) => {
+            job::get(shared, &exchange, &answerer);
+        }
         _ => match to_service(&path, exchange.query_text()) {
             Some(target) if is_post => route(shared, &exchange, answerer, target),
             _ => {
@@ -73,10 +75,7 @@
         return;
     }
     match admit::to_job(shared, exchange, target) {
-        Ok(job) => {
-            open_trace(shared, &job);
-            run::run(shared, job, answerer);
-        }
+        Ok(job) => run::run(shared, job, answerer),
         Err(refusal) => {
             crate::metric::count_refusal("", &refusal);
             answerer.refuse(&refusal);
@@ -84,18 +83,6 @@
     }
 }
 
-fn open_trace(shared: &Shared, job: &Job) {
-    let since_receipt_ms = job.received.elapsed().as_millis() as u64;
-    shared.traces.open(Trace {
-        request_id: job.request_id.clone(),
-        vm: shared.config.vm.name.clone(),
-        organisation: job.organisation.clone(),
-        class: job.class.clone(),
-        received_ms: wall_clock_ms().saturating_sub(since_receipt_ms),
-        steps: Vec::new(),
-    });
-}
-
 fn health(shared: &Shared, answerer: Answerer) {
     match shared.is_stopping.load(Ordering::SeqCst) {
         true => answerer.json(503, &"stopping"),
--- a/crates/router/src/request/admit.rs
+++ b/crates/router/src/request/admit.rs
@@ -65,10 +65,64 @@
     pub body: Vec<u8>,
     /// Parsed body of a chat request.
     pub chat: Option<ChatRequest>,
-    /// Hash of the prompt's beginning, for prefix caches; 0 for a plain call.
-    pub prefix_hash: u64,
-    /// BLAKE3 hash of organisation, pool, target and body.
-    pub content_hash: [u8; 32],
+}
+
+/// Returns the organisation that sent a call which concerns no class.
+///
+/// # Errors
+///
+/// Fails with the refusal that the caller has to receive.
+pub fn to_caller(shared: &Shared, exchange: &Exchange) -> Result<Name> {
+    let view = shared.view();
+    if view.settings_version == 0 {
+        return Err(to_no_settings());
+    }
+    let found = view.settings.to_organisation(to_api_key(exchange)?);
+    let (organisation, _) =
+        found.ok_or_else(|| refuse(Reason::Unauthorised, "the API key is unknown"))?;
+    Ok(organisation.clone())
+}
+
+impl Job {
+    /// Returns a hash of the first message, which conversations with the same instructions share; 0 for a plain call.
+    pub fn to_prefix_hash(&self) -> u64 {
+        let Some(first) = self.chat.as_ref().and_then(|chat| chat.messages.first()) else {
+            return 0;
+        };
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(first.to_string().as_bytes());
+        let mut head = [0; 8];
+        hasher.finalize_xof().fill(&mut head);
+        u64::from_le_bytes(head)
+    }
+
+    /// Returns a hash that is the same for every repeat of a request, streamed or not.
+    pub fn to_content_hash(&self) -> [u8; 32] {
+        let mut hasher = blake3::Hasher::new();
+        let path = match &self.target {
+            Target::Chat => "",
+            Target::Service { path, .. } => path.as_str(),
+        };
+        for part in [
+            self.organisation.as_str(),
+            self.class_settings.pool.as_str(),
+            path,
+        ] {
+            hasher.update(part.as_bytes());
+            hasher.update(&[0]);
+        }
+        match &self.chat {
+            Some(chat) => {
+                let mut chat = chat.clone();
+                chat.stream = false;
+                hasher.update(&serde_json::to_vec(&chat).unwrap_or_default());
+            }
+            None => {
+                hasher.update(&self.body);
+            }
+        }
+        *hasher.finalize().as_bytes()
+    }
 }
 
 /// Checks a request.
@@ -79,12 +133,7 @@
 pub fn to_job(shared: &Shared, exchange: &Exchange, target: Target) -> Result<Job> {
     let view = shared.view();
     if view.settings_version == 0 {
-        let message = "this VM has no settings yet";
-        return Err(Refusal::not_run(
-            Reason::NoSettings,
-            NO_SETTINGS_RETRY_AFTER_MS,
-            message,
-        ));
+        return Err(to_no_settings());
     }
     let key = to_api_key(exchange)?;
     let Some((organisation, organisation_settings)) = view.settings.to_organisation(key) else {
@@ -117,20 +166,17 @@
         received: exchange.received(),
         deadline: to_deadline(exchange, class_settings)?,
         idempotency_key: to_idempotency_key(exchange, class_settings)?,
-        prefix_hash: chat.as_ref().map_or(0, to_prefix_hash),
-        content_hash: to_content_hash(
-            organisation,
-            class_settings,
-            &target,
-            chat.as_ref(),
-            exchange.body(),
-        ),
         target,
         body: exchange.body().to_vec(),
         chat,
     })
 }
 
+fn to_no_settings() -> Refusal {
+    let message = "this VM has no settings yet";
+    Refusal::not_run(Reason::NoSettings, NO_SETTINGS_RETRY_AFTER_MS, message)
+}
+
 fn refuse(reason: Reason, message: impl Into<String>) -> Refusal {
     Refusal::not_run(reason, 0, message)
 }
@@ -173,47 +219,6 @@
     }
 }
 
-/// Returns a hash of the first message, which conversations with the same instructions share.
-fn to_prefix_hash(chat: &ChatRequest) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    if let Some(first) = chat.messages.first() {
-        hasher.update(first.to_string().as_bytes());
-    }
-    let mut head = [0; 8];
-    hasher.finalize_xof().fill(&mut head);
-    u64::from_le_bytes(head)
-}
-
-/// Returns a hash that is the same for every repeat of a request, streamed or not.
-fn to_content_hash(
-    organisation: &Name,
-    class: &Class,
-    target: &Target,
-    chat: Option<&ChatRequest>,
-    body: &[u8],
-) -> [u8; 32] {
-    let mut hasher = blake3::Hasher::new();
-    for part in [organisation.as_str(), class.pool.as_str()] {
-        hasher.update(part.as_bytes());
-        hasher.update(&[0]);
-    }
-    if let Target::Service { path, .. } = target {
-        hasher.update(path.as_bytes());
-        hasher.update(&[0]);
-    }
-    match chat {
-        Some(chat) => {
-            let mut chat = chat.clone();
-            chat.stream = false;
-            hasher.update(&serde_json::to_vec(&chat).unwrap_or_default());
-        }
-        None => {
-            hasher.update(body);
-        }
-    }
-    *hasher.finalize().as_bytes()
-}
-
 fn to_deadline(exchange: &Exchange, class: &Class) -> Result<Instant> {
     let Some(text) = exchange.header(DEADLINE_HEADER) else {
         return Ok(exchange.received() + Duration::from_millis(class.deadline_ms));
--- a/crates/router/src/request/run.rs
+++ b/crates/router/src/request/run.rs
@@ -22,8 +22,10 @@
 use crate::request::relay::Relay;
 use crate::request::relay::Relayed;
 use crate::request::trace::Step;
+use crate::request::trace::Trace;
 use crate::scheduling::Order;
 use crate::shared::Shared;
+use crate::shared::wall_clock_ms;
 use crate::transport::attempt;
 use crate::transport::attempt::Call;
 use crate::transport::attempt::Event;
@@ -43,9 +45,12 @@
 /// Runs an admitted request to its final answer.
 pub fn run(shared: &Arc<Shared>, job: Job, mut answerer: Answerer) {
     answerer.set_request_id(&job.request_id);
+    open_trace(shared, &job);
     let relay = job.chat.as_ref().map(Relay::new);
     let mut running = Running {
         shared,
+        prefix_hash: job.to_prefix_hash(),
+        content_hash: job.to_content_hash(),
         job,
         answerer,
         relay,
@@ -64,6 +69,18 @@
     }
 }
 
+fn open_trace(shared: &Shared, job: &Job) {
+    let since_receipt_ms = job.received.elapsed().as_millis() as u64;
+    shared.traces.open(Trace {
+        request_id: job.request_id.clone(),
+        vm: shared.config.vm.name.clone(),
+        organisation: job.organisation.clone(),
+        class: job.class.clone(),
+        received_ms: wall_clock_ms().saturating_sub(since_receipt_ms),
+        steps: Vec::new(),
+    });
+}
+
 /// Why a request ends without a whole answer.
 enum Stop {
     Refused(Refusal),
@@ -105,6 +122,8 @@
     attempts: u32,
     failed_attempts: u32,
     may_have_run: bool,
+    prefix_hash: u64,
+    content_hash: [u8; 32],
 }
 
 impl Running<'_> {
@@ -375,8 +394,8 @@
             generated_tokens: self.tokens(),
             class_in_flight_max: class.in_flight_max,
             organisation_in_flight_max: organisation.in_flight_max,
-            prefix_hash: self.job.prefix_hash,
-            content_hash: self.job.content_hash,
+            prefix_hash: self.prefix_hash,
+            content_hash: self.content_hash,
             data_centre: self.shared.config.vm.data_centre.clone(),
             excluded: self.excluded.clone(),
         }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -19,6 +19,7 @@
 use waxwing_core::state::settings::Settings;
 
 use crate::config::Config;
+use crate::jobs::Jobs;
 use crate::members::Members;
 use crate::peer::Peers;
 use crate::request::trace::Traces;
@@ -39,6 +40,8 @@
     pub peers: Peers,
     /// Access to the members thread.
     pub members: Members,
+    /// Jobs.
+    pub jobs: Jobs,
     /// Requests in progress.
     pub in_progress: AtomicUsize,
     /// Open connections of callers.
@@ -144,6 +147,7 @@
             traces: Traces::default(),
             peers,
             members,
+            jobs: Jobs::new(),
             in_progress: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
             is_draining: AtomicBool::new(false),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod chat;
 pub mod claim;
+pub mod job_record;
 pub mod peer;
 pub mod platform;
 
