Collect all findings of settings and replay the settings stream

Cause: settings were parsed with serde, which stops at the first fault, and the settings stream held raw TOML without versions, signatures or access rules.

The checks now walk the spanned TOML tree and report every finding with file, line, column and remedy, for the tree and for the VM's own file. A VM's file without root keys is a finding, since such a VM can never serve.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,7 +4,9 @@
 //! random source, so each decision can be tested and model checked without threads or sockets.
 
 pub mod coordination;
+pub mod document;
 pub mod error;
+pub mod finding;
 pub mod state;
 
 mod name;
--- a/crates/core/src/state/settings.rs
+++ b/crates/core/src/state/settings.rs
@@ -1,5 +1,9 @@
 //! The settings tree that operators publish.
 
+pub mod change;
+pub mod check;
+pub mod replay;
+
 use std::collections::BTreeMap;
 
 use serde::Deserialize;
@@ -41,6 +45,21 @@
     /// Requests that may wait for a slot.
     #[serde(default = "default_queue_max")]
     pub queue_max: u32,
+    /// Ratio to the pool's median at which an endpoint counts as slow.
+    #[serde(default = "default_slow_factor")]
+    pub slow_factor: f64,
+    /// Largest share of the endpoints that may be ejected as slow.
+    #[serde(default = "default_eject_share_max")]
+    pub eject_share_max: f64,
+    /// Time between probes of an ejected endpoint, in milliseconds.
+    #[serde(default = "default_probe_interval_ms")]
+    pub probe_interval_ms: u64,
+    /// Most times that one request is preempted.
+    #[serde(default = "default_preempt_max")]
+    pub preempt_max: u32,
+    /// Distinct endpoints lost to one content after which it is refused.
+    #[serde(default = "default_poison_endpoints_max")]
+    pub poison_endpoints_max: u32,
     /// The endpoints.
     #[serde(default)]
     pub endpoints: Vec<Endpoint>,
@@ -50,6 +69,26 @@
     1_000
 }
 
+fn default_slow_factor() -> f64 {
+    3.0
+}
+
+fn default_eject_share_max() -> f64 {
+    1.0 / 3.0
+}
+
+fn default_probe_interval_ms() -> u64 {
+    1_000
+}
+
+fn default_preempt_max() -> u32 {
+    3
+}
+
+fn default_poison_endpoints_max() -> u32 {
+    2
+}
+
 /// What the endpoints of a pool are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -95,6 +134,9 @@
     /// Whether it refuses calls and orders with an old fencing number.
     #[serde(default)]
     pub checks_fencing: bool,
+    /// Least value of the adaptive limit on requests that it runs at once.
+    #[serde(default = "default_slots_min")]
+    pub slots_min: u32,
     /// Most requests that it may run at once.
     #[serde(default = "default_slots_max")]
     pub slots_max: u32,
@@ -103,6 +145,10 @@
     pub leaving: bool,
 }
 
+fn default_slots_min() -> u32 {
+    1
+}
+
 fn default_slots_max() -> u32 {
     8
 }
--- /dev/null
+++ b/crates/core/src/state/settings/replay/snapshot.rs
@@ -0,0 +1,144 @@
+//! Snapshots of the tree, in the stream and between processes.
+
+use std::collections::BTreeMap;
+
+use thiserror::Error;
+
+use super::InForce;
+use super::SettingsState;
+use super::to_tree;
+use crate::finding::Findings;
+use crate::state::settings::change::Subtree;
+
+/// The whole tree at a position of the stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Offset of the first record that the tree does not reflect.
+    pub next_offset: u64,
+    /// Subtrees in force at that position.
+    pub subtrees: BTreeMap<Subtree, InForce>,
+}
+
+/// Why a snapshot is not used.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum SnapshotError {
+    /// It has no deployment subtree.
+    #[error("the snapshot has no deployment subtree")]
+    NoDeployment,
+    /// The deployment subtree is not signed by a root key of this VM.
+    #[error(
+        "the deployment subtree is not signed by a root key of this VM; \
+         keep the old root key in the VM's file until the deployment subtree has been published again"
+    )]
+    BadSignature,
+    /// A version does not fit the position.
+    #[error("{subtree} has version {version}, which does not fit the position of the snapshot")]
+    ImpossibleVersion {
+        /// Subtree.
+        subtree: Subtree,
+        /// Version in the snapshot.
+        version: u64,
+    },
+    /// It would replace a subtree by an older version.
+    #[error("{subtree} has version {version}, but version {in_force} is in force")]
+    Older {
+        /// Subtree.
+        subtree: Subtree,
+        /// Version in the snapshot, 0 if it is absent there.
+        version: u64,
+        /// Version in force.
+        in_force: u64,
+    },
+    /// It differs from what was replayed.
+    #[error("{subtree} differs from what the records before the snapshot lead to")]
+    Differs {
+        /// Subtree.
+        subtree: Subtree,
+    },
+    /// A text has findings.
+    #[error("a text of the snapshot has findings: {0}")]
+    Invalid(Findings),
+}
+
+impl SettingsState {
+    /// Replaces the tree by that of a valid snapshot that is nowhere older.
+    pub(super) fn install(&mut self, snapshot: Snapshot) -> Result<(), SnapshotError> {
+        check_versions(&snapshot)?;
+        for (subtree, in_force) in &self.subtrees {
+            let found = snapshot.subtrees.get(subtree);
+            let version = found.map_or(0, |found| found.version);
+            if version < in_force.version {
+                return Err(SnapshotError::Older {
+                    subtree: subtree.clone(),
+                    version,
+                    in_force: in_force.version,
+                });
+            }
+        }
+        self.settings = self.to_settings(&snapshot)?;
+        self.position = snapshot.next_offset;
+        self.subtrees = snapshot.subtrees;
+        let times = self.subtrees.values().map(|in_force| in_force.time_ms);
+        if let Some(first_ms) = times.min() {
+            self.covered_ms.get_or_insert(first_ms);
+        }
+        Ok(())
+    }
+
+    /// Compares a snapshot with the replayed tree; a subtree that changed after its position cannot be compared.
+    pub(super) fn compare(&self, offset: u64, snapshot: &Snapshot) -> Result<(), SnapshotError> {
+        check_versions(snapshot)?;
+        for (subtree, found) in &snapshot.subtrees {
+            if snapshot.next_offset > offset {
+                return Err(SnapshotError::ImpossibleVersion {
+                    subtree: subtree.clone(),
+                    version: found.version,
+                });
+            }
+            if found.version > self.to_version(subtree) {
+                return Err(SnapshotError::Differs {
+                    subtree: subtree.clone(),
+                });
+            }
+        }
+        for (subtree, in_force) in &self.subtrees {
+            let is_covered = in_force.version <= snapshot.next_offset;
+            if is_covered && snapshot.subtrees.get(subtree) != Some(in_force) {
+                return Err(SnapshotError::Differs {
+                    subtree: subtree.clone(),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn to_settings(&self, snapshot: &Snapshot) -> Result<super::Settings, SnapshotError> {
+        let Some(deployment) = snapshot.subtrees.get(&Subtree::Deployment) else {
+            return Err(SnapshotError::NoDeployment);
+        };
+        let change = &deployment.change;
+        if !self.roots.iter().any(|root| change.is_signed_by(root)) {
+            return Err(SnapshotError::BadSignature);
+        }
+        let teams = snapshot.subtrees.iter().filter_map(|(subtree, in_force)| {
+            let Subtree::Team(team) = subtree else {
+                return None;
+            };
+            Some((team, in_force.change.text.as_str()))
+        });
+        to_tree("deployment", &change.text, teams).map_err(SnapshotError::Invalid)
+    }
+}
+
+fn check_versions(snapshot: &Snapshot) -> Result<(), SnapshotError> {
+    for (subtree, in_force) in &snapshot.subtrees {
+        let version = in_force.version;
+        if in_force.change.subtree != *subtree || !(1..=snapshot.next_offset).contains(&version) {
+            return Err(SnapshotError::ImpossibleVersion {
+                subtree: subtree.clone(),
+                version,
+            });
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/core/tests/settings_race.rs
@@ -0,0 +1,71 @@
+//! Guards against two concurrent changes that are both accepted, and against a repeated append that takes effect twice.
+
+#[path = "common/settings.rs"]
+mod common;
+
+use waxwing_core::state::settings::change::Subtree;
+use waxwing_core::state::settings::replay::Rejection;
+
+use common::apply;
+use common::change_deployment;
+use common::change_team;
+use common::to_deployment;
+use common::to_state;
+use common::to_team;
+
+#[test]
+fn the_first_of_two_concurrent_changes_wins() {
+    let mut state = to_state();
+    assert_eq!(
+        apply(&mut state, change_deployment(0, to_deployment(1, false))),
+        None
+    );
+    let first = change_team("dispatch", 0, to_team("chat", 700));
+    let second = change_team("dispatch", 0, to_team("chat", 900));
+    assert_eq!(apply(&mut state, first), None);
+    assert_eq!(
+        apply(&mut state, second),
+        Some(Rejection::StaleBase { in_force: 2 })
+    );
+    let class = &state.settings().teams["dispatch"].classes["booking"];
+    assert_eq!(class.target_ms, 700);
+}
+
+#[test]
+fn changes_of_different_teams_do_not_compete() {
+    let mut state = to_state();
+    assert_eq!(
+        apply(&mut state, change_deployment(0, to_deployment(1, false))),
+        None
+    );
+    assert_eq!(
+        apply(&mut state, change_team("dispatch", 0, to_team("chat", 700))),
+        None
+    );
+    assert_eq!(
+        apply(&mut state, change_team("night", 0, to_team("chat", 900))),
+        None
+    );
+    assert_eq!(state.settings().teams.len(), 2);
+}
+
+#[test]
+fn a_repeated_append_is_settled_as_accepted_once() {
+    let mut state = to_state();
+    let deployment = change_deployment(0, to_deployment(1, false));
+    assert_eq!(apply(&mut state, deployment.clone()), None);
+    let repeated = apply(&mut state, deployment.clone());
+    assert_eq!(repeated, Some(Rejection::StaleBase { in_force: 1 }));
+    assert_eq!(state.find_accepted(&deployment.to_digest()), Some(1));
+    assert_eq!(state.to_version(&Subtree::Deployment), 1);
+}
+
+#[test]
+fn a_base_from_the_future_is_rejected() {
+    let mut state = to_state();
+    let change = change_deployment(7, to_deployment(1, false));
+    assert_eq!(
+        apply(&mut state, change),
+        Some(Rejection::UnknownBase { in_force: 0 })
+    );
+}
--- /dev/null
+++ b/crates/core/tests/settings_replay.rs
@@ -0,0 +1,298 @@
+//! Guards against readers that reach different trees or return to an older version, whatever they missed.
+
+#[path = "common/settings.rs"]
+mod common;
+
+use std::collections::BTreeMap;
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use waxwing_core::state::settings::change::Subtree;
+use waxwing_core::state::settings::replay::Event;
+use waxwing_core::state::settings::replay::Record;
+use waxwing_core::state::settings::replay::SettingsState;
+use waxwing_core::state::settings::replay::Snapshot;
+use waxwing_core::state::settings::replay::SnapshotError;
+
+use common::apply;
+use common::change_deployment;
+use common::change_team;
+use common::to_deployment;
+use common::to_state;
+use common::to_team;
+
+/// What an operator or a VM appends to the stream.
+#[derive(Clone, Debug)]
+enum Write {
+    Deployment {
+        lag: u64,
+        reserved: u32,
+        has_spare: bool,
+    },
+    Team {
+        team: &'static str,
+        lag: u64,
+        pool: &'static str,
+        target_ms: u64,
+    },
+    Repeat {
+        back: usize,
+    },
+    Undecodable,
+    /// A snapshot of the state of `lag` records ago, as from a VM that was paused before it appended.
+    Snapshot {
+        lag: usize,
+    },
+}
+
+/// What happens to a reader between two records.
+#[derive(Clone, Debug)]
+enum Fault {
+    None,
+    /// The reader does not read, so that it falls behind.
+    Pause,
+    Restart {
+        kept: usize,
+    },
+    Miss {
+        count: usize,
+    },
+    Import,
+}
+
+fn to_write() -> impl Strategy<Value = Write> {
+    let pool = prop_oneof![Just("chat"), Just("spare"), Just("vans")];
+    let team = prop_oneof![Just("dispatch"), Just("night"), Just("lab")];
+    prop_oneof![
+        2 => (0..2u64, 0..3u32, any::<bool>())
+            .prop_map(|(lag, reserved, has_spare)| Write::Deployment { lag, reserved, has_spare }),
+        4 => (team, 0..2u64, pool, 1..4u64)
+            .prop_map(|(team, lag, pool, target_ms)| Write::Team { team, lag, pool, target_ms }),
+        1 => (0..4usize).prop_map(|back| Write::Repeat { back }),
+        1 => Just(Write::Undecodable),
+        2 => (0..4usize).prop_map(|lag| Write::Snapshot { lag }),
+    ]
+}
+
+fn to_fault() -> impl Strategy<Value = Fault> {
+    prop_oneof![
+        4 => Just(Fault::None),
+        2 => Just(Fault::Pause),
+        1 => (0..8usize).prop_map(|kept| Fault::Restart { kept }),
+        1 => (1..4usize).prop_map(|count| Fault::Miss { count }),
+        1 => Just(Fault::Import),
+    ]
+}
+
+/// Returns the stream, and the state of a reader that missed nothing after each of its records.
+fn to_stream(writes: &[Write]) -> (Vec<Record>, Vec<SettingsState>) {
+    let mut records: Vec<Record> = Vec::new();
+    let mut states = vec![to_state()];
+    let last = [Write::Snapshot { lag: 0 }];
+    for write in writes.iter().chain(&last) {
+        let state = states.last().expect("not empty").clone();
+        let record = to_record(write, &records, &states);
+        let Some(record) = record else {
+            continue;
+        };
+        let mut next = state;
+        next.apply(records.len() as u64, 1, record.clone());
+        records.push(record);
+        states.push(next);
+    }
+    (records, states)
+}
+
+fn to_record(write: &Write, records: &[Record], states: &[SettingsState]) -> Option<Record> {
+    let state = states.last()?;
+    match write {
+        Write::Deployment {
+            lag,
+            reserved,
+            has_spare,
+        } => {
+            let base_version = state.to_version(&Subtree::Deployment).saturating_sub(*lag);
+            let text = to_deployment(*reserved, *has_spare);
+            Some(Record::Change(change_deployment(base_version, text)))
+        }
+        Write::Team {
+            team,
+            lag,
+            pool,
+            target_ms,
+        } => {
+            let subtree = Subtree::Team((*team).into());
+            let base_version = state.to_version(&subtree).saturating_sub(*lag);
+            let text = to_team(pool, *target_ms);
+            Some(Record::Change(change_team(team, base_version, text)))
+        }
+        Write::Repeat { back } => records.iter().rev().nth(*back).cloned(),
+        Write::Undecodable => Some(Record::Undecodable),
+        Write::Snapshot { lag } => {
+            let then = states.len().saturating_sub(1 + lag);
+            states[then].export().map(Record::Snapshot)
+        }
+    }
+}
+
+fn to_versions(state: &SettingsState) -> BTreeMap<Subtree, u64> {
+    let subtrees = state.subtrees().iter();
+    subtrees
+        .map(|(subtree, in_force)| (subtree.clone(), in_force.version))
+        .collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+
+    #[test]
+    fn every_reader_reaches_the_same_tree(
+        writes in vec(to_write(), 1..30),
+        faults in vec(to_fault(), 31),
+    ) {
+        let (records, states) = to_stream(&writes);
+        let mut reader = to_state();
+        let mut versions = BTreeMap::new();
+        for (offset, fault) in (0..records.len()).zip(&faults) {
+            match fault {
+                Fault::None => (),
+                Fault::Pause if offset + 1 < records.len() => continue,
+                Fault::Pause => (),
+                Fault::Restart { kept } => {
+                    reader = to_state();
+                    versions = BTreeMap::new();
+                    reader.skip_to(offset.saturating_sub(*kept) as u64);
+                }
+                Fault::Miss { count } => {
+                    let first = reader.read_from() + *count as u64;
+                    reader.skip_to(first.min(offset as u64));
+                }
+                Fault::Import => {
+                    if let Some(snapshot) = states[offset].export() {
+                        prop_assert!(reader.import(snapshot).is_ok());
+                    }
+                }
+            }
+            // Reads what the reader lacks, and one record a second time.
+            let from = reader.read_from().saturating_sub(1) as usize;
+            for (again, record) in records.iter().enumerate().take(offset + 1).skip(from) {
+                reader.apply(again as u64, 1, record.clone());
+                let now = to_versions(&reader);
+                for (subtree, version) in &versions {
+                    prop_assert!(now.get(subtree) >= Some(version), "{subtree} went back");
+                }
+                versions = now;
+            }
+            if reader.is_complete() {
+                let expected = &states[reader.position() as usize];
+                prop_assert_eq!(reader.subtrees(), expected.subtrees());
+                prop_assert_eq!(reader.settings(), expected.settings());
+            }
+        }
+        // The stream ends with a fresh snapshot, which bridges every gap.
+        let last = states.last().expect("not empty");
+        prop_assert_eq!(reader.read_from(), records.len() as u64);
+        if last.version() > 0 {
+            prop_assert!(reader.is_complete());
+            prop_assert_eq!(reader.subtrees(), last.subtrees());
+        }
+    }
+}
+
+/// Returns a state after a deployment change and `changes` team changes, and its records.
+fn to_history(changes: u64) -> (SettingsState, Vec<Record>) {
+    let mut state = to_state();
+    let mut records = vec![Record::Change(change_deployment(
+        0,
+        to_deployment(1, false),
+    ))];
+    for number in 0..changes {
+        let base_version = if number == 0 { 0 } else { number + 1 };
+        let text = to_team("chat", 100 + number);
+        records.push(Record::Change(change_team("dispatch", base_version, text)));
+    }
+    for (offset, record) in records.iter().enumerate() {
+        state.apply(offset as u64, 1, record.clone());
+    }
+    (state, records)
+}
+
+#[test]
+fn a_snapshot_with_missed_records_behind_it_is_not_used() {
+    let (state, _) = to_history(2);
+    let old = state.export().expect("a state");
+    let mut reader = to_state();
+    // Offsets 3 and 4, which the snapshot does not reflect, are no longer kept.
+    reader.skip_to(5);
+    assert!(reader.apply(5, 1, Record::Snapshot(old)).is_empty());
+    assert_eq!((reader.version(), reader.is_complete()), (0, false));
+    let fresh = Snapshot {
+        next_offset: 5,
+        ..state.export().expect("a state")
+    };
+    assert_eq!(
+        reader.apply(6, 1, Record::Snapshot(fresh)),
+        [Event::Installed { offset: 6 }]
+    );
+    assert_eq!(
+        (reader.version(), reader.is_complete()),
+        (state.version(), true)
+    );
+}
+
+#[test]
+fn an_older_or_forged_state_is_not_imported() {
+    let (old, _) = to_history(1);
+    let (mut new, _) = to_history(3);
+    let old = old.export().expect("a state");
+    assert_eq!(new.import(old.clone()), Ok(false));
+    let later = Snapshot {
+        next_offset: 9,
+        ..old.clone()
+    };
+    assert!(matches!(
+        new.import(later),
+        Err(SnapshotError::Older { .. })
+    ));
+    assert_eq!(new.version(), 4);
+    let mut forged = old;
+    let deployment = forged
+        .subtrees
+        .get_mut(&Subtree::Deployment)
+        .expect("present");
+    deployment.change.text = to_deployment(2, false);
+    assert_eq!(to_state().import(forged), Err(SnapshotError::BadSignature));
+}
+
+#[test]
+fn a_differing_snapshot_is_reported_and_changes_nothing() {
+    let (mut state, _) = to_history(2);
+    let before = state.subtrees().clone();
+    let mut snapshot = state.export().expect("a state");
+    snapshot.subtrees.remove(&Subtree::Team("dispatch".into()));
+    let events = state.apply(3, 1, Record::Snapshot(snapshot));
+    assert!(
+        matches!(
+            events.as_slice(),
+            [Event::SnapshotRejected { offset: 3, .. }]
+        ),
+        "{events:?}"
+    );
+    assert_eq!(*state.subtrees(), before);
+}
+
+#[test]
+fn rejections_keep_their_reason_within_a_bounded_history() {
+    let (mut state, _) = to_history(1);
+    for _ in 0..300 {
+        let rejection = apply(&mut state, change_team("dispatch", 0, to_team("chat", 1)));
+        assert!(rejection.is_some());
+    }
+    let entries: Vec<_> = state.history().collect();
+    assert_eq!(entries.len(), 200);
+    let reason = entries[199]
+        .rejection
+        .as_ref()
+        .map(|rejection| rejection.as_str());
+    assert_eq!(reason, Some("stale_base"));
+}
--- a/crates/router/src/demo.rs
+++ b/crates/router/src/demo.rs
@@ -2,6 +2,7 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
+use ed25519_dalek::SigningKey;
 use waxwing_standin::engine;
 use waxwing_standin::log as log_service;
 use waxwing_wire::platform::Append;
@@ -49,6 +50,8 @@
     LogClient::new(&log_address.to_string())
         .append(settings_sync::STREAM, &append)
         .map_err(std::io::Error::other)?;
+    let root = SigningKey::from_bytes(&rand::random());
+    let root_key = STANDARD.encode(root.verifying_key().as_bytes());
     let config = format!(
         r#"
 [vm]
@@ -59,6 +62,8 @@
 operator_address = "127.0.0.1:8082"
 [platform]
 log_address = "{log_address}"
+[operators]
+root_public_keys = ["{root_key}"]
 "#
     );
     let config = Config::parse("demo", &config).map_err(std::io::Error::other)?;
