--- a/crates/router/src/metric.rs
+++ b/crates/router/src/metric.rs
@@ -19,6 +19,13 @@
 /// Histogram of the time from receipt to the whole answer, in seconds.
 pub const TOTAL: &str = "waxwing_total_seconds";
 
+/// Gauge of the version of the settings in force.
+pub const SETTINGS_VERSION: &str = "waxwing_settings_version";
+/// Counter of settings records by outcome: `accepted`, `undecodable` or the reason of the rejection.
+pub const SETTINGS_RECORDS: &str = "waxwing_settings_records_total";
+/// Counter of failed reads of the settings stream.
+pub const SETTINGS_READ_FAILURES: &str = "waxwing_settings_read_failures_total";
+
 const BUCKETS_S: &[f64] = &[
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0,
 ];
--- a/crates/router/src/operator.rs
+++ b/crates/router/src/operator.rs
@@ -1,5 +1,7 @@
 //! HTTP towards operators: metrics, status and orders.
 
+use std::collections::BTreeMap;
+use std::io::Read;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -9,12 +11,19 @@
 use rouille::Response;
 use rouille::Server;
 use serde::Serialize;
+use waxwing_core::state::settings::change::Change;
+use waxwing_wire::settings_api::PublishAnswer;
+use waxwing_wire::settings_record::SettingsChange;
 
+use crate::settings_sync;
 use crate::shared::Shared;
 
 /// Threads that serve operators.
 const THREADS: usize = 4;
 
+/// Longest body of a published change, in bytes: the longest text with every character escaped, and the signature.
+const CHANGE_MAX_BYTES: u64 = 8 * 1_024 * 1_024;
+
 /// Status of a daemon.
 #[derive(Clone, Debug, Serialize)]
 struct Status {
@@ -22,6 +31,7 @@
     data_centre: String,
     incarnation: u64,
     settings_version: u64,
+    settings: BTreeMap<String, u64>,
     is_draining: bool,
     in_progress: usize,
     members: Vec<String>,
@@ -52,6 +62,9 @@
             Response::text(text)
         }
         ("GET", "/status") => Response::json(&to_status(shared)),
+        ("GET", "/settings") => to_response(shared.settings_sync.tree()),
+        ("GET", "/settings/history") => to_response(shared.settings_sync.history()),
+        ("POST", "/settings") => publish(shared, request),
         ("POST", "/drain") => {
             shared.is_draining.store(true, Ordering::SeqCst);
             Response::json(&to_status(shared))
@@ -60,6 +73,49 @@
     }
 }
 
+fn to_response<T: Serialize>(result: settings_sync::Result<T>) -> Response {
+    match result {
+        Ok(body) => Response::json(&body),
+        Err(error) => Response::text(format!("{error}\n")).with_status_code(503),
+    }
+}
+
+fn publish(shared: &Shared, request: &Request) -> Response {
+    let change = match to_change(request) {
+        Ok(change) => change,
+        Err(message) => return Response::text(format!("{message}\n")).with_status_code(400),
+    };
+    let answer = settings_sync::publish(shared, change);
+    Response::json(&answer).with_status_code(to_status_code(&answer))
+}
+
+fn to_change(request: &Request) -> Result<Change, String> {
+    let body = request.data().ok_or("the body was read before")?;
+    let mut bytes = Vec::new();
+    body.take(CHANGE_MAX_BYTES + 1)
+        .read_to_end(&mut bytes)
+        .map_err(|error| format!("the body cannot be read: {error}"))?;
+    if bytes.len() as u64 > CHANGE_MAX_BYTES {
+        return Err(format!("the body is longer than {CHANGE_MAX_BYTES} bytes"));
+    }
+    let change: SettingsChange = serde_json::from_slice(&bytes)
+        .map_err(|error| format!("the body is not a settings change: {error}"))?;
+    Change::try_from(change).map_err(|error| error.to_string())
+}
+
+fn to_status_code(answer: &PublishAnswer) -> u16 {
+    match answer {
+        PublishAnswer::Accepted { .. } => 200,
+        PublishAnswer::Rejected(rejection) => match rejection.reason.as_str() {
+            "stale_base" | "unknown_base" => 409,
+            "invalid" => 422,
+            settings_sync::NOT_READY => 503,
+            _ => 403,
+        },
+        PublishAnswer::Unknown { .. } => 504,
+    }
+}
+
 fn to_status(shared: &Shared) -> Status {
     let view = shared.view();
     Status {
@@ -67,6 +123,7 @@
         data_centre: shared.config.vm.data_centre.to_string(),
         incarnation: shared.incarnation,
         settings_version: view.settings_version,
+        settings: view.subtree_versions.clone(),
         is_draining: shared.is_draining.load(Ordering::SeqCst),
         in_progress: shared.in_progress.load(Ordering::SeqCst),
         members: view
--- a/crates/router/src/settings_sync.rs
+++ b/crates/router/src/settings_sync.rs
@@ -1,64 +1,129 @@
-//! The settings thread: follows the settings stream and publishes the view.
+//! Settings of the deployment: following the stream, publishing changes and exchange with peers.
+
+mod clock;
+mod owner;
+mod publish;
+mod reader;
 
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
-use waxwing_core::state::settings::Settings;
-use waxwing_wire::platform::Record;
+use flume::Receiver;
+use flume::Sender;
+use thiserror::Error;
+use waxwing_core::state::settings::replay::Snapshot;
+use waxwing_core::state::settings::replay::SnapshotError;
+use waxwing_wire::settings_api::SettingsHistory;
+use waxwing_wire::settings_api::SettingsTree;
+
+pub use publish::publish;
+pub use waxwing_wire::settings_record::STREAM;
 
+use self::owner::Message;
+use self::owner::Owner;
 use crate::shared::Shared;
-use crate::transport::log_client::LogClient;
 
-/// Stream that carries the settings.
-pub const STREAM: &str = "settings";
+pub(crate) use self::publish::NOT_READY;
 
-/// Time that a read waits for the first record, in milliseconds.
-const READ_WAIT_MS: u64 = 5_000;
+/// Messages that may wait for the settings thread.
+const INBOX_MAX: usize = 64;
 
-/// Pause after a failed read, in milliseconds.
-const RETRY_PAUSE_MS: u64 = 200;
+/// Time for an answer of the settings thread, in milliseconds.
+///
+/// The thread does no I/O; checking a deployment with 630 teams is its longest step.
+const ANSWER_TIMEOUT_MS: u64 = 5_000;
 
-/// Starts the settings thread.
-pub fn start(shared: Arc<Shared>) {
-    thread::spawn(move || follow(&shared));
+/// Result of the calls to the settings thread.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why the settings thread gave no result.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// It did not answer in time.
+    #[error("the settings thread did not answer within {ANSWER_TIMEOUT_MS} ms")]
+    Busy,
+    /// The state of a peer is not usable.
+    #[error("the settings of the peer are not used: {0}")]
+    Snapshot(#[from] SnapshotError),
 }
 
-fn follow(shared: &Shared) {
-    let client = LogClient::new(&shared.config.platform.log_address);
-    let mut from = 0;
-    loop {
-        let page = match client.read(STREAM, from, READ_WAIT_MS) {
-            Ok(page) => page,
-            Err(error) => {
-                log::warn!("settings cannot be read: {error}");
-                thread::sleep(Duration::from_millis(RETRY_PAUSE_MS));
-                continue;
-            }
-        };
-        for record in &page.records {
-            from = record.offset + 1;
-            apply(shared, record);
-        }
-    }
+/// Access to the settings thread.
+#[derive(Clone, Debug)]
+pub struct SettingsHandle {
+    sender: Sender<Message>,
+    inbox: Receiver<Message>,
 }
 
-fn apply(shared: &Shared, record: &Record) {
-    match to_settings(record) {
-        Some(settings) => shared.update_view(|view| {
-            view.settings = settings;
-            view.settings_version = record.offset + 1;
-        }),
-        None => log::error!(
-            "stream {STREAM}, offset {}: record skipped, it does not decode",
-            record.offset
-        ),
+impl SettingsHandle {
+    /// Creates the access; the messages wait until the thread is started.
+    pub(crate) fn new() -> Self {
+        let (sender, inbox) = flume::bounded(INBOX_MAX);
+        Self { sender, inbox }
+    }
+
+    /// Returns the state in force, for a peer; `None` while there is none.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the settings thread does not answer in time.
+    pub fn export(&self) -> Result<Option<Snapshot>> {
+        self.call(|reply| Message::Export { reply })
+    }
+
+    /// Takes over the state of a peer and returns whether it was newer.
+    ///
+    /// A VM that starts while the log is down gets its settings in this way.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the settings thread does not answer in time, or if the state is invalid or would replace a subtree by
+    /// an older version.
+    pub fn import(&self, snapshot: Snapshot) -> Result<bool> {
+        let imported = self.call(|reply| Message::Import { snapshot, reply })?;
+        Ok(imported?)
+    }
+
+    /// Returns the tree in force, for operators.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the settings thread does not answer in time.
+    pub fn tree(&self) -> Result<SettingsTree> {
+        self.call(|reply| Message::Tree { reply })
+    }
+
+    /// Returns the latest decisions, for operators.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the settings thread does not answer in time.
+    pub fn history(&self) -> Result<SettingsHistory> {
+        self.call(|reply| Message::History { reply })
+    }
+
+    fn call<T>(&self, to_message: impl FnOnce(Sender<T>) -> Message) -> Result<T> {
+        let (reply, answer) = flume::bounded(1);
+        self.send(to_message(reply))?;
+        let timeout = Duration::from_millis(ANSWER_TIMEOUT_MS);
+        answer.recv_timeout(timeout).map_err(|_| Error::Busy)
+    }
+
+    fn send(&self, message: Message) -> Result<()> {
+        let timeout = Duration::from_millis(ANSWER_TIMEOUT_MS);
+        let sent = self.sender.send_timeout(message, timeout);
+        sent.map_err(|_| Error::Busy)
     }
 }
 
-fn to_settings(record: &Record) -> Option<Settings> {
-    let bytes = STANDARD.decode(&record.data).ok()?;
-    toml::from_str(std::str::from_utf8(&bytes).ok()?).ok()
+/// Starts the settings thread and the reader of the stream.
+pub fn start(shared: Arc<Shared>) {
+    let inbox = shared.settings_sync.inbox.clone();
+    let mut owner = Owner::new(Arc::clone(&shared));
+    thread::spawn(move || {
+        for message in inbox {
+            owner.handle(message);
+        }
+    });
+    thread::spawn(move || reader::follow(&shared));
 }
--- /dev/null
+++ b/crates/router/src/settings_sync/publish.rs
@@ -0,0 +1,151 @@
+//! Publishing a change: check, append, and wait until it is read back.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use flume::Receiver;
+use similar::TextDiff;
+use waxwing_core::state::settings::change::Change;
+use waxwing_core::state::settings::replay::InForce;
+use waxwing_core::state::settings::replay::Rejection;
+use waxwing_wire::platform::Append;
+use waxwing_wire::settings_api::PublishAnswer;
+use waxwing_wire::settings_api::PublishRejection;
+use waxwing_wire::settings_record;
+use waxwing_wire::settings_record::SettingsRecord;
+
+use super::STREAM;
+use super::owner::Message;
+use super::owner::Verdict;
+use crate::shared::Shared;
+use crate::transport::log_client;
+use crate::transport::log_client::LogClient;
+
+/// Time from the request to the answer, in milliseconds.
+///
+/// A change has to be in force everywhere within 17 s, so an operator is told after less.
+const PUBLISH_MAX_MS: u64 = 10_000;
+
+/// Pause before an append that the log refused for its rate is repeated, in milliseconds.
+const RATE_PAUSE_MS: u64 = 200;
+
+/// Status by which the log refuses an append beyond its rate; nothing was appended.
+const STATUS_RATE: u16 = 429;
+
+/// Reason of a VM that waits for a snapshot.
+pub(crate) const NOT_READY: &str = "not_ready";
+
+/// Publishes a signed change and returns what became of it.
+///
+/// An append that is not confirmed is not repeated: the record is either read back or the outcome is unknown, and the
+/// operator may send the same change again.
+pub fn publish(shared: &Shared, change: Change) -> PublishAnswer {
+    let until = Instant::now() + Duration::from_millis(PUBLISH_MAX_MS);
+    let record = SettingsRecord::Change((&change).into());
+    let text = change.text.clone();
+    // Both verdicts of one change fit, so the settings thread never waits.
+    let (reply, verdicts) = flume::bounded(2);
+    if let Err(error) = shared
+        .settings_sync
+        .send(Message::Publish { change, reply })
+    {
+        return to_unknown(error);
+    }
+    match verdicts.recv_deadline(until) {
+        Ok(Verdict::Append) => (),
+        Ok(verdict) => return to_answer(verdict, &text),
+        Err(_) => return to_unknown(super::Error::Busy),
+    }
+    let client = LogClient::new(&shared.config.platform.log_address);
+    let appended = append(&client, &record, until);
+    await_verdict(&verdicts, until, appended, &text)
+}
+
+fn append(
+    client: &LogClient,
+    record: &SettingsRecord,
+    until: Instant,
+) -> std::result::Result<(), String> {
+    let data = record
+        .to_data()
+        .map_err(|error: settings_record::Error| error.to_string())?;
+    let append = Append {
+        records: vec![data],
+    };
+    loop {
+        match client.append(STREAM, &append) {
+            Ok(()) => return Ok(()),
+            Err(log_client::Error::Status { status, .. })
+                if status == STATUS_RATE && Instant::now() < until =>
+            {
+                thread::sleep(Duration::from_millis(RATE_PAUSE_MS));
+            }
+            Err(error) => return Err(error.to_string()),
+        }
+    }
+}
+
+fn await_verdict(
+    verdicts: &Receiver<Verdict>,
+    until: Instant,
+    appended: std::result::Result<(), String>,
+    text: &str,
+) -> PublishAnswer {
+    match (verdicts.recv_deadline(until), appended) {
+        (Ok(verdict), _) => to_answer(verdict, text),
+        (Err(_), Ok(())) => to_unknown(
+            "the log confirmed the change, but it was not read back in time; send it again",
+        ),
+        (Err(_), Err(error)) => to_unknown(format!(
+            "the append is not confirmed and was not read back in time ({error}); send it again"
+        )),
+    }
+}
+
+fn to_unknown(message: impl ToString) -> PublishAnswer {
+    PublishAnswer::Unknown {
+        message: message.to_string(),
+    }
+}
+
+fn to_answer(verdict: Verdict, text: &str) -> PublishAnswer {
+    match verdict {
+        Verdict::Append => to_unknown("the settings thread gave no decision"),
+        Verdict::NotReady => PublishAnswer::Rejected(PublishRejection {
+            reason: NOT_READY.to_owned(),
+            message: "this VM waits for a snapshot of the settings; ask another VM".to_owned(),
+            ..PublishRejection::default()
+        }),
+        Verdict::Accepted { version } => PublishAnswer::Accepted { version },
+        Verdict::Rejected {
+            rejection,
+            in_force,
+        } => PublishAnswer::Rejected(to_rejection(&rejection, in_force.as_deref(), text)),
+    }
+}
+
+fn to_rejection(rejection: &Rejection, in_force: Option<&InForce>, text: &str) -> PublishRejection {
+    let difference = match rejection {
+        Rejection::StaleBase { .. } | Rejection::UnknownBase { .. } => {
+            to_difference(in_force, text)
+        }
+        _ => String::new(),
+    };
+    PublishRejection {
+        in_force: in_force.map(Into::into),
+        difference,
+        ..PublishRejection::from(rejection)
+    }
+}
+
+/// Returns the unified difference from the text in force to the rejected text.
+fn to_difference(in_force: Option<&InForce>, text: &str) -> String {
+    let old = in_force.map_or("", |in_force| in_force.change.text.as_str());
+    let version = in_force.map_or(0, |in_force| in_force.version);
+    let header = format!("in force, version {version}");
+    TextDiff::from_lines(old, text)
+        .unified_diff()
+        .header(&header, "rejected change")
+        .to_string()
+}
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -1,5 +1,6 @@
 //! What the threads of a daemon share.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
@@ -16,6 +17,7 @@
 
 use crate::config::Config;
 use crate::scheduling::Scheduling;
+use crate::settings_sync::SettingsHandle;
 
 /// State that all threads of the daemon reach.
 #[derive(Debug)]
@@ -26,6 +28,8 @@
     pub incarnation: u64,
     /// Access to the scheduler of each pool.
     pub scheduling: Scheduling,
+    /// Access to the settings thread.
+    pub settings_sync: SettingsHandle,
     /// Requests in progress.
     pub in_progress: AtomicUsize,
     /// Whether a planned stop has begun.
@@ -42,6 +46,8 @@
     pub settings_version: u64,
     /// Settings in force.
     pub settings: Settings,
+    /// Version in force of each subtree: `deployment` and `teams.T`.
+    pub subtree_versions: BTreeMap<String, u64>,
     /// Live entry VMs, this one included.
     pub members: Vec<Member>,
 }
@@ -79,6 +85,7 @@
             config,
             incarnation: rand::random(),
             scheduling,
+            settings_sync: SettingsHandle::new(),
             in_progress: AtomicUsize::new(0),
             is_draining: AtomicBool::new(false),
             view: RwLock::new(Arc::new(view)),
--- a/crates/router/src/transport/log_client.rs
+++ b/crates/router/src/transport/log_client.rs
@@ -6,6 +6,7 @@
 use attohttpc::Session;
 use thiserror::Error;
 use waxwing_wire::platform::Append;
+use waxwing_wire::platform::Dropped;
 use waxwing_wire::platform::Page;
 
 /// Time to connect, in milliseconds.
@@ -14,6 +15,9 @@
 /// Time for an answer beyond the wait that was asked for, in milliseconds.
 const ANSWER_TIMEOUT_MS: u64 = 2_000;
 
+/// Status of a read from an offset that is no longer kept.
+const STATUS_GONE: u16 = 410;
+
 /// Result of the calls to the log service.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -36,6 +40,14 @@
         /// HTTP status code.
         status: u16,
     },
+    /// The records from the requested offset on are no longer kept.
+    #[error("log service at {address} keeps records from offset {first_offset} on only")]
+    Dropped {
+        /// Address of the service.
+        address: String,
+        /// Oldest offset that is kept.
+        first_offset: u64,
+    },
     /// The answer does not decode.
     #[error("log service at {address}: the answer does not decode: {source}")]
     Decode {
@@ -78,7 +90,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the service does not answer, with status 410 if `from` is no longer kept.
+    /// Fails if the service does not answer, and with [`Error::Dropped`] if `from` is no longer kept.
     pub fn read(&self, stream: &str, from: u64, wait_ms: u64) -> Result<Page> {
         let address = &self.address;
         let url =
@@ -90,6 +102,17 @@
 
     fn to_bytes(&self, response: attohttpc::Result<attohttpc::Response>) -> Result<Vec<u8>> {
         let response = response.map_err(|source| self.to_transport_error(source))?;
+        if response.status().as_u16() == STATUS_GONE {
+            let bytes = response
+                .bytes()
+                .map_err(|source| self.to_transport_error(source))?;
+            let dropped: Dropped =
+                serde_json::from_slice(&bytes).map_err(|source| self.to_decode_error(source))?;
+            return Err(Error::Dropped {
+                address: self.address.clone(),
+                first_offset: dropped.first_offset,
+            });
+        }
         if !response.is_success() {
             return Err(Error::Status {
                 address: self.address.clone(),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,3 +4,5 @@
 pub mod chat;
 pub mod claim;
 pub mod platform;
+pub mod settings_api;
+pub mod settings_record;
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -30,6 +30,13 @@
     pub retention_ms: u64,
 }
 
+/// Answer with status 410 to a read from an offset that is no longer kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Dropped {
+    /// Oldest offset that is kept.
+    pub first_offset: u64,
+}
+
 /// A record of the log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
--- /dev/null
+++ b/crates/wire/src/settings_api.rs
@@ -0,0 +1,193 @@
+//! Bodies of the operators' HTTP calls about settings.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+use waxwing_core::finding::Finding;
+use waxwing_core::state::settings::change::Subtree;
+use waxwing_core::state::settings::replay::Entry;
+use waxwing_core::state::settings::replay::InForce;
+use waxwing_core::state::settings::replay::Rejection;
+
+/// Answer to a published change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "result", rename_all = "snake_case")]
+pub enum PublishAnswer {
+    /// The change is in force on the VM that answers.
+    Accepted {
+        /// New version of the subtree.
+        version: u64,
+    },
+    /// The change is not in force and never will be.
+    Rejected(PublishRejection),
+    /// It is not known whether the change is in the log; the same change may be sent again.
+    Unknown {
+        /// What happened.
+        message: String,
+    },
+}
+
+/// Why a published change is rejected.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct PublishRejection {
+    /// Code of the reason.
+    pub reason: String,
+    /// The reason in words.
+    pub message: String,
+    /// Findings of an invalid text.
+    pub findings: Vec<SettingsFinding>,
+    /// The subtree in force; absent if it does not exist.
+    pub in_force: Option<SubtreeVersion>,
+    /// Unified difference from the text in force to the rejected text, where the base version is not current.
+    pub difference: String,
+}
+
+/// Version of a subtree and its origin.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubtreeVersion {
+    /// Version.
+    pub version: u64,
+    /// Time of the append by the log's clock, in milliseconds since the epoch.
+    pub time_ms: u64,
+    /// Operator.
+    pub author: String,
+}
+
+/// A fault of a settings text.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettingsFinding {
+    /// Path of the file or name of the subtree.
+    pub file: String,
+    /// Line, from 1.
+    pub line: usize,
+    /// Column in characters, from 1.
+    pub column: usize,
+    /// What is wrong.
+    pub message: String,
+    /// How to correct it.
+    pub remedy: String,
+}
+
+/// The tree in force on one VM.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettingsTree {
+    /// Highest version of a subtree; 0 while there is none.
+    pub version: u64,
+    /// Whether the tree reflects all records that the VM has read.
+    pub is_complete: bool,
+    /// Records that did not decode and were skipped.
+    pub undecodable: u64,
+    /// Subtrees by name: `deployment` and `teams.T`.
+    pub subtrees: BTreeMap<String, SubtreeText>,
+}
+
+/// A subtree in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubtreeText {
+    /// Version and origin.
+    #[serde(flatten)]
+    pub origin: SubtreeVersion,
+    /// Text in TOML.
+    pub text: String,
+}
+
+/// The latest decisions, oldest first.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettingsHistory {
+    /// Decisions.
+    pub entries: Vec<HistoryEntry>,
+}
+
+/// Decision about one change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HistoryEntry {
+    /// Subtree: `deployment` or `teams.T`.
+    pub subtree: String,
+    /// Offset of the record + 1; the version of the subtree if the change was accepted.
+    #[serde(flatten)]
+    pub origin: SubtreeVersion,
+    /// Version that the author saw.
+    pub base_version: u64,
+    /// Why the change was rejected; absent if it was accepted.
+    pub rejection: Option<PublishRejection>,
+}
+
+impl From<&Finding> for SettingsFinding {
+    fn from(finding: &Finding) -> Self {
+        Self {
+            file: finding.file.clone(),
+            line: finding.line,
+            column: finding.column,
+            message: finding.message.clone(),
+            remedy: finding.remedy.clone(),
+        }
+    }
+}
+
+impl From<SettingsFinding> for Finding {
+    fn from(finding: SettingsFinding) -> Self {
+        Self {
+            file: finding.file,
+            line: finding.line,
+            column: finding.column,
+            message: finding.message,
+            remedy: finding.remedy,
+        }
+    }
+}
+
+impl From<&Rejection> for PublishRejection {
+    fn from(rejection: &Rejection) -> Self {
+        let findings = match rejection {
+            Rejection::Invalid(findings) => findings.as_slice().iter().map(Into::into).collect(),
+            _ => Vec::new(),
+        };
+        Self {
+            reason: rejection.as_str().to_owned(),
+            message: rejection.to_string(),
+            findings,
+            ..Self::default()
+        }
+    }
+}
+
+impl From<&InForce> for SubtreeVersion {
+    fn from(in_force: &InForce) -> Self {
+        Self {
+            version: in_force.version,
+            time_ms: in_force.time_ms,
+            author: in_force.change.author.to_string(),
+        }
+    }
+}
+
+impl From<&InForce> for SubtreeText {
+    fn from(in_force: &InForce) -> Self {
+        Self {
+            origin: in_force.into(),
+            text: in_force.change.text.clone(),
+        }
+    }
+}
+
+impl From<&Entry> for HistoryEntry {
+    fn from(entry: &Entry) -> Self {
+        Self {
+            subtree: to_name(&entry.subtree),
+            origin: SubtreeVersion {
+                version: entry.version,
+                time_ms: entry.time_ms,
+                author: entry.author.to_string(),
+            },
+            base_version: entry.base_version,
+            rejection: entry.rejection.as_ref().map(Into::into),
+        }
+    }
+}
+
+/// Returns the name of a subtree in these bodies: `deployment` or `teams.T`.
+pub fn to_name(subtree: &Subtree) -> String {
+    subtree.to_string()
+}
