--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -287,16 +287,14 @@
     }
 
     /// Reads a required text.
-    pub fn text(&mut self, key: &'static str) -> String {
+    pub fn text(&mut self, key: &'static str) -> Option<String> {
         let remedy = "write a text in quotes";
-        let Some(value) = self.value(key, true, remedy) else {
-            return String::new();
-        };
-        let Some(text) = value.get_ref().as_str() else {
+        let value = self.value(key, true, remedy)?;
+        let text = value.get_ref().as_str();
+        if text.is_none() {
             self.add_type(key, value, remedy);
-            return String::new();
-        };
-        text.to_owned()
+        }
+        text.map(str::to_owned)
     }
 
     /// Reads a list of texts with their locations; an absent list is empty.
--- a/crates/core/src/state/settings/check/deployment.rs
+++ b/crates/core/src/state/settings/check/deployment.rs
@@ -208,19 +208,19 @@
 }
 
 fn read_operator(table: &mut Table<'_, '_>, keys: &mut Used) -> Operator {
-    let operator = Operator {
-        public_key: table.text("public_key"),
-        teams: table.names("teams"),
-    };
-    if operator.public_key.is_empty() {
-        return operator;
+    let public_key = table.text("public_key");
+    let teams = table.names("teams");
+    if let Some(key) = &public_key {
+        if to_public_key(key).is_none() {
+            let message = format!("{} is malformed", table.to_path("public_key"));
+            table.add("public_key", message, PUBLIC_KEY_REMEDY);
+        }
+        check_unique(table, "public_key", key, keys);
     }
-    if to_public_key(&operator.public_key).is_none() {
-        let message = format!("{} is malformed", table.to_path("public_key"));
-        table.add("public_key", message, PUBLIC_KEY_REMEDY);
+    Operator {
+        public_key: public_key.unwrap_or_default(),
+        teams,
     }
-    check_unique(table, "public_key", &operator.public_key, keys);
-    operator
 }
 
 /// Remedy for a malformed public key.
--- a/crates/core/tests/settings_findings.rs
+++ b/crates/core/tests/settings_findings.rs
@@ -117,3 +117,11 @@
     let parsed: Settings = toml::from_str(&text).expect("valid");
     assert_eq!(checked, parsed);
 }
+
+#[test]
+fn empty_values_are_findings() {
+    let text = "[pools.P]\nkind = \"\"\n[operators.ops]\npublic_key = \"\"\n[organisations.O]\nteam = \"\"\n";
+    let findings = check::check_deployment("deployment", text).expect_err("findings");
+    let lines: Vec<usize> = findings.as_slice().iter().map(|found| found.line).collect();
+    assert_eq!(lines, [2, 4, 6], "{findings}");
+}
--- a/crates/ctl/src/key_file.rs
+++ b/crates/ctl/src/key_file.rs
@@ -82,8 +82,8 @@
         let mut table = document.root(&root);
         let operator = table.name("operator");
         let private_key = table.text("private_key");
-        let key = to_key(&private_key);
-        if key.is_none() && !private_key.is_empty() {
+        let key = private_key.as_deref().and_then(to_key);
+        if private_key.is_some() && key.is_none() {
             let remedy = "write 32 bytes in base64, as `waxwingctl key new` does";
             table.add("private_key", "private_key is malformed", remedy);
         }
