Merge the settings tree, its log and the operators' commands

The harness signs what it publishes, and takes the versions that a change replaces from the stream itself.

--- a/crates/harness/src/daemon.rs
+++ b/crates/harness/src/daemon.rs
@@ -7,6 +7,7 @@
 use crate::condition;
 use crate::control;
 use crate::process::Process;
+use crate::publish;
 use crate::run::Run;
 
 /// Starts of a daemon that may fail because another process has taken one of its ports.
@@ -71,13 +72,14 @@
 operator_address = "{operator_address}"
 [platform]
 log_address = "{}"
-vm_list_address = "{}"
-weight_store_address = "{}"
+{}{}[operators]
+root_public_keys = ["{}"]
 {}
 "#,
             options.log_address,
-            options.vm_list_address,
-            options.weight_store_address,
+            to_line("vm_list_address", &options.vm_list_address),
+            to_line("weight_store_address", &options.weight_store_address),
+            publish::to_root_key(),
             options.extra
         );
         let file = run.folder().join(format!("{name}.toml"));
@@ -156,3 +158,11 @@
         &mut self.process
     }
 }
+
+/// Returns the line of an optional setting.
+fn to_line(key: &str, value: &str) -> String {
+    match value {
+        "" => String::new(),
+        value => format!("{key} = \"{value}\"\n"),
+    }
+}
--- a/crates/harness/tests/undecodable_record.rs
+++ b/crates/harness/tests/undecodable_record.rs
@@ -12,13 +12,13 @@
     let mut deployment = Deployment::start(&Plan::default());
     let version = deployment.daemons[0].wait_for_settings();
     let log_address = deployment.log.address();
+    // The deployment and its team have taken the offsets before these.
     for content in [b"\xff\xfe".as_slice(), b"{", b"", b"[pools.chat]\nkind = 7"] {
         assert!(publish::append(&log_address, "settings", content));
     }
     condition::wait_until("all records are named in the log", || {
         let output = deployment.daemons[0].process().to_output();
-        // An empty text is a valid, empty tree until records are signed.
-        (1..=4).all(|offset| offset == 3 || output.contains(&format!("offset {offset}")))
+        (2..=5).all(|offset| output.contains(&format!("offset {offset}")))
     });
     let settings = deployment.to_settings("");
     assert!(publish::publish_settings(&log_address, &settings));
--- a/crates/router/src/metric.rs
+++ b/crates/router/src/metric.rs
@@ -56,6 +56,12 @@
 pub const MOVED: &str = "waxwing_moved_requests_total";
 /// Histogram of the time from an enqueue to its grant, in seconds, by where the shard is scheduled.
 pub const GRANT: &str = "waxwing_grant_seconds";
+/// Gauge of the version of the settings in force.
+pub const SETTINGS_VERSION: &str = "waxwing_settings_version";
+/// Counter of settings records by outcome: `accepted`, `undecodable` or the reason of the rejection.
+pub const SETTINGS_RECORDS: &str = "waxwing_settings_records_total";
+/// Counter of failed reads of the settings stream.
+pub const SETTINGS_READ_FAILURES: &str = "waxwing_settings_read_failures_total";
 
 const BUCKETS_S: &[f64] = &[
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0,
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -1,5 +1,6 @@
 //! What the threads of a daemon share.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -24,6 +25,7 @@
 use crate::peer::Peers;
 use crate::request::trace::Traces;
 use crate::scheduling::Scheduling;
+use crate::settings_sync::SettingsHandle;
 
 /// State that all threads of the daemon reach.
 #[derive(Debug)]
@@ -42,6 +44,8 @@
     pub members: Members,
     /// Jobs.
     pub jobs: Jobs,
+    /// Access to the settings thread.
+    pub settings_sync: SettingsHandle,
     /// Requests in progress.
     pub in_progress: AtomicUsize,
     /// Open connections of callers.
@@ -64,6 +68,8 @@
     pub settings_version: u64,
     /// Settings in force.
     pub settings: Settings,
+    /// Version in force of each subtree: `deployment` and `teams.T`.
+    pub subtree_versions: BTreeMap<String, u64>,
     /// Live entry VMs, this one included.
     pub members: Vec<Member>,
     /// Endpoints that the VM list or a peer marks as leaving.
@@ -148,6 +154,7 @@
             peers,
             members,
             jobs: Jobs::new(),
+            settings_sync: SettingsHandle::new(),
             in_progress: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
             is_draining: AtomicBool::new(false),
--- a/crates/router/tests/endpoint_probes.rs
+++ b/crates/router/tests/endpoint_probes.rs
@@ -26,10 +26,12 @@
 name = "vm-1"
 data_centre = "dc-1"
 caller_address = "127.0.0.1:1"
-peer_address = "127.0.0.1:1"
-operator_address = "127.0.0.1:1"
+peer_address = "127.0.0.1:2"
+operator_address = "127.0.0.1:3"
 [platform]
-log_address = "127.0.0.1:1"
+log_address = "127.0.0.1:4"
+[operators]
+root_public_keys = ["A6EHv/POEL4dcN0Y50vAmWfk1jCbpQ1fHdyGZBJVMbg="]
 "#;
 
 /// Starts the scheduler and prober threads for one pool with one endpoint.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod job_record;
 pub mod peer;
 pub mod platform;
+pub mod settings_api;
+pub mod settings_record;
 
 /// Code generated from `peer.capnp`.
 #[rustfmt::skip]
