Keep preempted requests out of the shedding order

During the burst, drafts filled the queue and every waiting summary was shed, among them stragglers that had run for 100 s before they were preempted. A preempted request that holds tokens now waits outside `queue_max`, at most as many as the pool has slots; those beyond are shed as before.

--- a/crates/core/src/coordination/scheduler/admit.rs
+++ b/crates/core/src/coordination/scheduler/admit.rs
@@ -52,6 +52,10 @@
         if let Some(ended) = ended {
             waiting.since_ms = ended.since_ms;
             waiting.preemptions = ended.preemptions;
+            // Shedding it would waste its tokens; as many as there are slots may wait like this.
+            waiting.is_kept = is_preempted
+                && waiting.ask.generated_tokens > 0
+                && self.queue.kept() < self.to_gauges(now_ms).slots as usize;
         }
         if self.is_baseline() {
             waiting.tier = 0;
@@ -61,7 +65,8 @@
         let key = self.join_queue(waiting);
         self.grant(now_ms, effects);
         // A preempted request comes back to the place that it was taken from, so it displaces nobody.
-        if !is_preempted && self.queue.len() > self.config.queue_max as usize {
+        let length = self.queue.len() - self.queue.kept();
+        if !is_preempted && length > self.config.queue_max as usize {
             self.shed(now_ms, key, effects);
         }
     }
--- a/crates/core/src/coordination/scheduler/queue.rs
+++ b/crates/core/src/coordination/scheduler/queue.rs
@@ -35,6 +35,8 @@
     pub(super) rank: u64,
     /// Queue that it waits in.
     pub(super) tier: u8,
+    /// Whether it was preempted and waits outside the bound of the queue, where it is not shed.
+    pub(super) is_kept: bool,
     /// Expected slot time in milliseconds.
     pub(super) cost_ms: u64,
     sequence: u64,
@@ -57,6 +59,7 @@
             lane: organisation,
             since_ms: now_ms,
             preemptions: 0,
+            is_kept: false,
             cost_ms: 1,
             sequence: 0,
         }
@@ -80,6 +83,7 @@
     virtual_time: u64,
     lanes: HashMap<OrganisationKey, Lane>,
     active: BTreeSet<(u64, OrganisationKey)>,
+    length: usize,
     /// Order of shedding, from the end: repeatable before non-idempotent, then the latest deadline.
     sheddable: BTreeSet<(bool, u64, WaitKey)>,
 }
@@ -90,6 +94,7 @@
     waiting: SlotMap<WaitKey, Waiting>,
     tiers: BTreeMap<u8, Tier>,
     ageing: BTreeSet<(u64, WaitKey)>,
+    kept: usize,
     sequence: u64,
 }
 
@@ -98,6 +103,11 @@
         self.waiting.len()
     }
 
+    /// Returns the number of preempted requests that wait outside the bound of the queue.
+    pub(super) fn kept(&self) -> usize {
+        self.kept
+    }
+
     pub(super) fn get(&self, key: WaitKey) -> Option<&Waiting> {
         self.waiting.get(key)
     }
@@ -110,16 +120,14 @@
     pub(super) fn to_lengths(&self) -> BTreeMap<u8, usize> {
         let mut lengths = BTreeMap::new();
         for (tier, queue) in &self.tiers {
-            lengths.insert(*tier, queue.sheddable.len());
+            lengths.insert(*tier, queue.length);
         }
         lengths
     }
 
     /// Returns the number of waiting requests of a tier.
     pub(super) fn to_length(&self, tier: u8) -> usize {
-        self.tiers
-            .get(&tier)
-            .map_or(0, |queue| queue.sheddable.len())
+        self.tiers.get(&tier).map_or(0, |queue| queue.length)
     }
 
     /// Adds a request.
@@ -132,8 +140,14 @@
             self.ageing.insert((waiting.to_aged_at_ms(), key));
         }
         let tier = self.tiers.entry(waiting.tier).or_default();
-        let entry = (waiting.ask.idempotent, waiting.ask.deadline_at_ms, key);
-        tier.sheddable.insert(entry);
+        tier.length += 1;
+        match waiting.is_kept {
+            true => self.kept += 1,
+            false => {
+                let entry = (waiting.ask.idempotent, waiting.ask.deadline_at_ms, key);
+                tier.sheddable.insert(entry);
+            }
+        }
         let lane = tier.lanes.entry(waiting.lane).or_default();
         if lane.requests.is_empty() {
             // An organisation that was idle must not use up the share that it did not ask for.
@@ -160,6 +174,8 @@
         let tier = self.tiers.get_mut(&waiting.tier)?;
         let entry = (waiting.ask.idempotent, waiting.ask.deadline_at_ms, key);
         tier.sheddable.remove(&entry);
+        tier.length -= 1;
+        self.kept -= usize::from(waiting.is_kept);
         let lane = tier.lanes.get_mut(&waiting.lane)?;
         lane.requests.remove(&(waiting.rank, waiting.sequence, key));
         tier.active.remove(&(lane.virtual_time, waiting.lane));
@@ -174,7 +190,7 @@
         } else if lane.virtual_time <= tier.virtual_time {
             tier.lanes.remove(&waiting.lane);
         }
-        if tier.sheddable.is_empty() {
+        if tier.length == 0 {
             self.tiers.remove(&waiting.tier);
         }
         Some(waiting)
@@ -206,8 +222,8 @@
 
     /// Returns the request that is shed first: lowest tier, repeatable, latest deadline.
     pub(super) fn to_sheddable(&self) -> Option<(WaitKey, &Waiting)> {
-        let (_, tier) = self.tiers.last_key_value()?;
-        let (_, _, key) = tier.sheddable.last()?;
+        let mut tiers = self.tiers.values().rev();
+        let (_, _, key) = tiers.find_map(|tier| tier.sheddable.last())?;
         Some((*key, self.waiting.get(*key)?))
     }
 }
--- a/crates/core/tests/shed_order.rs
+++ b/crates/core/tests/shed_order.rs
@@ -7,6 +7,7 @@
 use waxwing_core::Reason;
 use waxwing_core::coordination::scheduler::Config;
 use waxwing_core::coordination::scheduler::Effect;
+use waxwing_core::coordination::scheduler::End;
 use waxwing_core::coordination::scheduler::Input;
 
 use shard::Shard;
@@ -142,3 +143,26 @@
     let refused = shard.step(Input::Tick);
     assert_eq!(refusals(&refused), vec![(1, Reason::NoEndpoint)]);
 }
+
+#[test]
+fn preempted_work_waits_outside_the_bound() {
+    let config = Config {
+        queue_max: 1,
+        ..Config::default()
+    };
+    let mut shard = Shard::new(config, &[1]);
+    let mut low = ask(1, 3);
+    low.preemptible = true;
+    shard.enqueue(low.clone());
+    shard.enqueue(ask(2, 0));
+    shard.end(1, End::Preempted, 30);
+    low.generated_tokens = 30;
+    assert_eq!(refusals(&shard.enqueue(low)), vec![]);
+    assert_eq!(refusals(&shard.enqueue(ask(3, 2))), vec![]);
+    let refused = shard.enqueue(ask(4, 1));
+    assert_eq!(
+        refusals(&refused),
+        vec![(3, Reason::Shed)],
+        "not the preempted one"
+    );
+}
