Leave slots free for short work of higher tiers

Lookups of tier 1 waited for the end of summaries and drafts whenever these filled the pool, since only tier 0 has a reserve and may preempt. Misses of their target were spread evenly over all engines and over the time after the burst. A request now leaves free what requests of higher tiers that take a quarter of its time or less use on average, and one standard deviation more, up to a quarter of the slots. Aged requests are exempt, so no tier starves.

--- a/crates/core/src/coordination/scheduler.rs
+++ b/crates/core/src/coordination/scheduler.rs
@@ -19,6 +19,7 @@
 use self::class::ClassKey;
 use self::endpoint::Endpoint;
 use self::endpoint::EndpointKey;
+use self::headroom::Headroom;
 use self::learn::Histogram;
 use self::learn::Rate;
 use self::place::Prefixes;
@@ -40,6 +41,7 @@
 mod crash;
 mod endpoint;
 mod grant;
+mod headroom;
 mod place;
 mod preempt;
 mod queue;
@@ -307,6 +309,7 @@
     /// Contents of lost connections that no probe has explained yet.
     unconfirmed: HashSet<Content>,
     counters: Counters,
+    headroom: Headroom,
     grants_since_aged: u32,
     unusable_since_ms: Option<u64>,
     next_check_ms: u64,
@@ -340,6 +343,7 @@
             evidence,
             unconfirmed: HashSet::new(),
             counters: Counters::default(),
+            headroom: Headroom::default(),
             grants_since_aged: 0,
             unusable_since_ms: None,
             next_check_ms: 0,
--- a/crates/core/src/coordination/scheduler/admit.rs
+++ b/crates/core/src/coordination/scheduler/admit.rs
@@ -48,7 +48,7 @@
             return;
         }
         let mut waiting = Waiting::new(ask, class, organisation, now_ms);
-        waiting.cost_ms = self.to_expected_ms(&waiting);
+        waiting.cost_ms = self.to_expected_ms(&waiting.ask, class);
         if let Some(ended) = ended {
             waiting.since_ms = ended.since_ms;
             waiting.preemptions = ended.preemptions;
@@ -242,9 +242,9 @@
         Some(waiting)
     }
 
-    fn to_expected_ms(&self, waiting: &Waiting) -> u64 {
-        let ask = &waiting.ask;
-        let class = &self.classes[waiting.class];
+    /// Returns the expected slot time, in milliseconds.
+    pub(super) fn to_expected_ms(&self, ask: &Ask, class: ClassKey) -> u64 {
+        let class = &self.classes[class];
         class.to_expected_ms(ask.expected_tokens, ask.generated_tokens, &self.gaps_us)
     }
 
--- a/crates/core/src/coordination/scheduler/grant.rs
+++ b/crates/core/src/coordination/scheduler/grant.rs
@@ -38,6 +38,7 @@
     limit: u32,
     /// Slots in use below tier 0.
     ordinary: u32,
+    free: u32,
     has_free: bool,
     has_probe: bool,
 }
@@ -72,6 +73,7 @@
                 let limit = endpoint.to_limit(now_ms);
                 slots.limit += limit;
                 slots.ordinary += endpoint.ordinary.min(limit);
+                slots.free += limit.saturating_sub(endpoint.running);
                 slots.has_free |= place::has_slot(endpoint, now_ms);
             } else {
                 slots.has_probe |= endpoint.is_probe_due(now_ms);
@@ -146,6 +148,11 @@
         if !slots.has_free || !self.may_use(waiting, slots) {
             return None;
         }
+        let cost_ms = waiting.cost_ms;
+        let headroom = self.headroom.to_slots(waiting.tier, cost_ms, slots.limit);
+        if !is_aged && slots.free <= headroom {
+            return None;
+        }
         let endpoint = place::choose(&self.endpoints, &self.prefixes, &wish, now_ms)?;
         Some(Next::Grant {
             key,
--- a/crates/core/src/coordination/scheduler/running.rs
+++ b/crates/core/src/coordination/scheduler/running.rs
@@ -86,14 +86,18 @@
         endpoint.suspects += u32::from(running.is_suspect);
         endpoint.ordinary += u32::from(running.ask.tier > 0);
         let ticket = running.ask.ticket;
+        let cost_ms = self.to_expected_ms(&running.ask, running.class);
+        let tier = running.ask.tier;
+        self.headroom.add(running.granted_ms, tier, cost_ms);
         let key = self.running.insert(running);
         self.places.insert(ticket, Place::Running(key));
     }
 
     /// Takes a running request out of all counts.
-    pub(super) fn release(&mut self, key: RunKey) -> Option<Running> {
+    pub(super) fn release(&mut self, now_ms: u64, key: RunKey) -> Option<Running> {
         let running = self.running.remove(key)?;
         self.places.remove(&running.ask.ticket);
+        self.headroom.remove(now_ms, running.ask.tier);
         let endpoint = &mut self.endpoints[running.endpoint];
         endpoint.running -= 1;
         endpoint.suspects -= u32::from(running.is_suspect);
@@ -118,7 +122,7 @@
         if end == End::Lost {
             self.note_loss(now_ms, key);
         }
-        let Some(mut running) = self.release(key) else {
+        let Some(mut running) = self.release(now_ms, key) else {
             return;
         };
         running.tokens = running.tokens.max(tokens);
@@ -219,7 +223,7 @@
             }
         }
         for key in overdue {
-            if let Some(running) = self.release(key) {
+            if let Some(running) = self.release(now_ms, key) {
                 self.counters.overdue += 1;
                 if let Some(endpoint) = self.endpoints.get_mut(running.endpoint) {
                     endpoint.end_probe(now_ms, running.ask.ticket, &self.config);
