Cache the learned figures of a class

Each attempt to place a waiting request computed three quantiles of its class to see whether the deadline can still be met. A blocked queue is tried up to 64 requests deep on each step, so this took most of the time of a crowded scheduler. The figures are now computed once for each answer that is learned.

--- a/crates/core/src/coordination/scheduler/admit.rs
+++ b/crates/core/src/coordination/scheduler/admit.rs
@@ -106,7 +106,7 @@
         if self.is_baseline() {
             return None;
         }
-        let shortest_ms = self.classes[class].to_shortest_ms(ask.generated_tokens, &self.gaps_us);
+        let shortest_ms = self.classes[class].to_shortest_ms(ask.generated_tokens);
         let is_late = now_ms.saturating_add(shortest_ms) > ask.deadline_at_ms;
         is_late.then_some(Reason::DeadlineUnreachable)
     }
@@ -136,7 +136,7 @@
         for (class_key, class) in &self.classes {
             let margin_ms = match self.is_baseline() {
                 true => 0,
-                false => class.to_shortest_ms(0, &self.gaps_us),
+                false => class.to_shortest_ms(0),
             };
             let until_ms = now_ms.saturating_add(margin_ms);
             for (deadline_ms, key) in &class.deadlines {
@@ -245,7 +245,7 @@
     /// Returns the expected slot time, in milliseconds.
     pub(super) fn to_expected_ms(&self, ask: &Ask, class: ClassKey) -> u64 {
         let class = &self.classes[class];
-        class.to_expected_ms(ask.expected_tokens, ask.generated_tokens, &self.gaps_us)
+        class.to_expected_ms(ask.expected_tokens, ask.generated_tokens)
     }
 
     /// Returns when a refused caller may come back: when the observed rate has served what is ahead of it.
--- a/crates/core/src/coordination/scheduler/class.rs
+++ b/crates/core/src/coordination/scheduler/class.rs
@@ -38,48 +38,87 @@
     pub(super) rate: Rate,
     /// Waiting requests by deadline.
     pub(super) deadlines: BTreeSet<(u64, WaitKey)>,
+    figures: Figures,
+}
+
+/// Figures computed from the distributions when these change, since each decision needs them.
+#[derive(Debug)]
+struct Figures {
+    length: Option<u64>,
+    duration_ms: Option<u64>,
+    first_ms: u64,
+    gap_us: u64,
+    shortest_first_ms: u64,
+    shortest_rest_ms: u64,
+}
+
+impl Default for Figures {
+    fn default() -> Self {
+        Self {
+            length: None,
+            duration_ms: None,
+            first_ms: FIRST_TOKEN_MS,
+            gap_us: GAP_US,
+            shortest_first_ms: 0,
+            shortest_rest_ms: 0,
+        }
+    }
 }
 
 impl Class {
+    /// Recomputes the cached figures after an answer was learned.
+    pub(super) fn refresh(&mut self, gaps: &Histogram) {
+        let has_lengths = self.lengths.to_count() >= SHORTEST_SAMPLES_MIN;
+        let has_durations = self.duration_ms.to_count() >= SHORTEST_SAMPLES_MIN;
+        self.figures = Figures {
+            length: (self.lengths.to_count() >= SAMPLES_MIN).then(|| self.lengths.to_mean()),
+            duration_ms: (self.duration_ms.to_count() >= SAMPLES_MIN)
+                .then(|| self.duration_ms.to_mean().max(1)),
+            first_ms: match self.first_token_ms.to_count() {
+                0..SAMPLES_MIN => FIRST_TOKEN_MS,
+                _ => self.first_token_ms.to_quantile(0.5),
+            },
+            gap_us: match gaps.to_count() {
+                0..SAMPLES_MIN => GAP_US,
+                _ => gaps.to_quantile(0.5),
+            },
+            shortest_first_ms: match (has_lengths, has_durations) {
+                (true, _) => self.first_token_ms.to_quantile(SHORTEST_QUANTILE),
+                (false, true) => self.duration_ms.to_quantile(SHORTEST_QUANTILE),
+                (false, false) => 0,
+            },
+            shortest_rest_ms: match has_lengths {
+                true => {
+                    let length = self.lengths.to_quantile(SHORTEST_QUANTILE);
+                    length.saturating_sub(1) * gaps.to_quantile(SHORTEST_QUANTILE) / 1_000
+                }
+                false => 0,
+            },
+        };
+    }
+
     /// Returns the expected slot time of a request with `generated` tokens done, in milliseconds.
-    pub(super) fn to_expected_ms(&self, expected: u32, generated: u32, gaps: &Histogram) -> u64 {
-        if self.lengths.to_count() < SAMPLES_MIN && self.duration_ms.to_count() >= SAMPLES_MIN {
-            return self.duration_ms.to_mean().max(1);
+    pub(super) fn to_expected_ms(&self, expected: u32, generated: u32) -> u64 {
+        let figures = &self.figures;
+        if figures.length.is_none()
+            && let Some(duration_ms) = figures.duration_ms
+        {
+            return duration_ms;
         }
-        let length = match self.lengths.to_count() {
-            0..SAMPLES_MIN => u64::from(expected),
-            _ => self.lengths.to_mean(),
-        };
-        let first_ms = match self.first_token_ms.to_count() {
-            0..SAMPLES_MIN => FIRST_TOKEN_MS,
-            _ => self.first_token_ms.to_quantile(0.5),
-        };
-        let gap_us = match gaps.to_count() {
-            0..SAMPLES_MIN => GAP_US,
-            _ => gaps.to_quantile(0.5),
-        };
+        let length = figures.length.unwrap_or(u64::from(expected));
         // A resumed straggler is expected to run about as long again as a fresh request.
         let left = match length.checked_sub(u64::from(generated)) {
             Some(left) if left > 0 => left,
             _ => length,
         };
-        first_ms + left * gap_us / 1_000 + 1
+        figures.first_ms + left * figures.gap_us / 1_000 + 1
     }
 
     /// Returns the shortest service time to be expected, in milliseconds; 0 until it is learned.
-    pub(super) fn to_shortest_ms(&self, generated: u32, gaps: &Histogram) -> u64 {
-        if self.lengths.to_count() >= SHORTEST_SAMPLES_MIN {
-            let first_ms = self.first_token_ms.to_quantile(SHORTEST_QUANTILE);
-            if generated > 0 {
-                return first_ms;
-            }
-            let length = self.lengths.to_quantile(SHORTEST_QUANTILE);
-            let gap_us = gaps.to_quantile(SHORTEST_QUANTILE);
-            return first_ms + length.saturating_sub(1) * gap_us / 1_000;
-        }
-        if self.duration_ms.to_count() >= SHORTEST_SAMPLES_MIN {
-            return self.duration_ms.to_quantile(SHORTEST_QUANTILE);
+    pub(super) fn to_shortest_ms(&self, generated: u32) -> u64 {
+        match generated {
+            0 => self.figures.shortest_first_ms + self.figures.shortest_rest_ms,
+            _ => self.figures.shortest_first_ms,
         }
-        0
     }
 }
--- a/crates/core/src/coordination/scheduler/running.rs
+++ b/crates/core/src/coordination/scheduler/running.rs
@@ -175,6 +175,7 @@
         if running.first_token_ms.is_none() {
             self.observe_duration(now_ms, running);
         }
+        self.classes[running.class].refresh(&self.gaps_us);
     }
 
     /// Gives up a request that waits or runs.
