Refuse at once what the queue ahead keeps from its deadline

In the burst, drafts of large organisations waited up to 57 s of their 60 s and were refused then, or were cut off while they ran. The design does not accept holding a request until near its deadline. A request is now refused on arrival if 0.7 of its expected wait does not fit into the time left. The wait is the expected slot time of the higher tiers and of the organisation's own queue in proportion to its share, over the slots that higher tiers leave on average. Classes without observations and preempted requests are exempt.

Tried and dropped: an estimate over all organisations together.

--- a/crates/core/examples/compare_policies.rs
+++ b/crates/core/examples/compare_policies.rs
@@ -21,8 +21,6 @@
 use waxwing_core::coordination::scheduler::Scheduler;
 use waxwing_core::state::settings::Policy;
 
-use shard::Shard;
-
 const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
 const END_MS: u64 = 300_000;
 const BURST_MS: std::ops::Range<u64> = 100_000..160_000;
@@ -70,7 +68,7 @@
 }
 
 struct World {
-    shard: Shard,
+    shard: shard::Shard,
     events: BinaryHeap<Reverse<(u64, usize, Event)>>,
     requests: Vec<Request>,
     running: [u32; 10],
@@ -85,7 +83,7 @@
             ..Config::default()
         };
         let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let mut shard = Shard::new(config.clone(), &[]);
+        let mut shard = shard::Shard::new(config.clone(), &[]);
         shard.scheduler = Scheduler::with_random(config, random.clone());
         let endpoints = (0..10).map(|index| shard::endpoint(&format!("{index}"), 8));
         shard.step(Input::Endpoints(endpoints.collect()));
@@ -203,8 +201,9 @@
         let request = &mut self.requests[index];
         let elapsed_ms = now_ms - request.sent_ms;
         request.tokens += count;
-        let received = request.ask.generated_tokens + request.tokens;
-        let left = request.length.saturating_sub(received);
+        let left = request
+            .length
+            .saturating_sub(request.ask.generated_tokens + request.tokens);
         let deadline_ms = request.ask.deadline_at_ms;
         let mut effects = Vec::new();
         if request.tokens == 1 {
@@ -231,10 +230,9 @@
         request.attempt = 0;
         request.done_ms = (end == End::Done).then_some(self.shard.now_ms);
         request.ask.generated_tokens += request.tokens;
-        let again = request.ask.clone();
         let mut effects = self.shard.end(index as u64, end, request.tokens);
         if end == End::Preempted {
-            effects.extend(self.shard.enqueue(again));
+            effects.extend(self.shard.enqueue(self.requests[index].ask.clone()));
         }
         self.apply(&effects);
     }
@@ -269,13 +267,15 @@
         }
         let done = self.requests.iter().filter(|r| r.done_ms.is_some());
         let tokens: u64 = done.map(|r| u64::from(r.length)).sum();
+        let refused = self.requests.iter().filter(|r| r.first_ms.is_none());
+        let held_ms = refused.filter_map(|r| r.wait_ms).max().unwrap_or(0);
         let counters = self.shard.scheduler.counters();
         let measured = [
             ("goodput (tokens/s)", tokens * 1_000 / END_MS),
             ("wasted tokens", counters.wasted_tokens),
             ("repeated prompts (ms)", counters.wasted_ms),
             ("preemptions", counters.preemptions),
-            ("ejections", counters.ejections),
+            ("longest wait for a refusal (ms)", held_ms),
         ];
         measures.extend(measured.map(|(name, value)| (name.to_owned(), value as f64)));
         measures
--- a/crates/core/src/coordination/scheduler/admit.rs
+++ b/crates/core/src/coordination/scheduler/admit.rs
@@ -25,6 +25,11 @@
 /// Time for which requests wait for the first usable endpoint, in milliseconds; one missed probe must not refuse all.
 const NO_ENDPOINT_GRACE_MS: u64 = 1_000;
 
+/// Share of the expected wait that must fit into the time left.
+///
+/// The estimate is rough. In compare_policies, 1.0 answers 88 % of the drafts and 0.7 answers 91 %; both refuse at once.
+const WAIT_SHARE: f64 = 0.7;
+
 /// Slot time of a request while no rate has been observed, in milliseconds.
 const SLOT_TIME_MS: u64 = 1_000;
 
@@ -95,7 +100,34 @@
         if !is_preempted && in_flight >= ask.organisation_in_flight_max {
             return Some(Reason::OrganisationLimit);
         }
-        self.to_lateness(now_ms, ask, class)
+        if let Some(reason) = self.to_lateness(now_ms, ask, class) {
+            return Some(reason);
+        }
+        let is_hopeless = !is_preempted
+            && !self.is_baseline()
+            && self.is_hopeless(now_ms, ask, class, organisation);
+        is_hopeless.then_some(Reason::DeadlineUnreachable)
+    }
+
+    /// Returns whether the work ahead alone takes longer than the time left, at the slots that higher tiers leave.
+    ///
+    /// Such a request would otherwise wait for most of its deadline only to be refused then.
+    fn is_hopeless(
+        &self,
+        now_ms: u64,
+        ask: &Ask,
+        class: ClassKey,
+        organisation: OrganisationKey,
+    ) -> bool {
+        if !self.classes[class].is_learned() {
+            return false;
+        }
+        let slots = f64::from(self.to_gauges(now_ms).slots);
+        let left = (slots - self.headroom.to_mean(ask.tier)).max(1.0);
+        let wait_ms = self.queue.to_work_ms(ask.tier, organisation) as f64 / left;
+        let shortest_ms = self.classes[class].to_shortest_ms(ask.generated_tokens);
+        let time_left_ms = ask.deadline_at_ms.saturating_sub(now_ms + shortest_ms);
+        wait_ms * WAIT_SHARE > time_left_ms as f64
     }
 
     /// Returns why the request can no longer meet its deadline, if so.
--- a/crates/core/src/coordination/scheduler/class.rs
+++ b/crates/core/src/coordination/scheduler/class.rs
@@ -97,6 +97,11 @@
         };
     }
 
+    /// Returns whether the expected slot time rests on observations.
+    pub(super) fn is_learned(&self) -> bool {
+        self.figures.length.is_some() || self.figures.duration_ms.is_some()
+    }
+
     /// Returns the expected slot time of a request with `generated` tokens done, in milliseconds.
     pub(super) fn to_expected_ms(&self, expected: u32, generated: u32) -> u64 {
         let figures = &self.figures;
--- a/crates/core/src/coordination/scheduler/headroom.rs
+++ b/crates/core/src/coordination/scheduler/headroom.rs
@@ -58,6 +58,14 @@
         tier.change(now_ms, tier.running.saturating_sub(1));
     }
 
+    /// Returns the slots that all requests of higher tiers use on average.
+    pub(super) fn to_mean(&self, tier: u8) -> f64 {
+        self.tiers
+            .range(..tier)
+            .map(|(_, higher)| higher.mean)
+            .sum()
+    }
+
     /// Returns the slots to leave free when a request of the tier is granted.
     ///
     /// It is what shorter requests of higher tiers use on average and a standard deviation more, as it would be with
--- a/crates/core/src/coordination/scheduler/queue.rs
+++ b/crates/core/src/coordination/scheduler/queue.rs
@@ -74,6 +74,8 @@
 #[derive(Debug, Default)]
 struct Lane {
     virtual_time: u64,
+    weight: u64,
+    cost_ms: u64,
     requests: BTreeSet<(u64, u64, WaitKey)>,
 }
 
@@ -83,7 +85,10 @@
     virtual_time: u64,
     lanes: HashMap<OrganisationKey, Lane>,
     active: BTreeSet<(u64, OrganisationKey)>,
+    /// Weight of all active organisations.
+    weight: u64,
     length: usize,
+    cost_ms: u64,
     /// Order of shedding, from the end: repeatable before non-idempotent, then the latest deadline.
     sheddable: BTreeSet<(bool, u64, WaitKey)>,
 }
@@ -130,6 +135,25 @@
         self.tiers.get(&tier).map_or(0, |queue| queue.length)
     }
 
+    /// Returns the expected slot time that is served before a new request of the organisation, in milliseconds.
+    ///
+    /// It counts all requests of higher tiers and those of its own tier in proportion to its share, as if the other
+    /// organisations that wait now went on to do so.
+    pub(super) fn to_work_ms(&self, tier: u8, organisation: OrganisationKey) -> u64 {
+        let mut sum: u64 = 0;
+        for queue in self.tiers.range(..tier).map(|(_, queue)| queue) {
+            sum = sum.saturating_add(queue.cost_ms);
+        }
+        let Some(queue) = self.tiers.get(&tier) else {
+            return sum;
+        };
+        let Some(lane) = queue.lanes.get(&organisation) else {
+            return sum;
+        };
+        let own_ms = lane.cost_ms.saturating_mul(queue.weight) / lane.weight.max(1);
+        sum.saturating_add(own_ms)
+    }
+
     /// Adds a request.
     pub(super) fn insert(&mut self, mut waiting: Waiting) -> WaitKey {
         self.sequence += 1;
@@ -141,6 +165,7 @@
         }
         let tier = self.tiers.entry(waiting.tier).or_default();
         tier.length += 1;
+        tier.cost_ms = tier.cost_ms.saturating_add(waiting.cost_ms);
         match waiting.is_kept {
             true => self.kept += 1,
             false => {
@@ -152,8 +177,11 @@
         if lane.requests.is_empty() {
             // An organisation that was idle must not use up the share that it did not ask for.
             lane.virtual_time = lane.virtual_time.max(tier.virtual_time);
+            lane.weight = u64::from(waiting.ask.weight.max(1));
+            tier.weight += lane.weight;
             tier.active.insert((lane.virtual_time, waiting.lane));
         }
+        lane.cost_ms = lane.cost_ms.saturating_add(waiting.cost_ms);
         lane.requests.insert((waiting.rank, waiting.sequence, key));
         key
     }
@@ -175,8 +203,10 @@
         let entry = (waiting.ask.idempotent, waiting.ask.deadline_at_ms, key);
         tier.sheddable.remove(&entry);
         tier.length -= 1;
+        tier.cost_ms = tier.cost_ms.saturating_sub(waiting.cost_ms);
         self.kept -= usize::from(waiting.is_kept);
         let lane = tier.lanes.get_mut(&waiting.lane)?;
+        lane.cost_ms = lane.cost_ms.saturating_sub(waiting.cost_ms);
         lane.requests.remove(&(waiting.rank, waiting.sequence, key));
         tier.active.remove(&(lane.virtual_time, waiting.lane));
         if is_charged {
@@ -187,8 +217,11 @@
         }
         if !lane.requests.is_empty() {
             tier.active.insert((lane.virtual_time, waiting.lane));
-        } else if lane.virtual_time <= tier.virtual_time {
-            tier.lanes.remove(&waiting.lane);
+        } else {
+            tier.weight -= lane.weight;
+            if lane.virtual_time <= tier.virtual_time {
+                tier.lanes.remove(&waiting.lane);
+            }
         }
         if tier.length == 0 {
             self.tiers.remove(&waiting.tier);
--- a/crates/core/tests/shed_order.rs
+++ b/crates/core/tests/shed_order.rs
@@ -166,3 +166,26 @@
         "not the preempted one"
     );
 }
+
+#[test]
+fn hopeless_wait_is_refused_at_once() {
+    let mut shard = Shard::new(Config::default(), &[1]);
+    shard.teach(30, 500);
+    for sequence in 0..20 {
+        shard.enqueue(ask(sequence, 1));
+    }
+    let mut next = ask(100, 1);
+    next.deadline_at_ms = shard.now_ms + 5_000;
+    let refused = shard.enqueue(next.clone());
+    assert_eq!(refusals(&refused), vec![(100, Reason::DeadlineUnreachable)]);
+    next.deadline_at_ms = shard.now_ms + 60_000;
+    assert_eq!(refusals(&shard.enqueue(next.clone())), vec![]);
+    // The queue of another organisation is shorter, and tier 0 is not behind it at all.
+    next = ask(101, 1);
+    next.organisation = Name::from("b");
+    next.deadline_at_ms = shard.now_ms + 5_000;
+    assert_eq!(refusals(&shard.enqueue(next)), vec![]);
+    next = ask(102, 0);
+    next.deadline_at_ms = shard.now_ms + 5_000;
+    assert_eq!(refusals(&shard.enqueue(next)), vec![]);
+}
