Move requests to a new owner without overfilling an endpoint, and test several daemons

Causes found with three daemons and one engine of 8 slots: - After a kill, 13 to 14 requests ran at once: the new owner granted slots before the other VM had adopted what ran. A new owner now pauses grants for 100 ms. - After a restart of the owner, 16 ran at once: adoptions reached a VM that had no settings, so VMs without settings are no owners; and requests that had met a broken connection stayed with the old owner, so only requests that no member took for 2 s stay now. - Calls now name the process that they are meant for, since a late end of a request could reach a restarted owner. - Waiting requests leave an old owner before running ones, which would free slots there.

Ruled out: counting on late adoptions alone, since each VM learns of the loss at its own time.

--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod binary;
 mod control;
+mod members;
 mod process;
 mod run;
 mod standin;
--- /dev/null
+++ b/crates/harness/src/members.rs
@@ -0,0 +1,99 @@
+//! What the daemons of a deployment know of each other.
+
+use serde_json::Value;
+use waxwing_wire::platform::LoadReport;
+
+use crate::condition;
+use crate::control;
+use crate::daemon::Daemon;
+use crate::deployment::Deployment;
+use crate::standin::Standin;
+
+impl Deployment {
+    /// Waits until each daemon counts all daemons as members and agrees with the others on the owner of each pool.
+    ///
+    /// # Panics
+    ///
+    /// Panics if that does not happen.
+    pub fn wait_for_members(&self) {
+        condition::wait_until("all daemons are members and agree on owners", || {
+            let mut owners = Vec::new();
+            for daemon in &self.daemons {
+                if daemon.to_members().len() != self.daemons.len() {
+                    return false;
+                }
+                owners.push(daemon.to_status().map(|status| status["owners"].clone()));
+            }
+            owners.windows(2).all(|pair| pair[0] == pair[1])
+        });
+    }
+
+    /// Returns the index of the daemon that schedules a pool.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is none.
+    pub fn to_owner(&self, pool: &str) -> usize {
+        let status = self.daemons[0].to_status().expect("the daemon answers");
+        let owner = status["owners"][pool].as_str();
+        let owner = owner.expect("the pool has an owner");
+        let number = owner.strip_prefix("vm-").and_then(|it| it.parse().ok());
+        let number: usize = number.expect("daemons are named vm-1 and up");
+        number - 1
+    }
+}
+
+impl Daemon {
+    /// Returns the names of the members, as far as the daemon answers.
+    pub fn to_members(&self) -> Vec<String> {
+        self.to_list("members")
+    }
+
+    /// Returns the names of the endpoints that the daemon knows to leave.
+    pub fn to_leaving(&self) -> Vec<String> {
+        self.to_list("leaving")
+    }
+
+    /// Returns the value of a counter, 0 while it does not exist; `series` is the name with its labels.
+    pub fn to_count(&self, series: &str) -> f64 {
+        let page = self.to_metrics().unwrap_or_default();
+        for line in page.lines() {
+            if let Some(rest) = line.strip_prefix(series)
+                && let Some(value) = rest.strip_prefix(' ')
+            {
+                return value.trim().parse().unwrap_or(0.0);
+            }
+        }
+        0.0
+    }
+
+    /// Begins a planned stop over the operators' address and returns whether the daemon accepted it.
+    pub fn drain(&self) -> bool {
+        let url = format!("http://{}/drain", self.operator_address());
+        let sent = control::to_session().post(url).send();
+        sent.is_ok_and(|response| response.is_success())
+    }
+
+    fn to_list(&self, field: &str) -> Vec<String> {
+        let status = self.to_status().unwrap_or_default();
+        let items = status.get(field).and_then(Value::as_array);
+        let mut list = Vec::new();
+        for item in items.into_iter().flatten() {
+            list.extend(item.as_str().map(str::to_owned));
+        }
+        list
+    }
+}
+
+impl Standin {
+    /// Returns the number of requests that an engine or a plain service runs.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the endpoint does not answer.
+    pub fn to_running(&self) -> u64 {
+        let url = format!("http://{}/load", self.address());
+        let report: LoadReport = control::get(&url).expect("the endpoint reports its load");
+        u64::from(report.running)
+    }
+}
--- /dev/null
+++ b/crates/harness/tests/silent_connection.rs
@@ -0,0 +1,84 @@
+//! Established connections between VMs stop carrying data, while new ones work.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use waxwing_harness::Standin;
+use waxwing_harness::caller;
+use waxwing_harness::condition;
+use waxwing_harness::deployment::Deployment;
+use waxwing_harness::deployment::Plan;
+use waxwing_standin::proxy;
+
+const TOKENS: u64 = 20;
+const SILENT: &str = "waxwing_peer_silent_connections_total";
+
+/// Time within which a request passes over the connection that replaced the silent one, in seconds.
+///
+/// A call times out after 1.5 s; a peer would be gone only after 6 s.
+const REPLACED_WITHIN_S: u64 = 5;
+
+/// Guards against a live peer that is given up, and against requests that hang, because a connection went silent.
+#[test]
+fn silent_connection_is_replaced_and_the_peer_stays() {
+    let mut deployment = Deployment::start(&Plan {
+        daemons: 2,
+        ..Plan::default()
+    });
+    deployment.wait_for_members();
+    let owner = deployment.to_owner("chat");
+    let entry = 1 - owner;
+    let peer_address = deployment.daemons[owner].peer_address();
+    let proxy = Standin::start_proxy(&deployment.run, "proxy", peer_address);
+    let mut list = deployment.to_vms();
+    list.vms[owner].peer_address = proxy.address();
+    deployment.vm_list.set_vms(&list);
+    let expected = caller::to_expected("a letter", TOKENS);
+    let caller = deployment.caller(entry);
+    let chat = || {
+        let answer = caller.chat("draft", "a letter", TOKENS);
+        answer.expect("the daemon answers").to_text()
+    };
+    let connected = format!("connected to vm-{} at {}", owner + 1, proxy.address());
+    condition::wait_until("the connection runs through the proxy", || {
+        let output = deployment.daemons[entry].process().to_output();
+        output.contains(&connected)
+    });
+    assert_eq!(chat(), Some(expected.clone()));
+    proxy.set_faults(&proxy::Faults {
+        silence_existing: true,
+        ..proxy::Faults::default()
+    });
+    let silenced = Instant::now();
+    assert_eq!(chat(), Some(expected.clone()));
+    let took = silenced.elapsed();
+    assert!(took < Duration::from_secs(REPLACED_WITHIN_S), "{took:?}");
+    assert!(deployment.daemons[entry].to_count(SILENT) >= 1.0);
+    assert_eq!(chat(), Some(expected));
+    let output = deployment.daemons[entry].process().to_output();
+    assert!(!output.contains("is gone"), "the peer was given up");
+}
+
+/// Guards against a peer that stays an owner although no connection to it can be made.
+#[test]
+fn unreachable_peer_is_given_up() {
+    let mut deployment = Deployment::start(&Plan {
+        daemons: 2,
+        ..Plan::default()
+    });
+    deployment.wait_for_members();
+    let owner = deployment.to_owner("chat");
+    let entry = 1 - owner;
+    deployment.daemons[owner].process().freeze();
+    let answer = deployment.caller(entry).chat("draft", "a letter", TOKENS);
+    let expected = caller::to_expected("a letter", TOKENS);
+    assert_eq!(
+        answer.expect("the daemon answers").to_text(),
+        Some(expected)
+    );
+    condition::wait_until("the frozen VM is gone", || {
+        deployment.daemons[entry].to_members().len() == 1
+    });
+    deployment.daemons[owner].process().wake();
+    deployment.wait_for_members();
+}
--- a/crates/router/src/members.rs
+++ b/crates/router/src/members.rs
@@ -202,6 +202,7 @@
     /// Endpoints that peers call leaving, and when they last did.
     heard_leaving: BTreeMap<Name, u64>,
     announced_leaving: Vec<Name>,
+    announced_version: u64,
 }
 
 fn run(shared: Arc<Shared>, inbox: &Inbox) {
@@ -212,6 +213,7 @@
         listed_leaving: BTreeSet::new(),
         heard_leaving: BTreeMap::new(),
         announced_leaving: Vec::new(),
+        announced_version: 0,
         shared,
     };
     let mut next_ms: u64 = 0;
@@ -231,7 +233,7 @@
         }
         state.publish(now_ms);
         state.choose_targets();
-        state.announce_leaving();
+        state.announce_changes();
     }
 }
 
@@ -336,7 +338,8 @@
 
     fn choose_targets(&mut self) {
         let view = self.shared.view();
-        let in_use = scheduling::to_owners(&view, &self.shared.config.vm);
+        let owners = scheduling::to_owners(&view, &self.shared.config.vm);
+        let in_use: BTreeSet<Name> = owners.into_values().collect();
         let mut targets = Vec::new();
         for candidate in self.membership.choose_targets(&in_use) {
             targets.push(Target {
@@ -376,13 +379,19 @@
         });
     }
 
-    /// Tells the peers at once when this VM has learned that an endpoint leaves.
-    fn announce_leaving(&mut self) {
-        let leaving = self.shared.members.to_digest(&self.shared).leaving;
-        if leaving != self.announced_leaving {
-            self.announced_leaving = leaving;
-            self.announce();
+    /// Tells the peers at once when an endpoint leaves or this VM has other settings.
+    ///
+    /// The peers then move the requests of a shard that this VM now owns at the same time.
+    fn announce_changes(&mut self) {
+        let digest = self.shared.members.to_digest(&self.shared);
+        if digest.leaving == self.announced_leaving
+            && digest.settings_version == self.announced_version
+        {
+            return;
         }
+        self.announced_leaving = digest.leaving;
+        self.announced_version = digest.settings_version;
+        self.announce();
     }
 
     fn to_own(&self) -> Member {
@@ -396,9 +405,9 @@
             is_draining: shared.is_draining.load(Ordering::SeqCst),
             incarnation: shared.incarnation,
             is_reachable: true,
-            // The readers take the own load and version from their source.
+            // Readers take the own load from its source.
             load: 0,
-            settings_version: 0,
+            settings_version: shared.view().settings_version,
         }
     }
 }
--- a/crates/router/src/operator.rs
+++ b/crates/router/src/operator.rs
@@ -1,5 +1,6 @@
 //! HTTP towards operators: metrics, status and orders.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -9,7 +10,9 @@
 use rouille::Response;
 use rouille::Server;
 use serde::Serialize;
+use waxwing_core::Name;
 
+use crate::scheduling;
 use crate::shared::Shared;
 
 /// Threads that serve operators.
@@ -25,6 +28,10 @@
     is_draining: bool,
     in_progress: usize,
     members: Vec<String>,
+    /// Member that schedules the requests of this VM, by pool.
+    owners: BTreeMap<Name, Name>,
+    /// Endpoints that the VM list or a peer marks as leaving.
+    leaving: Vec<String>,
 }
 
 /// Starts the operator server.
@@ -74,5 +81,7 @@
             .iter()
             .map(|member| member.name.to_string())
             .collect(),
+        owners: scheduling::to_owners(&view, &shared.config.vm),
+        leaving: view.leaving.iter().map(Name::to_string).collect(),
     }
 }
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -52,7 +52,7 @@
     /// Too many calls wait for the thread or the peer.
     #[error("too many calls wait for the peer")]
     Busy,
-    /// The peer is not known.
+    /// The peer, or the process for which the call was meant, is not known; the call was not sent.
     #[error("the peer is not known")]
     UnknownPeer,
     /// A new connection failed; the call was not sent.
@@ -195,6 +195,8 @@
 #[derive(Debug)]
 struct Request {
     call: Call,
+    /// Process for which the call is meant; 0 stands for any.
+    incarnation: u64,
     deadline: Instant,
     reply: Reply,
 }
@@ -257,7 +259,7 @@
     pub fn call(&self, peer: &Name, call: Call, timeout: Duration) -> Result<Answer> {
         let (sender, receiver) = flume::bounded(1);
         let reply = Reply::Caller(sender);
-        self.send(peer, call, timeout, reply)?;
+        self.send(peer, 0, call, timeout, reply)?;
         // The thread answers by the deadline; the margin covers its own delay.
         let margin = Duration::from_millis(CALL_TIMEOUT_MS);
         receiver
@@ -311,28 +313,33 @@
     /// Fails with [`Error::Busy`] if too many calls wait.
     pub(crate) fn exchange(&self, peer: &Name, digest: Digest) -> Result<()> {
         let timeout = Duration::from_millis(CALL_TIMEOUT_MS);
-        self.send(peer, Call::Exchange(digest), timeout, Reply::Members)
+        let call = Call::Exchange(digest);
+        self.send(peer, 0, call, timeout, Reply::Members)
     }
 
     /// Sends a call whose answer goes to the scheduler thread.
     ///
+    /// The call is meant for one process: a restarted peer knows nothing of the requests of the process before it, and
+    /// a late end of a request would free a slot that it has just adopted.
+    ///
     /// # Errors
     ///
     /// Fails with [`Error::Busy`] if too many calls wait.
     pub(crate) fn schedule(
         &self,
         peer: &Name,
+        incarnation: u64,
         call: Call,
         timeout: Duration,
         tag: Tag,
     ) -> Result<()> {
-        self.send(peer, call, timeout, Reply::Scheduling(tag))
+        self.send(peer, incarnation, call, timeout, Reply::Scheduling(tag))
     }
 
     /// Sends a call whose answer nobody needs.
     pub fn post(&self, peer: &Name, call: Call) {
         let timeout = Duration::from_millis(CALL_TIMEOUT_MS);
-        if let Err(error) = self.send(peer, call, timeout, Reply::Nobody) {
+        if let Err(error) = self.send(peer, 0, call, timeout, Reply::Nobody) {
             log::warn!("a call to {peer} was dropped: {error}");
         }
     }
@@ -346,9 +353,17 @@
         }
     }
 
-    fn send(&self, peer: &Name, call: Call, timeout: Duration, reply: Reply) -> Result<()> {
+    fn send(
+        &self,
+        peer: &Name,
+        incarnation: u64,
+        call: Call,
+        timeout: Duration,
+        reply: Reply,
+    ) -> Result<()> {
         let request = Request {
             call,
+            incarnation,
             deadline: Instant::now() + timeout,
             reply,
         };
--- a/crates/router/src/peer/client.rs
+++ b/crates/router/src/peer/client.rs
@@ -187,6 +187,7 @@
         match connect(&context, &target).await {
             Ok(connection) => {
                 backoff_ms = BACKOFF_MIN_MS;
+                log::info!("connected to {} at {}", target.name, target.address);
                 let shared = &context.shared;
                 shared
                     .members
@@ -240,6 +241,10 @@
             Either::Left((Ok(request), _)) => request,
             Either::Left((Err(_), _)) | Either::Right(_) => return,
         };
+        if request.incarnation != 0 && request.incarnation != connection.incarnation {
+            reply(context, name, request.reply, Err(Error::UnknownPeer)).await;
+            continue;
+        }
         if connection.in_flight.get() >= CALLS_MAX {
             reply(context, name, request.reply, Err(Error::Busy)).await;
             continue;
--- a/crates/router/src/scheduling.rs
+++ b/crates/router/src/scheduling.rs
@@ -67,6 +67,12 @@
 /// Time for a verdict beyond the deadline of the request, in milliseconds.
 const VERDICT_MARGIN_MS: u64 = 2_000;
 
+/// Time for which a new owner of a shard grants nothing, in milliseconds.
+///
+/// The other VMs learn of the change within milliseconds and adopt their running requests meanwhile. Without the pause,
+/// a new owner granted slots that were taken: 13 requests ran on an engine with 8 slots after a kill.
+const TAKEOVER_PAUSE_MS: u64 = 100;
+
 /// Time between searches for requests of processes that are no members, in milliseconds.
 const ORPHANS_INTERVAL_MS: u64 = 1_000;
 
@@ -249,6 +255,9 @@
 struct Local {
     scheduler: Scheduler,
     tickets: HashSet<TicketId>,
+    /// Requests that wait for the end of the pause after a takeover.
+    paused: Vec<Box<Ask>>,
+    paused_until_ms: u64,
 }
 
 /// Who schedules a request.
@@ -285,6 +294,8 @@
     placed_ms: u64,
     /// Since when no owner takes the request.
     unplaced_ms: Option<u64>,
+    /// Whether it stays on this VM, since no member took it.
+    is_settled: bool,
 }
 
 struct State {
@@ -391,7 +402,16 @@
 
     /// Moves requests whose shard has another owner now.
     fn reseat(&mut self) {
-        self.seats.clear();
+        let old_seats = std::mem::take(&mut self.seats);
+        let now_ms = self.shared.now_ms();
+        for (shard, local) in &mut self.locals {
+            let seat = to_seat(&self.shared, &self.view, shard);
+            let was_remote = matches!(old_seats.get(shard), Some(Seat::Remote { .. }));
+            if was_remote && seat == Seat::Local {
+                local.paused_until_ms = now_ms + TAKEOVER_PAUSE_MS;
+            }
+            self.seats.insert(shard.clone(), seat);
+        }
         let mut moved = Vec::new();
         for (ticket, own) in &self.own {
             let Some(pool) = self.view.settings.pools.get(&own.shard.pool) else {
@@ -406,29 +426,53 @@
                 .seats
                 .entry(shard.clone())
                 .or_insert_with(|| to_seat(&self.shared, &self.view, &shard));
-            // A request that no member took stays here.
-            let is_settled = own.seat == Seat::Local && own.unplaced_ms.is_some();
-            if shard != own.shard || (own.seat != *seat && !is_settled) {
+            if shard != own.shard || (own.seat != *seat && !own.is_settled) {
                 moved.push((*ticket, shard));
             }
         }
+        self.release_waiting();
+        self.move_requests(moved);
+    }
+
+    /// Moves requests to the present owners of their shards.
+    fn move_requests(&mut self, moved: Vec<(TicketId, Shard)>) {
+        let mut waiting = Vec::new();
+        let mut running = Vec::new();
         for (ticket, shard) in moved {
-            self.move_request(ticket, shard);
+            let Some(own) = self.own.get(&ticket) else {
+                continue;
+            };
+            metrics::counter!(metric::MOVED).increment(1);
+            match own.phase.clone() {
+                Phase::Waiting => waiting.push((ticket, shard)),
+                Phase::Running { endpoint } => running.push((ticket, shard, endpoint)),
+                Phase::Idle => {}
+            }
+        }
+        // In the order of their arrival.
+        waiting.sort_by_key(|(ticket, _)| *ticket);
+        // A running request that leaves first would free a slot for a waiting one at the old owner.
+        for (ticket, _) in &waiting {
+            self.withdraw(*ticket);
+        }
+        for (ticket, _, _) in &running {
+            self.withdraw(*ticket);
+        }
+        // The new owner has to count what runs before it grants a slot.
+        for (ticket, shard, endpoint) in running {
+            self.set_shard(ticket, shard);
+            self.adopt(ticket, endpoint);
+        }
+        for (ticket, shard) in waiting {
+            self.set_shard(ticket, shard);
+            self.place(ticket);
         }
-        self.release_waiting();
     }
 
-    fn move_request(&mut self, ticket: TicketId, shard: Shard) {
-        metrics::counter!(metric::MOVED).increment(1);
-        self.withdraw(ticket);
+    fn set_shard(&mut self, ticket: TicketId, shard: Shard) {
         if let Some(own) = self.own.get_mut(&ticket) {
             own.shard = shard;
         }
-        match self.own.get(&ticket).map(|own| own.phase.clone()) {
-            Some(Phase::Waiting) => self.place(ticket),
-            Some(Phase::Running { endpoint }) => self.adopt(ticket, endpoint),
-            Some(Phase::Idle) | None => {}
-        }
     }
 
     /// Sends requests of other VMs that wait at a shard of another owner back to their VMs.
@@ -455,6 +499,7 @@
     fn tick(&mut self, now_ms: u64) {
         let shards: Vec<Shard> = self.locals.keys().cloned().collect();
         for shard in shards {
+            self.end_pause(&shard, now_ms);
             let is_busy = |local: &Local| !local.tickets.is_empty();
             if self.locals.get(&shard).is_some_and(is_busy)
                 || self.choose_seat(&shard) == Seat::Local
@@ -501,6 +546,7 @@
             enqueued_ms: now_ms,
             placed_ms: now_ms,
             unplaced_ms: None,
+            is_settled: false,
         };
         self.own.insert(ticket, own);
         self.place(ticket);
@@ -521,12 +567,13 @@
         own.placed_ms = now_ms;
         own.phase = Phase::Waiting;
         let waited_ms = own.unplaced_ms.map_or(0, |since_ms| now_ms - since_ms);
-        own.seat = match waited_ms >= UNPLACED_MAX_MS {
+        own.is_settled = waited_ms >= UNPLACED_MAX_MS;
+        own.seat = match own.is_settled {
             true => Seat::Local,
             false => seat,
         };
         match &own.seat {
-            Seat::Remote { name, .. } => {
+            Seat::Remote { name, incarnation } => {
                 let skipped = to_skipped(&self.view);
                 let call = peer::to_enqueue(&shard, &own.ask, now_ms, skipped);
                 let left_ms = own.ask.deadline_at_ms.saturating_sub(now_ms);
@@ -535,7 +582,11 @@
                     ticket,
                     placement: own.placement,
                 };
-                if let Err(error) = self.shared.peers.schedule(name, call, timeout, tag) {
+                if let Err(error) =
+                    self.shared
+                        .peers
+                        .schedule(name, *incarnation, call, timeout, tag)
+                {
                     log::warn!("request {ticket:?} is enqueued again: {error}");
                     own.seat = Seat::Nobody {
                         at_ms: now_ms + RETRY_PAUSE_MS,
@@ -563,7 +614,7 @@
         own.placement = self.placements;
         own.seat = seat;
         match &own.seat {
-            Seat::Remote { name, .. } => {
+            Seat::Remote { name, incarnation } => {
                 let call = Call::Adopt {
                     shard,
                     ask: Box::new(RemoteAsk::from_ask(&own.ask, now_ms)),
@@ -574,7 +625,11 @@
                     placement: own.placement,
                 };
                 let timeout = Duration::from_millis(CALL_TIMEOUT_MS);
-                if let Err(error) = self.shared.peers.schedule(name, call, timeout, tag) {
+                if let Err(error) =
+                    self.shared
+                        .peers
+                        .schedule(name, *incarnation, call, timeout, tag)
+                {
                     log::warn!("request {ticket:?} is not adopted: {error}");
                 }
             }
@@ -635,7 +690,7 @@
         if self
             .shared
             .peers
-            .schedule(&name, call, timeout, tag)
+            .schedule(&name, incarnation, call, timeout, tag)
             .is_err()
         {
             self.push_cancel(&name, incarnation, shard, ticket);
@@ -760,7 +815,7 @@
             if self
                 .shared
                 .peers
-                .schedule(name, call, timeout, tag)
+                .schedule(name, outbox.incarnation, call, timeout, tag)
                 .is_err()
             {
                 outbox.retry(now_ms);
@@ -950,6 +1005,9 @@
                 local
                     .tickets
                     .retain(|ticket| ticket.incarnation != incarnation);
+                local
+                    .paused
+                    .retain(|ask| ask.ticket.incarnation != incarnation);
             }
             self.step(&shard, Input::MemberGone { incarnation });
         }
@@ -1010,17 +1068,44 @@
             let Some(pool) = self.view.settings.pools.get(&shard.pool) else {
                 return;
             };
+            let is_alone = self.shared.config.platform.vm_list_address.is_empty();
+            let pause_ms = if is_alone || pool.policy == Policy::Baseline {
+                0
+            } else {
+                TAKEOVER_PAUSE_MS
+            };
             let local = Local {
                 scheduler: Scheduler::new(to_config(pool)),
                 tickets: HashSet::new(),
+                paused: Vec::new(),
+                paused_until_ms: self.shared.now_ms() + pause_ms,
             };
             self.locals.insert(shard.clone(), local);
             self.set_endpoints(shard);
         }
+        let now_ms = self.shared.now_ms();
         if let Some(local) = self.locals.get_mut(shard) {
             local.tickets.insert(ticket);
         }
-        self.step(shard, input);
+        match (self.locals.get_mut(shard), input) {
+            (Some(local), Input::Enqueue(ask)) if now_ms < local.paused_until_ms => {
+                local.paused.push(ask);
+            }
+            (_, input) => self.step(shard, input),
+        }
+    }
+
+    /// Passes on the requests that waited for the end of the pause after a takeover.
+    fn end_pause(&mut self, shard: &Shard, now_ms: u64) {
+        let Some(local) = self.locals.get_mut(shard) else {
+            return;
+        };
+        if now_ms < local.paused_until_ms || local.paused.is_empty() {
+            return;
+        }
+        for ask in std::mem::take(&mut local.paused) {
+            self.step(shard, Input::Enqueue(ask));
+        }
     }
 
     /// Passes an input that concerns no request to the schedulers of a pool.
@@ -1043,6 +1128,7 @@
         };
         if let Input::Cancel(ticket) | Input::Finish { ticket, .. } = &input {
             local.tickets.remove(ticket);
+            local.paused.retain(|ask| ask.ticket != *ticket);
         }
         for effect in local.scheduler.step(now_ms, input) {
             self.apply(shard, effect);
@@ -1147,7 +1233,7 @@
         old.name == new.name
             && old.incarnation == new.incarnation
             && old.data_centre == new.data_centre
-            && old.is_draining == new.is_draining
+            && old.is_eligible() == new.is_eligible()
             && old.is_reachable == new.is_reachable
     })
 }
--- a/crates/router/src/scheduling/shard.rs
+++ b/crates/router/src/scheduling/shard.rs
@@ -1,5 +1,6 @@
 //! Which member schedules a shard.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use waxwing_core::Name;
@@ -37,7 +38,7 @@
 
 /// Returns the member that schedules the shard, unless it is in `skipped`.
 ///
-/// Draining and unreachable members come last, so that a shard always has an owner.
+/// A member that is not eligible is chosen only if no other is left, so that a shard always has an owner.
 pub(super) fn to_owner<'a>(view: &'a View, shard: &Shard, skipped: &[Name]) -> Option<&'a Member> {
     let data_centre = shard.data_centre.as_ref();
     let is_near = |member: &Member| data_centre.is_none_or(|name| member.data_centre == *name);
@@ -48,8 +49,8 @@
         }
     }
     let preferences: [&dyn Fn(&Member) -> bool; 3] = [
-        &|member| !member.is_draining && is_near(member),
-        &|member| !member.is_draining,
+        &|member| member.is_eligible() && is_near(member),
+        &|member| member.is_eligible(),
         &|_| true,
     ];
     let subject = match data_centre {
@@ -68,18 +69,16 @@
     None
 }
 
-/// Returns the other members that schedule requests of a VM.
-pub(crate) fn to_owners(view: &View, vm: &Vm) -> BTreeSet<Name> {
-    let mut owners = BTreeSet::new();
+/// Returns the member that schedules the requests of a VM, for each pool that has an owner.
+pub(crate) fn to_owners(view: &View, vm: &Vm) -> BTreeMap<Name, Name> {
+    let mut owners = BTreeMap::new();
     for (name, pool) in &view.settings.pools {
         if pool.policy == Policy::Baseline {
             continue;
         }
         let shard = to_shard(name, pool, &vm.data_centre);
-        if let Some(owner) = to_owner(view, &shard, &[])
-            && owner.name != vm.name
-        {
-            owners.insert(owner.name.clone());
+        if let Some(owner) = to_owner(view, &shard, &[]) {
+            owners.insert(name.clone(), owner.name.clone());
         }
     }
     owners
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -89,6 +89,16 @@
     pub settings_version: u64,
 }
 
+impl Member {
+    /// Returns whether the member may schedule a shard: it is not draining, and it has settings as far as is known.
+    ///
+    /// A VM without settings does not know the pools, so that adoptions of running requests would be lost there.
+    pub fn is_eligible(&self) -> bool {
+        let is_heard_of = self.incarnation != 0;
+        !self.is_draining && (self.settings_version > 0 || !is_heard_of)
+    }
+}
+
 /// An event that happens once and that any number of threads and tasks may await.
 #[derive(Debug)]
 struct Latch {
