--- a/crates/router/src/scheduling.rs
+++ b/crates/router/src/scheduling.rs
@@ -256,7 +256,7 @@
     scheduler: Scheduler,
     tickets: HashSet<TicketId>,
     /// Requests that wait for the end of the pause after a takeover.
-    paused: Vec<Box<Ask>>,
+    paused: Vec<Ask>,
     paused_until_ms: u64,
 }
 
@@ -1089,7 +1089,7 @@
         }
         match (self.locals.get_mut(shard), input) {
             (Some(local), Input::Enqueue(ask)) if now_ms < local.paused_until_ms => {
-                local.paused.push(ask);
+                local.paused.push(*ask);
             }
             (_, input) => self.step(shard, input),
         }
@@ -1104,7 +1104,7 @@
             return;
         }
         for ask in std::mem::take(&mut local.paused) {
-            self.step(shard, Input::Enqueue(ask));
+            self.step(shard, Input::Enqueue(Box::new(ask)));
         }
     }
 
