--- a/crates/router/src/operator.rs
+++ b/crates/router/src/operator.rs
@@ -11,10 +11,12 @@
 use rouille::Response;
 use rouille::Server;
 use serde::Serialize;
+use waxwing_core::Name;
 use waxwing_core::state::settings::change::Change;
 use waxwing_wire::settings_api::PublishAnswer;
 use waxwing_wire::settings_record::SettingsChange;
 
+use crate::scheduling;
 use crate::settings_sync;
 use crate::shared::Shared;
 
@@ -35,6 +37,10 @@
     is_draining: bool,
     in_progress: usize,
     members: Vec<String>,
+    /// Member that schedules the requests of this VM, by pool.
+    owners: BTreeMap<Name, Name>,
+    /// Endpoints that the VM list or a peer marks as leaving.
+    leaving: Vec<String>,
 }
 
 /// Starts the operator server.
@@ -139,5 +145,7 @@
             .iter()
             .map(|member| member.name.to_string())
             .collect(),
+        owners: scheduling::to_owners(&view, &shared.config.vm),
+        leaving: view.leaving.iter().map(Name::to_string).collect(),
     }
 }
