Renew a pending job after each half of the retention, and tighten the job tests

A pending job was renewed at most once in 10 s, so with a retention below 20 s the log dropped its record: the pause that prevents repeated appends outlived the record that had been read back. The pause now ends with the read-back.

--- a/crates/core/src/state/jobs.rs
+++ b/crates/core/src/state/jobs.rs
@@ -115,6 +115,7 @@
         }
         if let Some(pending) = self.pending.get_mut(&id) {
             pending.stamp = stamp;
+            pending.append_at_ms = 0;
             return;
         }
         self.pending_bytes += submission.body.len();
--- a/crates/core/tests/job_replay.rs
+++ b/crates/core/tests/job_replay.rs
@@ -125,6 +125,7 @@
     assert_eq!(work(&mut jobs, 501, "vm-1", &members), []);
     jobs.submit(id, at(1, 510), to_submission("a"));
     assert_eq!(work(&mut jobs, 900, "vm-1", &members), []);
+    assert_eq!(work(&mut jobs, 1_010, "vm-1", &members), [Work::Append(id)]);
     assert_eq!(jobs.to_pending(id).map(|(_, stamp)| stamp.offset), Some(1));
 }
 
--- a/crates/router/src/jobs/reader.rs
+++ b/crates/router/src/jobs/reader.rs
@@ -29,9 +29,14 @@
 pub(crate) fn run(shared: &Arc<Shared>) {
     let client = LogClient::new(&shared.config.platform.log_address);
     let jobs = &shared.jobs;
+    // The first read does not wait, since submissions are refused until it has ended.
+    let mut wait_ms = 0;
     loop {
-        match client.read(STREAM, jobs.next_offset(), READ_WAIT_MS) {
-            Ok(page) => jobs.apply_page(&page),
+        match client.read(STREAM, jobs.next_offset(), wait_ms) {
+            Ok(page) => {
+                wait_ms = READ_WAIT_MS;
+                jobs.apply_page(&page);
+            }
             Err(Error::Dropped { first_offset, .. }) => {
                 // Pending jobs are appended again before the log drops them, so no job is missed.
                 jobs.lock().next_offset = first_offset;
@@ -39,6 +44,7 @@
             Err(error) => {
                 log::warn!("jobs cannot be read: {error}");
                 jobs.lock().is_log_up = false;
+                wait_ms = 0;
                 thread::sleep(Duration::from_millis(RETRY_PAUSE_MS));
             }
         }
