Bound names in records and concurrent publishing, and test the import from a peer

Cause: a record could carry an author of any length, which the history keeps, and publishing during a log outage could occupy all threads of the operator server for 10 s, so that status and metrics did not answer.

Names are checked when a record is decoded; two changes are published at once and others are refused as busy.

--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -13,9 +13,7 @@
 use crate::Name;
 use crate::finding::Finding;
 use crate::finding::Findings;
-
-/// Longest name, in bytes.
-const NAME_MAX_BYTES: usize = 64;
+use crate::name::NAME_MAX_BYTES;
 
 /// A text that is checked, and the findings so far.
 #[derive(Debug)]
@@ -429,8 +427,7 @@
     }
 
     fn check_name(&self, path: &str, name: &str, span: Range<usize>) {
-        let is_known = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
-        if !name.is_empty() && name.len() <= NAME_MAX_BYTES && name.chars().all(is_known) {
+        if Name::is_well_formed(name) {
             return;
         }
         let remedy = format!("use 1 to {NAME_MAX_BYTES} letters, digits, '-', '_' or '.'");
--- a/crates/core/src/name.rs
+++ b/crates/core/src/name.rs
@@ -21,7 +21,18 @@
 #[serde(from = "String", into = "String")]
 pub struct Name(Arc<str>);
 
+/// Longest well-formed name, in bytes.
+pub(crate) const NAME_MAX_BYTES: usize = 64;
+
 impl Name {
+    /// Returns whether a text is a well-formed name: 1 to 64 letters, digits, `-`, `_` or `.`.
+    ///
+    /// Names from outside are checked where they are read; the bound also limits what a log record can occupy.
+    pub fn is_well_formed(text: &str) -> bool {
+        let is_known = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+        !text.is_empty() && text.len() <= NAME_MAX_BYTES && text.chars().all(is_known)
+    }
+
     /// Returns the name as a string slice.
     pub fn as_str(&self) -> &str {
         &self.0
--- a/crates/core/tests/settings_findings.rs
+++ b/crates/core/tests/settings_findings.rs
@@ -1,5 +1,6 @@
 //! Guards against a check that stops at the first fault, misses one, or reports it without location and remedy.
 
+use proptest::prelude::*;
 use waxwing_core::finding::Findings;
 use waxwing_core::state::settings::Settings;
 use waxwing_core::state::settings::check;
@@ -125,3 +126,35 @@
     let lines: Vec<usize> = findings.as_slice().iter().map(|found| found.line).collect();
     assert_eq!(lines, [2, 4, 6], "{findings}");
 }
+
+#[test]
+fn deep_nesting_is_a_finding() {
+    let depth = 100_000;
+    for text in [
+        format!("a = {}", "[".repeat(depth)),
+        format!("a = {}", "{a=".repeat(depth)),
+        format!("{}a = 1", "a.".repeat(depth)),
+        format!("[{}a]", "a.".repeat(depth)),
+    ] {
+        let findings = check::check_tree("tree", &text).expect_err("a finding");
+        assert!(!findings.as_slice().is_empty());
+    }
+}
+
+proptest! {
+    /// Damaged texts must give findings with a place inside the text, never a panic.
+    #[test]
+    fn damaged_texts_do_not_panic(
+        at in 0..TEN_FAULTS.len(),
+        removed in 0..20usize,
+        inserted in "[\\[\\]{}=\"\n.a0\u{17C}-]{0,8}",
+    ) {
+        let end = (at + removed).min(TEN_FAULTS.len());
+        let text = format!("{}{inserted}{}", &TEN_FAULTS[..at], &TEN_FAULTS[end..]);
+        let findings = check::check_tree("tree", &text).expect_err("findings");
+        let lines = text.matches('\n').count() + 1;
+        for finding in findings.as_slice() {
+            prop_assert!((1..=lines).contains(&finding.line) && finding.column >= 1);
+        }
+    }
+}
--- a/crates/router/src/metric.rs
+++ b/crates/router/src/metric.rs
@@ -23,6 +23,10 @@
 pub const SETTINGS_VERSION: &str = "waxwing_settings_version";
 /// Counter of settings records by outcome: `accepted`, `undecodable` or the reason of the rejection.
 pub const SETTINGS_RECORDS: &str = "waxwing_settings_records_total";
+/// Counter of published changes by outcome: `accepted`, `unknown` or the reason of the rejection.
+pub const SETTINGS_PUBLISHED: &str = "waxwing_settings_published_total";
+/// Counter of snapshot appends by outcome: `confirmed` or `unconfirmed`.
+pub const SETTINGS_SNAPSHOTS: &str = "waxwing_settings_snapshots_total";
 /// Counter of failed reads of the settings stream.
 pub const SETTINGS_READ_FAILURES: &str = "waxwing_settings_read_failures_total";
 
--- a/crates/router/src/operator.rs
+++ b/crates/router/src/operator.rs
@@ -109,7 +109,7 @@
         PublishAnswer::Rejected(rejection) => match rejection.reason.as_str() {
             "stale_base" | "unknown_base" => 409,
             "invalid" => 422,
-            settings_sync::NOT_READY => 503,
+            settings_sync::NOT_READY | settings_sync::BUSY => 503,
             _ => 403,
         },
         PublishAnswer::Unknown { .. } => 504,
--- a/crates/router/src/settings_sync.rs
+++ b/crates/router/src/settings_sync.rs
@@ -6,6 +6,7 @@
 mod reader;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::thread;
 use std::time::Duration;
 
@@ -24,6 +25,7 @@
 use self::owner::Owner;
 use crate::shared::Shared;
 
+pub(crate) use self::publish::BUSY;
 pub(crate) use self::publish::NOT_READY;
 
 /// Messages that may wait for the settings thread.
@@ -53,13 +55,18 @@
 pub struct SettingsHandle {
     sender: Sender<Message>,
     inbox: Receiver<Message>,
+    publishing: Arc<AtomicUsize>,
 }
 
 impl SettingsHandle {
     /// Creates the access; the messages wait until the thread is started.
     pub(crate) fn new() -> Self {
         let (sender, inbox) = flume::bounded(INBOX_MAX);
-        Self { sender, inbox }
+        Self {
+            sender,
+            inbox,
+            publishing: Arc::default(),
+        }
     }
 
     /// Returns the state in force, for a peer; `None` while there is none.
--- a/crates/router/src/settings_sync/owner.rs
+++ b/crates/router/src/settings_sync/owner.rs
@@ -1,5 +1,6 @@
 //! The settings thread, which owns the state.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -284,14 +285,13 @@
     }
 
     fn update_view(&self) {
-        let version = self.state.version();
-        let shown = self.shared.view().settings_version;
-        if version == shown {
-            return;
-        }
         let subtrees = self.state.subtrees().iter();
         let versions = subtrees.map(|(subtree, in_force)| (subtree.to_string(), in_force.version));
-        let versions = versions.collect();
+        let versions: BTreeMap<String, u64> = versions.collect();
+        if versions == self.shared.view().subtree_versions {
+            return;
+        }
+        let version = self.state.version();
         let settings = self.state.settings().clone();
         self.shared.update_view(|view| {
             view.settings_version = version;
@@ -327,7 +327,9 @@
         let now_ms = self.shared.now_ms();
         let covered_ms = self.state.covered_ms()?;
         let age_ms = self.clock.to_age_ms(covered_ms, now_ms);
-        if age_ms <= self.retention_ms / SNAPSHOT_PARTS || !self.may_append_snapshot(now_ms) {
+        let is_due = age_ms > self.retention_ms / SNAPSHOT_PARTS;
+        // A retention of 0 is one that the log does not report.
+        if self.retention_ms == 0 || !is_due || !self.may_append_snapshot(now_ms) {
             return None;
         }
         let record = SettingsRecord::Snapshot((&self.state.export()?).into());
--- a/crates/router/src/settings_sync/publish.rs
+++ b/crates/router/src/settings_sync/publish.rs
@@ -1,5 +1,6 @@
 //! Publishing a change: check, append, and wait until it is read back.
 
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -18,6 +19,7 @@
 use super::STREAM;
 use super::owner::Message;
 use super::owner::Verdict;
+use crate::metric;
 use crate::shared::Shared;
 use crate::transport::log_client;
 use crate::transport::log_client::LogClient;
@@ -36,11 +38,31 @@
 /// Reason of a VM that waits for a snapshot.
 pub(crate) const NOT_READY: &str = "not_ready";
 
+/// Reason of a VM that publishes other changes at the moment.
+pub(crate) const BUSY: &str = "busy";
+
+/// Changes that are published at once.
+///
+/// Each occupies a thread of the operator server until its deadline while the log is down; the rest stay free for
+/// status and metrics.
+const PUBLISHING_MAX: usize = 2;
+
 /// Publishes a signed change and returns what became of it.
 ///
 /// An append that is not confirmed is not repeated: the record is either read back or the outcome is unknown, and the
 /// operator may send the same change again.
 pub fn publish(shared: &Shared, change: Change) -> PublishAnswer {
+    let publishing = &shared.settings_sync.publishing;
+    let answer = match publishing.fetch_add(1, Ordering::SeqCst) < PUBLISHING_MAX {
+        true => publish_now(shared, change),
+        false => to_not_appended(BUSY, "this VM publishes other changes; send it again"),
+    };
+    publishing.fetch_sub(1, Ordering::SeqCst);
+    metrics::counter!(metric::SETTINGS_PUBLISHED, "outcome" => to_outcome(&answer)).increment(1);
+    answer
+}
+
+fn publish_now(shared: &Shared, change: Change) -> PublishAnswer {
     let until = Instant::now() + Duration::from_millis(PUBLISH_MAX_MS);
     let record = SettingsRecord::Change((&change).into());
     let text = change.text.clone();
@@ -109,14 +131,29 @@
     }
 }
 
+fn to_not_appended(reason: &str, message: &str) -> PublishAnswer {
+    PublishAnswer::Rejected(PublishRejection {
+        reason: reason.to_owned(),
+        message: message.to_owned(),
+        ..PublishRejection::default()
+    })
+}
+
+fn to_outcome(answer: &PublishAnswer) -> String {
+    match answer {
+        PublishAnswer::Accepted { .. } => "accepted".to_owned(),
+        PublishAnswer::Rejected(rejection) => rejection.reason.clone(),
+        PublishAnswer::Unknown { .. } => "unknown".to_owned(),
+    }
+}
+
 fn to_answer(verdict: Verdict, text: &str) -> PublishAnswer {
     match verdict {
         Verdict::Append => to_unknown("the settings thread gave no decision"),
-        Verdict::NotReady => PublishAnswer::Rejected(PublishRejection {
-            reason: NOT_READY.to_owned(),
-            message: "this VM waits for a snapshot of the settings; ask another VM".to_owned(),
-            ..PublishRejection::default()
-        }),
+        Verdict::NotReady => to_not_appended(
+            NOT_READY,
+            "this VM waits for a snapshot of the settings; ask another VM",
+        ),
         Verdict::Accepted { version } => PublishAnswer::Accepted { version },
         Verdict::Rejected {
             rejection,
--- a/crates/router/src/settings_sync/reader.rs
+++ b/crates/router/src/settings_sync/reader.rs
@@ -70,9 +70,14 @@
         records: vec![data],
     };
     // A failed append is repeated when the settings thread finds the snapshot still missing.
-    if let Err(error) = client.append(STREAM, &append) {
-        log::warn!("the snapshot of the settings is not confirmed: {error}");
-    }
+    let outcome = match client.append(STREAM, &append) {
+        Ok(()) => "confirmed",
+        Err(error) => {
+            log::warn!("the snapshot of the settings is not confirmed: {error}");
+            "unconfirmed"
+        }
+    };
+    metrics::counter!(metric::SETTINGS_SNAPSHOTS, "outcome" => outcome).increment(1);
 }
 
 fn pause(failures: u32, error: &log_client::Error) {
--- /dev/null
+++ b/crates/router/tests/settings_import.rs
@@ -0,0 +1,71 @@
+//! Guards against a VM that starts during a log outage and gets no settings, or takes older ones from a peer.
+
+#[path = "common/settings.rs"]
+mod common;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use waxwing_core::state::settings::change::Change;
+use waxwing_core::state::settings::replay::Record;
+use waxwing_core::state::settings::replay::SettingsState;
+use waxwing_core::state::settings::replay::Snapshot;
+use waxwingrouter::config::Config;
+use waxwingrouter::daemon;
+
+use common::change_deployment;
+use common::change_team;
+use common::root_key;
+use common::to_free_address;
+
+/// Returns the state of a peer that has read these changes.
+fn to_peer(changes: &[Change]) -> Snapshot {
+    let mut state = SettingsState::new(vec![root_key().verifying_key()]);
+    for (offset, change) in (0..).zip(changes) {
+        state.apply(offset, 1, Record::Change(change.clone()));
+    }
+    state.export().expect("a state")
+}
+
+#[test]
+fn a_vm_takes_the_newest_state_of_its_peers() {
+    let text = format!(
+        "[vm]\nname = \"vm-i1\"\ndata_centre = \"local\"\ncaller_address = \"127.0.0.1:0\"\n\
+         peer_address = \"127.0.0.1:0\"\noperator_address = \"127.0.0.1:0\"\n[platform]\nlog_address = \"{}\"\n\
+         [operators]\nroot_public_keys = [\"{}\"]\n",
+        to_free_address(),
+        STANDARD.encode(root_key().verifying_key().as_bytes())
+    );
+    let config = Config::parse("vm", &text).expect("valid");
+    let shared = daemon::start(config).expect("the daemon starts");
+    let handle = &shared.settings_sync;
+    assert_eq!(handle.export().expect("an answer"), None);
+    assert_eq!(shared.view().settings_version, 0);
+
+    let changes = [
+        change_deployment(0),
+        change_team(0, 800),
+        change_team(2, 900),
+    ];
+    let (older, newer) = (to_peer(&changes[..2]), to_peer(&changes));
+    assert!(handle.import(newer.clone()).expect("valid"));
+    assert!(!handle.import(older).expect("valid"));
+    let view = shared.view();
+    assert_eq!(
+        (
+            view.settings_version,
+            view.subtree_versions["teams.dispatch"]
+        ),
+        (3, 3)
+    );
+    assert_eq!(
+        view.settings.teams["dispatch"].classes["booking"].target_ms,
+        900
+    );
+
+    let mut forged = newer.clone();
+    forged.next_offset = 9;
+    let subtrees = forged.subtrees.values_mut();
+    subtrees.for_each(|in_force| in_force.change.text.push('\n'));
+    assert!(handle.import(forged).is_err());
+    assert_eq!(handle.export().expect("an answer"), Some(newer));
+}
--- a/crates/wire/src/settings_record.rs
+++ b/crates/wire/src/settings_record.rs
@@ -34,6 +34,9 @@
     /// The signature does not have 64 bytes in base64.
     #[error("the signature does not have 64 bytes in base64")]
     Signature,
+    /// The name of a team or an operator is malformed.
+    #[error("the name of the team or author is malformed")]
+    Name,
     /// A snapshot holds a subtree twice.
     #[error("the snapshot holds {0} twice")]
     Repeated(Subtree),
@@ -155,13 +158,13 @@
         let signature = STANDARD.decode(&change.signature)?;
         let subtree = match change.team {
             None => Subtree::Deployment,
-            Some(team) => Subtree::Team(Name::from(team)),
+            Some(team) => Subtree::Team(to_name(&team)?),
         };
         Ok(Self {
             subtree,
             base_version: change.base_version,
             text: change.text,
-            author: Name::from(change.author),
+            author: to_name(&change.author)?,
             signature: signature.try_into().map_err(|_| Error::Signature)?,
         })
     }
@@ -216,3 +219,10 @@
         Ok(decoded)
     }
 }
+
+fn to_name(text: &str) -> Result<Name> {
+    match Name::is_well_formed(text) {
+        true => Ok(Name::from(text)),
+        false => Err(Error::Name),
+    }
+}
--- a/crates/wire/tests/settings_record.rs
+++ b/crates/wire/tests/settings_record.rs
@@ -45,11 +45,13 @@
 #[test]
 fn malformed_records_are_reported_with_their_offset() {
     let key = "\"kind\":\"change\",\"base_version\":0,\"text\":\"\",\"author\":\"a\"";
+    let signature = STANDARD.encode([0; 64]);
     let bodies = [
         "no JSON".to_owned(),
         "{\"kind\":\"order\"}".to_owned(),
         format!("{{{key}}}"),
         format!("{{{key},\"signature\":\"AAAA\"}}"),
+        format!("{{{key},\"signature\":\"{signature}\",\"team\":\"a b\"}}"),
     ];
     let encode = |body: &String| STANDARD.encode(body);
     let data = bodies.iter().map(encode).chain(["%".to_owned()]);
