--- a/crates/core/tests/common/settings.rs
+++ b/crates/core/tests/common/settings.rs
@@ -28,6 +28,11 @@
     SigningKey::from_bytes(&[3; 32])
 }
 
+/// Returns the public key in base64, as settings hold it.
+pub(crate) fn to_public_key(key: &SigningKey) -> String {
+    STANDARD.encode(key.verifying_key().as_bytes())
+}
+
 /// Returns a deployment with the pool `chat` and, if asked for, the pool `spare`.
 pub(crate) fn to_deployment(reserved_slots: u32, has_spare: bool) -> String {
     let spare = if has_spare {
@@ -53,8 +58,8 @@
 public_key = "{}"
 teams = ["lab"]
 "#,
-        STANDARD.encode(ops_key().verifying_key().as_bytes()),
-        STANDARD.encode(lab_key().verifying_key().as_bytes()),
+        to_public_key(&ops_key()),
+        to_public_key(&lab_key()),
     )
 }
 
--- a/crates/core/tests/settings_replay.rs
+++ b/crates/core/tests/settings_replay.rs
@@ -24,25 +24,15 @@
 /// What an operator or a VM appends to the stream.
 #[derive(Clone, Debug)]
 enum Write {
-    Deployment {
-        lag: u64,
-        reserved: u32,
-        has_spare: bool,
-    },
-    Team {
-        team: &'static str,
-        lag: u64,
-        pool: &'static str,
-        target_ms: u64,
-    },
-    Repeat {
-        back: usize,
-    },
+    /// Versions by which the base is too old, reserved slots, and whether the pool `spare` exists.
+    Deployment(u64, u32, bool),
+    /// Team, versions by which the base is too old, pool and target.
+    Team(&'static str, u64, &'static str, u64),
+    /// A record appended again, counted back from the last.
+    Repeat(usize),
     Undecodable,
-    /// A snapshot of the state of `lag` records ago, as from a VM that was paused before it appended.
-    Snapshot {
-        lag: usize,
-    },
+    /// A snapshot of the state of so many records ago, as from a VM that was paused before it appended.
+    Snapshot(usize),
 }
 
 /// What happens to a reader between two records.
@@ -51,12 +41,10 @@
     None,
     /// The reader does not read, so that it falls behind.
     Pause,
-    Restart {
-        kept: usize,
-    },
-    Miss {
-        count: usize,
-    },
+    /// The reader starts again; so many records are kept.
+    Restart(usize),
+    /// So many records are dropped before the reader reads them.
+    Miss(usize),
     Import,
 }
 
@@ -65,12 +53,12 @@
     let team = prop_oneof![Just("dispatch"), Just("night"), Just("lab")];
     prop_oneof![
         2 => (0..2u64, 0..3u32, any::<bool>())
-            .prop_map(|(lag, reserved, has_spare)| Write::Deployment { lag, reserved, has_spare }),
+            .prop_map(|(lag, reserved, has_spare)| Write::Deployment(lag, reserved, has_spare)),
         4 => (team, 0..2u64, pool, 1..4u64)
-            .prop_map(|(team, lag, pool, target_ms)| Write::Team { team, lag, pool, target_ms }),
-        1 => (0..4usize).prop_map(|back| Write::Repeat { back }),
+            .prop_map(|(team, lag, pool, target_ms)| Write::Team(team, lag, pool, target_ms)),
+        1 => (0..4usize).prop_map(Write::Repeat),
         1 => Just(Write::Undecodable),
-        2 => (0..4usize).prop_map(|lag| Write::Snapshot { lag }),
+        2 => (0..4usize).prop_map(Write::Snapshot),
     ]
 }
 
@@ -78,8 +66,8 @@
     prop_oneof![
         4 => Just(Fault::None),
         2 => Just(Fault::Pause),
-        1 => (0..8usize).prop_map(|kept| Fault::Restart { kept }),
-        1 => (1..4usize).prop_map(|count| Fault::Miss { count }),
+        1 => (0..8usize).prop_map(Fault::Restart),
+        1 => (1..4usize).prop_map(Fault::Miss),
         1 => Just(Fault::Import),
     ]
 }
@@ -88,7 +76,7 @@
 fn to_stream(writes: &[Write]) -> (Vec<Record>, Vec<SettingsState>) {
     let mut records: Vec<Record> = Vec::new();
     let mut states = vec![to_state()];
-    let last = [Write::Snapshot { lag: 0 }];
+    let last = [Write::Snapshot(0)];
     for write in writes.iter().chain(&last) {
         let state = states.last().expect("not empty").clone();
         let record = to_record(write, &records, &states);
@@ -106,29 +94,20 @@
 fn to_record(write: &Write, records: &[Record], states: &[SettingsState]) -> Option<Record> {
     let state = states.last()?;
     match write {
-        Write::Deployment {
-            lag,
-            reserved,
-            has_spare,
-        } => {
+        Write::Deployment(lag, reserved, has_spare) => {
             let base_version = state.to_version(&Subtree::Deployment).saturating_sub(*lag);
             let text = to_deployment(*reserved, *has_spare);
             Some(Record::Change(change_deployment(base_version, text)))
         }
-        Write::Team {
-            team,
-            lag,
-            pool,
-            target_ms,
-        } => {
+        Write::Team(team, lag, pool, target_ms) => {
             let subtree = Subtree::Team((*team).into());
             let base_version = state.to_version(&subtree).saturating_sub(*lag);
             let text = to_team(pool, *target_ms);
             Some(Record::Change(change_team(team, base_version, text)))
         }
-        Write::Repeat { back } => records.iter().rev().nth(*back).cloned(),
+        Write::Repeat(back) => records.iter().rev().nth(*back).cloned(),
         Write::Undecodable => Some(Record::Undecodable),
-        Write::Snapshot { lag } => {
+        Write::Snapshot(lag) => {
             let then = states.len().saturating_sub(1 + lag);
             states[then].export().map(Record::Snapshot)
         }
@@ -158,12 +137,12 @@
                 Fault::None => (),
                 Fault::Pause if offset + 1 < records.len() => continue,
                 Fault::Pause => (),
-                Fault::Restart { kept } => {
+                Fault::Restart(kept) => {
                     reader = to_state();
                     versions = BTreeMap::new();
                     reader.skip_to(offset.saturating_sub(*kept) as u64);
                 }
-                Fault::Miss { count } => {
+                Fault::Miss(count) => {
                     let first = reader.read_from() + *count as u64;
                     reader.skip_to(first.min(offset as u64));
                 }
--- a/crates/router/tests/common/settings.rs
+++ b/crates/router/tests/common/settings.rs
@@ -2,10 +2,13 @@
 
 #![allow(dead_code, reason = "each test program uses a part of it")]
 
+#[path = "../../../core/tests/common/settings.rs"]
+pub(crate) mod change;
+
 use std::io::BufRead;
 use std::io::BufReader;
 use std::net::TcpListener;
-use std::path::PathBuf;
+use std::path::Path;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -15,13 +18,8 @@
 
 use attohttpc::ProxySettings;
 use attohttpc::Session;
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
-use ed25519_dalek::SigningKey;
 use serde::de::DeserializeOwned;
-use waxwing_core::Name;
 use waxwing_core::state::settings::change::Change;
-use waxwing_core::state::settings::change::Subtree;
 use waxwing_wire::settings_api::PublishAnswer;
 use waxwing_wire::settings_api::PublishRejection;
 use waxwing_wire::settings_record::SettingsChange;
@@ -43,27 +41,22 @@
     pub(crate) operator_address: String,
 }
 
-pub(crate) fn root_key() -> SigningKey {
-    SigningKey::from_bytes(&[1; 32])
-}
-
-pub(crate) fn ops_key() -> SigningKey {
-    SigningKey::from_bytes(&[2; 32])
+/// Returns a program of this workspace, which lies beside the folder of the test programs.
+fn to_program(name: &str) -> Command {
+    let test = std::env::current_exe().expect("a path");
+    let folder = test.parent().and_then(Path::parent).expect("a folder");
+    let program = folder.join(name);
+    let hint = "run `cargo build --workspace` first";
+    assert!(program.exists(), "{} is missing; {hint}", program.display());
+    Command::new(program)
 }
 
 pub(crate) fn start_log() -> (Process, String) {
-    let daemon = PathBuf::from(env!("CARGO_BIN_EXE_waxwingrouter"));
-    let standin = daemon.with_file_name("standin");
-    let mut child = Command::new(&standin)
+    let mut child = to_program("standin")
         .args(["log", "127.0.0.1:0"])
         .stdout(Stdio::piped())
         .spawn()
-        .unwrap_or_else(|error| {
-            panic!(
-                "{}: {error}; run `cargo build --workspace` first",
-                standin.display()
-            )
-        });
+        .expect("the stand-in starts");
     let mut line = String::new();
     let stdout = child.stdout.take().expect("piped");
     BufReader::new(stdout)
@@ -77,9 +70,9 @@
     listener.local_addr().expect("bound").to_string()
 }
 
-pub(crate) fn start_vm(name: &str, log_address: &str) -> Vm {
-    let operator_address = to_free_address();
-    let text = format!(
+/// Returns the text of a VM's file with free addresses.
+pub(crate) fn to_vm_file(name: &str, operator_address: &str, log_address: &str) -> String {
+    format!(
         r#"
 [vm]
 name = "{name}"
@@ -94,15 +87,20 @@
 "#,
         to_free_address(),
         to_free_address(),
-        STANDARD.encode(root_key().verifying_key().as_bytes()),
-    );
+        change::to_public_key(&change::root_key()),
+    )
+}
+
+pub(crate) fn start_vm(name: &str, log_address: &str) -> Vm {
+    let operator_address = to_free_address();
+    let text = to_vm_file(name, &operator_address, log_address);
     let file = format!(
         "{}/{name}-{}.toml",
         env!("CARGO_TARGET_TMPDIR"),
         std::process::id()
     );
     std::fs::write(&file, text).expect("a writable folder");
-    let child = Command::new(env!("CARGO_BIN_EXE_waxwingrouter"))
+    let child = to_program("waxwingrouter")
         .args(["run", &file])
         .spawn()
         .expect("the daemon starts");
@@ -160,28 +158,6 @@
     }
 }
 
-pub(crate) fn change_deployment(base_version: u64) -> Change {
-    let text = format!(
-        "[pools.chat]\nkind = \"model\"\n[operators.ops]\npublic_key = \"{}\"\nteams = [\"dispatch\"]\n",
-        STANDARD.encode(ops_key().verifying_key().as_bytes())
-    );
-    Change::sign(
-        Subtree::Deployment,
-        base_version,
-        text,
-        Name::from("root"),
-        &root_key(),
-    )
-}
-
-pub(crate) fn change_team(base_version: u64, target_ms: u64) -> Change {
-    let text = format!(
-        "[classes.booking]\npool = \"chat\"\ntier = 0\ntarget_ms = {target_ms}\ndeadline_ms = 5000\n"
-    );
-    let subtree = Subtree::Team(Name::from("dispatch"));
-    Change::sign(subtree, base_version, text, Name::from("ops"), &ops_key())
-}
-
 pub(crate) fn to_rejection(answer: PublishAnswer) -> PublishRejection {
     match answer {
         PublishAnswer::Rejected(rejection) => rejection,
--- a/crates/router/tests/settings_import.rs
+++ b/crates/router/tests/settings_import.rs
@@ -3,8 +3,6 @@
 #[path = "common/settings.rs"]
 mod common;
 
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
 use waxwing_core::state::settings::change::Change;
 use waxwing_core::state::settings::replay::Record;
 use waxwing_core::state::settings::replay::SettingsState;
@@ -12,10 +10,13 @@
 use waxwingrouter::config::Config;
 use waxwingrouter::daemon;
 
-use common::change_deployment;
-use common::change_team;
-use common::root_key;
+use common::change::change_deployment;
+use common::change::change_team;
+use common::change::root_key;
+use common::change::to_deployment;
+use common::change::to_team;
 use common::to_free_address;
+use common::to_vm_file;
 
 /// Returns the state of a peer that has read these changes.
 fn to_peer(changes: &[Change]) -> Snapshot {
@@ -28,13 +29,7 @@
 
 #[test]
 fn a_vm_takes_the_newest_state_of_its_peers() {
-    let text = format!(
-        "[vm]\nname = \"vm-i1\"\ndata_centre = \"local\"\ncaller_address = \"127.0.0.1:0\"\n\
-         peer_address = \"127.0.0.1:0\"\noperator_address = \"127.0.0.1:0\"\n[platform]\nlog_address = \"{}\"\n\
-         [operators]\nroot_public_keys = [\"{}\"]\n",
-        to_free_address(),
-        STANDARD.encode(root_key().verifying_key().as_bytes())
-    );
+    let text = to_vm_file("vm-i1", &to_free_address(), &to_free_address());
     let config = Config::parse("vm", &text).expect("valid");
     let shared = daemon::start(config).expect("the daemon starts");
     let handle = &shared.settings_sync;
@@ -42,9 +37,9 @@
     assert_eq!(shared.view().settings_version, 0);
 
     let changes = [
-        change_deployment(0),
-        change_team(0, 800),
-        change_team(2, 900),
+        change_deployment(0, to_deployment(1, false)),
+        change_team("dispatch", 0, to_team("chat", 800)),
+        change_team("dispatch", 2, to_team("chat", 900)),
     ];
     let (older, newer) = (to_peer(&changes[..2]), to_peer(&changes));
     assert!(handle.import(newer.clone()).expect("valid"));
--- a/crates/router/tests/settings_publish.rs
+++ b/crates/router/tests/settings_publish.rs
@@ -13,8 +13,10 @@
 use waxwing_wire::settings_api::SettingsTree;
 
 use common::await_that;
-use common::change_deployment;
-use common::change_team;
+use common::change::change_deployment;
+use common::change::change_team;
+use common::change::to_deployment;
+use common::change::to_team;
 use common::start_log;
 use common::start_vm;
 use common::to_rejection;
@@ -25,7 +27,7 @@
     let (_log, log_address) = start_log();
     let first = start_vm("vm-1", &log_address);
     let second = start_vm("vm-2", &log_address);
-    let deployment = change_deployment(0);
+    let deployment = change_deployment(0, to_deployment(1, false));
     assert_eq!(
         first.publish(&deployment),
         (200, PublishAnswer::Accepted { version: 1 })
@@ -38,14 +40,20 @@
         second.publish(&deployment),
         (200, PublishAnswer::Accepted { version: 1 })
     );
-    assert_eq!(second.publish(&change_team(0, 800)).0, 200);
+    assert_eq!(
+        second
+            .publish(&change_team("dispatch", 0, to_team("chat", 800)))
+            .0,
+        200
+    );
     await_that("in force on the other VM", || {
         first.to_version("teams.dispatch") == 2
     });
 
     let (left, right) = thread::scope(|scope| {
-        let left = scope.spawn(|| first.publish(&change_team(2, 700)));
-        let right = scope.spawn(|| second.publish(&change_team(2, 900)));
+        let left = scope.spawn(|| first.publish(&change_team("dispatch", 2, to_team("chat", 700))));
+        let right =
+            scope.spawn(|| second.publish(&change_team("dispatch", 2, to_team("chat", 900))));
         (
             left.join().expect("an answer"),
             right.join().expect("an answer"),
@@ -97,18 +105,18 @@
         .expect("an answer");
     assert!(response.is_success());
     assert_eq!(
-        vm.publish(&change_deployment(0)),
+        vm.publish(&change_deployment(0, to_deployment(1, false))),
         (200, PublishAnswer::Accepted { version: 2 })
     );
 
-    let mut forged = change_team(0, 800);
+    let mut forged = change_team("dispatch", 0, to_team("chat", 800));
     forged.text.push('\n');
     let (status, answer) = vm.publish(&forged);
     assert_eq!(
         (status, to_rejection(answer).reason.as_str()),
         (403, "bad_signature")
     );
-    let (status, answer) = vm.publish(&change_team(0, 9_000));
+    let (status, answer) = vm.publish(&change_team("dispatch", 0, to_team("chat", 9_000)));
     let rejection = to_rejection(answer);
     assert_eq!(
         (status, rejection.findings.len()),
--- a/crates/router/tests/settings_retention.rs
+++ b/crates/router/tests/settings_retention.rs
@@ -23,8 +23,10 @@
 use waxwing_wire::settings_record;
 
 use common::await_that;
-use common::change_deployment;
-use common::change_team;
+use common::change::change_deployment;
+use common::change::change_team;
+use common::change::to_deployment;
+use common::change::to_team;
 use common::start_vm;
 
 /// Pause of a read without records, in milliseconds; it bounds the rate of reads.
@@ -137,8 +139,18 @@
 fn a_snapshot_replaces_records_that_are_no_longer_kept() {
     let (log, address) = start_log(2_000);
     let first = start_vm("vm-r1", &address);
-    assert_eq!(first.publish(&change_deployment(0)).0, 200);
-    assert_eq!(first.publish(&change_team(0, 800)).0, 200);
+    assert_eq!(
+        first
+            .publish(&change_deployment(0, to_deployment(1, false)))
+            .0,
+        200
+    );
+    assert_eq!(
+        first
+            .publish(&change_team("dispatch", 0, to_team("chat", 800)))
+            .0,
+        200
+    );
     await_that("a snapshot is appended", || find_snapshot(&log).is_some());
     log.lock().expect("not poisoned").first_offset = find_snapshot(&log).expect("present");
     let second = start_vm("vm-r2", &address);
@@ -146,7 +158,12 @@
         second.to_version("teams.dispatch") == 2
     });
     // The VM that starts from the snapshot takes part in later changes.
-    assert_eq!(second.publish(&change_team(2, 900)).0, 200);
+    assert_eq!(
+        second
+            .publish(&change_team("dispatch", 2, to_team("chat", 900)))
+            .0,
+        200
+    );
     await_that("in force everywhere", || {
         first.to_version("teams.dispatch") > 2 && second.to_version("teams.dispatch") > 2
     });
@@ -158,7 +175,7 @@
     let vm = start_vm("vm-r3", &address);
     log.lock().expect("not poisoned").loses_acknowledgements = true;
     assert_eq!(
-        vm.publish(&change_deployment(0)),
+        vm.publish(&change_deployment(0, to_deployment(1, false))),
         (200, PublishAnswer::Accepted { version: 1 })
     );
     assert_eq!(log.lock().expect("not poisoned").records.len(), 1);
@@ -168,9 +185,12 @@
 fn settings_stay_in_force_during_an_outage_and_follow_after_it() {
     let (log, address) = start_log(3_600_000);
     let vm = start_vm("vm-r4", &address);
-    assert_eq!(vm.publish(&change_deployment(0)).0, 200);
+    assert_eq!(
+        vm.publish(&change_deployment(0, to_deployment(1, false))).0,
+        200
+    );
     log.lock().expect("not poisoned").is_down = true;
-    let change = change_team(0, 800);
+    let change = change_team("dispatch", 0, to_team("chat", 800));
     // More changes than the operator server has threads must leave it free for status.
     let mut statuses: Vec<u16> = thread::scope(|scope| {
         let publish = || scope.spawn(|| vm.publish(&change).0);
