--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -56,6 +56,11 @@
         &self.name
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Replaces the arguments of the next start.
     pub(crate) fn set_arguments(&mut self, arguments: Vec<String>) {
         self.arguments = arguments;
--- /dev/null
+++ b/crates/harness/tests/joining_owner.rs
@@ -0,0 +1,115 @@
+//! A VM that joins becomes the owner of a shard while requests wait and run.
+
+use std::thread;
+
+use waxwing_core::Name;
+use waxwing_core::coordination::rendezvous;
+use waxwing_harness::Standin;
+use waxwing_harness::caller;
+use waxwing_harness::condition;
+use waxwing_harness::daemon::Daemon;
+use waxwing_harness::daemon::Options;
+use waxwing_harness::deployment::Deployment;
+use waxwing_harness::deployment::Plan;
+use waxwing_standin::proxy;
+use waxwing_wire::platform::Vm;
+use waxwing_wire::platform::VmRole;
+use waxwing_wire::platform::VmState;
+
+const TOKENS: u64 = 100;
+const SLOTS_MAX: u64 = 8;
+const REQUESTS: usize = 24;
+const MOVED: &str = "waxwing_moved_requests_total";
+
+/// Returns a name that comes before `vm-1` and `vm-2` in the order of the shard.
+fn to_first_name() -> String {
+    for number in 3.. {
+        let name = format!("vm-{number}");
+        let names = [
+            Name::from("vm-1"),
+            Name::from("vm-2"),
+            Name::from(name.as_str()),
+        ];
+        if rendezvous::to_order("chat/", &names)[0].as_str() == name {
+            return name;
+        }
+    }
+    unreachable!("a third of the names come first")
+}
+
+fn to_owner(daemon: &Daemon) -> String {
+    let status = daemon.to_status().unwrap_or_default();
+    status["owners"]["chat"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned()
+}
+
+/// Guards against an owner without settings, which loses adoptions, and against slots that are granted twice when the
+/// requests of the old owner move.
+#[test]
+fn joining_owner_counts_what_runs() {
+    let deployment = Deployment::start(&Plan {
+        daemons: 2,
+        engine_options: vec!["--report-lag-ms", "0", "--gap-ms", "20", "--knee", "1000"],
+        ..Plan::default()
+    });
+    deployment.wait_for_members();
+    let log = Standin::start_proxy(&deployment.run, "log-proxy", &deployment.log.address());
+    log.set_faults(&proxy::Faults {
+        refuse: true,
+        ..proxy::Faults::default()
+    });
+    let name = to_first_name();
+    let options = Options {
+        log_address: log.address(),
+        vm_list_address: deployment.vm_list.address(),
+        ..Options::default()
+    };
+    let joining = Daemon::start(&deployment.run, &name, &options);
+    let mut list = deployment.to_vms();
+    list.vms.push(Vm {
+        name: name.clone(),
+        role: VmRole::Entry,
+        address: joining.caller_address().to_owned(),
+        peer_address: joining.peer_address().to_owned(),
+        data_centre: "dc-1".to_owned(),
+        state: VmState::Live,
+    });
+    deployment.vm_list.set_vms(&list);
+    for daemon in &deployment.daemons {
+        condition::wait_until("the joining VM is a member", || {
+            daemon.to_members().contains(&name)
+        });
+        assert_ne!(to_owner(daemon), name, "it has no settings");
+    }
+    let owner = deployment.to_owner("chat");
+    let mut threads = Vec::new();
+    for number in 0..REQUESTS {
+        let caller = deployment.caller(owner);
+        threads.push(thread::spawn(move || {
+            let prompt = format!("letter {number}");
+            let answer = caller.chat("draft", &prompt, TOKENS).expect("an answer");
+            let expected = caller::to_expected(&prompt, TOKENS);
+            assert_eq!(answer.to_text(), Some(expected), "{answer:?}");
+        }));
+    }
+    condition::wait_until("the engine is full", || {
+        deployment.engines[0].to_running() == SLOTS_MAX
+    });
+    log.set_faults(&proxy::Faults::default());
+    let mut peak = 0;
+    condition::wait_until("all requests are answered", || {
+        peak = peak.max(deployment.engines[0].to_running());
+        threads.iter().all(|thread| thread.is_finished())
+    });
+    for thread in threads {
+        assert!(thread.join().is_ok(), "a caller failed");
+    }
+    assert!(peak <= SLOTS_MAX, "{peak} ran at once");
+    for daemon in &deployment.daemons {
+        assert_eq!(to_owner(daemon), name);
+    }
+    let moved = deployment.daemons[owner].to_count(MOVED);
+    assert!(moved >= SLOTS_MAX as f64, "{moved} requests moved");
+}
--- /dev/null
+++ b/crates/router/src/scheduling/serve.rs
@@ -0,0 +1,168 @@
+//! Requests of other VMs that this VM schedules.
+
+use std::collections::HashSet;
+
+use waxwing_core::Name;
+use waxwing_core::TicketId;
+use waxwing_core::coordination::membership::GONE_AFTER_MS;
+use waxwing_core::coordination::scheduler::End;
+use waxwing_core::coordination::scheduler::Input;
+use waxwing_core::state::settings::Policy;
+use waxwing_wire::peer::Report;
+use waxwing_wire::peer::ReportEvent;
+use waxwing_wire::peer::Shard;
+use waxwing_wire::peer::Verdict;
+
+use crate::scheduling::Remote;
+use crate::scheduling::State;
+use crate::scheduling::own::Seat;
+use crate::scheduling::own::to_seat;
+use crate::scheduling::shard;
+
+impl State {
+    pub(super) fn serve(&mut self, remote: Remote) {
+        let now_ms = self.shared.now_ms();
+        match remote {
+            Remote::Enqueue {
+                shard,
+                ask,
+                skipped,
+                answer,
+            } => {
+                if !self.is_owner(&shard, &skipped) {
+                    let _ = answer.try_send(Verdict::NotOwner);
+                    return;
+                }
+                let ask = ask.to_ask(now_ms);
+                let ticket = ask.ticket;
+                // The VM enqueues again when it lost the answer to an earlier enqueue.
+                if self.has_ticket(&shard, ticket) {
+                    self.step(&shard, Input::Cancel(ticket));
+                }
+                self.waiting.insert(ticket, answer);
+                self.step_ticket(&shard, ticket, Input::Enqueue(Box::new(ask)));
+            }
+            Remote::Cancel { shard, ticket } => {
+                self.waiting.remove(&ticket);
+                self.step(&shard, Input::Cancel(ticket));
+            }
+            Remote::Adopt {
+                shard,
+                ask,
+                endpoint,
+            } => {
+                let ask = Box::new(ask.to_ask(now_ms));
+                let ticket = ask.ticket;
+                if !self.has_ticket(&shard, ticket) {
+                    self.step_ticket(&shard, ticket, Input::Adopt { ask, endpoint });
+                }
+            }
+            Remote::Report(reports) => {
+                for report in reports {
+                    self.serve_report(report);
+                }
+            }
+        }
+    }
+
+    pub(super) fn serve_report(&mut self, report: Report) {
+        let ticket = report.ticket;
+        let input = match report.event {
+            ReportEvent::FirstToken { elapsed_ms } => Input::FirstToken { ticket, elapsed_ms },
+            ReportEvent::Progress { tokens, gap_us } => Input::Progress {
+                ticket,
+                tokens,
+                gap_us,
+            },
+            ReportEvent::Finish {
+                end: End::Cancelled,
+                ..
+            } if self.waiting.remove(&ticket).is_some() => Input::Cancel(ticket),
+            ReportEvent::Finish { end, tokens } => Input::Finish {
+                ticket,
+                end,
+                tokens,
+            },
+        };
+        self.step(&report.shard, input);
+    }
+
+    /// Sends requests of other VMs that wait at a shard of another owner back to their VMs.
+    pub(super) fn release_waiting(&mut self) {
+        let mut released = Vec::new();
+        for (shard, local) in &self.locals {
+            if to_seat(&self.shared, &self.view, shard) == Seat::Local {
+                continue;
+            }
+            for ticket in &local.tickets {
+                if self.waiting.contains_key(ticket) {
+                    released.push((shard.clone(), *ticket));
+                }
+            }
+        }
+        for (shard, ticket) in released {
+            if let Some(answer) = self.waiting.remove(&ticket) {
+                let _ = answer.try_send(Verdict::NotOwner);
+            }
+            self.step(&shard, Input::Cancel(ticket));
+        }
+    }
+
+    pub(super) fn member_gone(&mut self, incarnation: u64) {
+        self.waiting
+            .retain(|ticket, _| ticket.incarnation != incarnation);
+        let shards: Vec<Shard> = self.locals.keys().cloned().collect();
+        for shard in shards {
+            if let Some(local) = self.locals.get_mut(&shard) {
+                local
+                    .tickets
+                    .retain(|ticket| ticket.incarnation != incarnation);
+                local
+                    .paused
+                    .retain(|ask| ask.ticket.incarnation != incarnation);
+            }
+            self.step(&shard, Input::MemberGone { incarnation });
+        }
+    }
+
+    /// Drops the requests of processes that have not been members for as long as it takes to be gone.
+    ///
+    /// A VM may use this owner before the VM list names it here, and end before that too.
+    pub(super) fn drop_orphans(&mut self, now_ms: u64) {
+        let mut known: HashSet<u64> = HashSet::from([self.shared.incarnation]);
+        known.extend(self.view.members.iter().map(|member| member.incarnation));
+        let mut foreign = HashSet::new();
+        for local in self.locals.values() {
+            for ticket in &local.tickets {
+                if !known.contains(&ticket.incarnation) {
+                    foreign.insert(ticket.incarnation);
+                }
+            }
+        }
+        self.orphans
+            .retain(|incarnation, _| foreign.contains(incarnation));
+        for incarnation in foreign {
+            let since_ms = *self.orphans.entry(incarnation).or_insert(now_ms);
+            if now_ms >= since_ms + GONE_AFTER_MS {
+                self.member_gone(incarnation);
+            }
+        }
+    }
+
+    pub(super) fn is_owner(&self, shard: &Shard, skipped: &[Name]) -> bool {
+        let own = &self.shared.config.vm.name;
+        let Some(pool) = self.view.settings.pools.get(&shard.pool) else {
+            return false;
+        };
+        if pool.policy == Policy::Baseline {
+            return true;
+        }
+        let owner = shard::to_owner(&self.view, shard, skipped);
+        owner.is_some_and(|owner| owner.name == *own)
+    }
+
+    pub(super) fn has_ticket(&self, shard: &Shard, ticket: TicketId) -> bool {
+        let local = self.locals.get(shard);
+        local.is_some_and(|local| local.tickets.contains(&ticket))
+    }
+}
