Refuse requests whose pool is unknown or was removed

A request for a pool without a scheduler got no answer and waited for its whole deadline; so did the requests that waited when an operator removed a pool, since its scheduler was dropped with them. An unknown pool is now refused with no_endpoint at once.

Without either change the new tests wait 20 s for an order and fail.

--- a/crates/core/src/coordination/scheduler.rs
+++ b/crates/core/src/coordination/scheduler.rs
@@ -381,6 +381,11 @@
         }
     }
 
+    /// Returns whether no request waits or runs.
+    pub fn is_idle(&self) -> bool {
+        self.places.is_empty()
+    }
+
     /// Returns the evidence about contents that crash endpoints, for other VMs.
     pub fn to_findings(&self, now_ms: u64) -> Vec<Finding> {
         self.evidence.to_findings(now_ms)
--- a/crates/router/src/scheduling.rs
+++ b/crates/router/src/scheduling.rs
@@ -35,6 +35,9 @@
 /// Time between ticks of a scheduler, in milliseconds.
 const TICK_MS: u64 = 10;
 
+/// Time after which a caller may come back when the pool of its class does not exist, in milliseconds.
+const NO_POOL_RETRY_AFTER_MS: u64 = 1_000;
+
 /// Time between publications of counters and gauges, in milliseconds.
 const PUBLISH_INTERVAL_MS: u64 = 1_000;
 
@@ -211,8 +214,17 @@
             return;
         }
         self.settings_version = view.settings_version;
-        self.schedulers
-            .retain(|pool, _| view.settings.pools.contains_key(pool));
+        let now_ms = shared.now_ms();
+        let known: Vec<Name> = self.schedulers.keys().cloned().collect();
+        for pool in known {
+            if !view.settings.pools.contains_key(&pool) {
+                // Its waiting requests are refused and its running ones finish before the scheduler goes.
+                self.step(now_ms, &pool, Input::Endpoints(Vec::new()));
+            }
+        }
+        self.schedulers.retain(|pool, scheduler| {
+            view.settings.pools.contains_key(pool) || !scheduler.is_idle()
+        });
         for (name, pool) in &view.settings.pools {
             match self.schedulers.get_mut(name) {
                 Some(scheduler) => scheduler.set_config(to_config(pool)),
@@ -235,6 +247,13 @@
 
     fn step(&mut self, now_ms: u64, pool: &Name, input: Input) {
         let Some(scheduler) = self.schedulers.get_mut(pool) else {
+            if let Input::Enqueue(ask) = input {
+                self.apply(Effect::Refuse {
+                    ticket: ask.ticket,
+                    reason: Reason::NoEndpoint,
+                    retry_after_ms: NO_POOL_RETRY_AFTER_MS,
+                });
+            }
             return;
         };
         for effect in scheduler.step(now_ms, input) {
--- a/crates/router/tests/endpoint_probes.rs
+++ b/crates/router/tests/endpoint_probes.rs
@@ -1,4 +1,5 @@
-//! Guards against endpoints whose failure or load the scheduler never learns of.
+//! Guards against endpoints whose failure or load the scheduler never learns of, and against requests that wait for a
+//! pool that is not there.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -134,3 +135,33 @@
         matches!(first, Ok(Order::Grant { .. })) && second.is_err()
     });
 }
+
+#[test]
+fn request_for_an_unknown_pool_is_refused() {
+    let shared = start("127.0.0.1:1");
+    let orders = shared
+        .scheduling
+        .enqueue(&Name::from("other"), ask(&shared));
+    let order = orders.recv_timeout(Duration::from_secs(20));
+    assert!(matches!(order, Ok(Order::Refuse { .. })), "{order:?}");
+}
+
+#[test]
+fn requests_of_a_removed_pool_are_refused() {
+    let server = Server::http("127.0.0.1:0").expect("a free port");
+    let shared = start(&server.server_addr().to_string());
+    let pool = Name::from("chat");
+    let asks: Vec<Ask> = (0..5).map(|_| ask(&shared)).collect();
+    let enqueue = |ask: &Ask| shared.scheduling.enqueue(&pool, ask.clone());
+    let orders: Vec<_> = asks.iter().map(enqueue).collect();
+    for granted in &orders[..4] {
+        let order = granted.recv_timeout(Duration::from_secs(20));
+        assert!(matches!(order, Ok(Order::Grant { .. })), "{order:?}");
+    }
+    shared.update_view(|view| {
+        view.settings.pools.clear();
+        view.settings_version = 2;
+    });
+    let order = orders[4].recv_timeout(Duration::from_secs(20));
+    assert!(matches!(order, Ok(Order::Refuse { .. })), "{order:?}");
+}
