--- a/crates/core/examples/scheduler_cost.rs
+++ b/crates/core/examples/scheduler_cost.rs
@@ -42,6 +42,7 @@
         }
         let ask = Ask {
             organisation: Name::from(format!("o{}", sequence % organisations)),
+            deadline_at_ms: u64::MAX / 2,
             class_in_flight_max: u32::MAX,
             organisation_in_flight_max: u32::MAX,
             ..shard::ask(sequence, 3)
