--- a/crates/router/src/request/run.rs
+++ b/crates/router/src/request/run.rs
@@ -204,7 +204,7 @@
                 }
                 Ok(Order::Preempt) | Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => {
-                    let message = "the scheduler has ended";
+                    let message = "the pool does not exist";
                     return Err(self.stop(Reason::NoEndpoint, FAILED_RETRY_AFTER_MS, message));
                 }
             }
