--- a/crates/core/src/state/settings/replay.rs
+++ b/crates/core/src/state/settings/replay.rs
@@ -12,6 +12,7 @@
 pub use history::Rejection;
 pub use snapshot::Snapshot;
 pub use snapshot::SnapshotError;
+pub use snapshot::is_due as is_snapshot_due;
 
 use super::Settings;
 use super::change::Change;
--- a/crates/core/src/state/settings/replay/snapshot.rs
+++ b/crates/core/src/state/settings/replay/snapshot.rs
@@ -7,9 +7,32 @@
 use super::InForce;
 use super::SettingsState;
 use super::to_tree;
+use crate::Name;
+use crate::coordination::rendezvous;
 use crate::finding::Findings;
 use crate::state::settings::change::Subtree;
 
+/// Subject of the rendezvous order that selects the VM that appends snapshots.
+const SUBJECT: &str = "settings-snapshot";
+
+/// Parts of the retention: a snapshot older than one of them is replaced.
+///
+/// Several snapshots are then kept at any time, so that one that came late does not matter.
+const RETENTION_PARTS: u64 = 4;
+
+/// Returns whether `vm` has to append a snapshot, given the live VMs and the age of the newest snapshot.
+///
+/// A retention of 0 is one that the log does not report; nothing is due then.
+pub fn is_due<'a>(
+    vm: &Name,
+    members: impl IntoIterator<Item = &'a Name>,
+    age_ms: u64,
+    retention_ms: u64,
+) -> bool {
+    let is_old = retention_ms > 0 && age_ms > retention_ms / RETENTION_PARTS;
+    is_old && rendezvous::to_order(SUBJECT, members).first() == Some(&vm)
+}
+
 /// The whole tree at a position of the stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Snapshot {
--- a/crates/core/tests/settings_replay.rs
+++ b/crates/core/tests/settings_replay.rs
@@ -7,12 +7,14 @@
 
 use proptest::collection::vec;
 use proptest::prelude::*;
+use waxwing_core::Name;
 use waxwing_core::state::settings::change::Subtree;
 use waxwing_core::state::settings::replay::Event;
 use waxwing_core::state::settings::replay::Record;
 use waxwing_core::state::settings::replay::SettingsState;
 use waxwing_core::state::settings::replay::Snapshot;
 use waxwing_core::state::settings::replay::SnapshotError;
+use waxwing_core::state::settings::replay::is_snapshot_due;
 
 use common::apply;
 use common::change_deployment;
@@ -275,3 +277,18 @@
         .map(|rejection| rejection.as_str());
     assert_eq!(reason, Some("stale_base"));
 }
+
+#[test]
+fn one_vm_replaces_a_snapshot_older_than_a_quarter_of_the_retention() {
+    let members = ["vm-1", "vm-2", "vm-3", "vm-4"].map(Name::from);
+    let due = |members: &[Name], age_ms, retention_ms| -> Vec<Name> {
+        let is_due = |vm: &&Name| is_snapshot_due(vm, members, age_ms, retention_ms);
+        members.iter().filter(is_due).cloned().collect()
+    };
+    let first = due(&members, 251, 1_000);
+    assert_eq!(first.len(), 1, "{first:?}");
+    assert!(due(&members, 250, 1_000).is_empty());
+    assert!(due(&members, 251, 0).is_empty());
+    let left: Vec<Name> = members.into_iter().filter(|vm| *vm != first[0]).collect();
+    assert_eq!(due(&left, 251, 1_000).len(), 1);
+}
--- a/crates/router/src/settings_sync/owner.rs
+++ b/crates/router/src/settings_sync/owner.rs
@@ -5,11 +5,10 @@
 use std::sync::Arc;
 
 use flume::Sender;
-use waxwing_core::Name;
-use waxwing_core::coordination::rendezvous;
 use waxwing_core::state::settings::change::Change;
 use waxwing_core::state::settings::change::Digest;
 use waxwing_core::state::settings::check;
+use waxwing_core::state::settings::replay;
 use waxwing_core::state::settings::replay::Entry;
 use waxwing_core::state::settings::replay::Event;
 use waxwing_core::state::settings::replay::InForce;
@@ -29,12 +28,6 @@
 use crate::metric;
 use crate::shared::Shared;
 
-/// Subject of the rendezvous order that selects the VM that appends snapshots.
-const SNAPSHOT_SUBJECT: &str = "settings-snapshot";
-
-/// Parts of the retention: a snapshot older than one of them is replaced.
-const SNAPSHOT_PARTS: u64 = 4;
-
 /// Least time between two snapshots of this VM, in milliseconds, for one whose append was not confirmed.
 const SNAPSHOT_PAUSE_MS: u64 = 10_000;
 
@@ -327,9 +320,14 @@
         let now_ms = self.shared.now_ms();
         let covered_ms = self.state.covered_ms()?;
         let age_ms = self.clock.to_age_ms(covered_ms, now_ms);
-        let is_due = age_ms > self.retention_ms / SNAPSHOT_PARTS;
-        // A retention of 0 is one that the log does not report.
-        if self.retention_ms == 0 || !is_due || !self.may_append_snapshot(now_ms) {
+        let view = self.shared.view();
+        let members = view.members.iter().map(|member| &member.name);
+        let vm = &self.shared.config.vm.name;
+        let is_due = replay::is_snapshot_due(vm, members, age_ms, self.retention_ms);
+        let is_paused = self
+            .snapshot_at_ms
+            .is_some_and(|at_ms| now_ms < at_ms + SNAPSHOT_PAUSE_MS);
+        if !is_due || is_paused || !self.is_caught_up || !self.state.is_complete() {
             return None;
         }
         let record = SettingsRecord::Snapshot((&self.state.export()?).into());
@@ -338,17 +336,6 @@
         data.inspect_err(|error| log::error!("no snapshot of the settings: {error}"))
             .ok()
     }
-
-    fn may_append_snapshot(&self, now_ms: u64) -> bool {
-        let view = self.shared.view();
-        let names = view.members.iter().map(|member| &member.name);
-        let order: Vec<&Name> = rendezvous::to_order(SNAPSHOT_SUBJECT, names);
-        let is_first = order.first() == Some(&&self.shared.config.vm.name);
-        let is_paused = self
-            .snapshot_at_ms
-            .is_some_and(|at_ms| now_ms < at_ms + SNAPSHOT_PAUSE_MS);
-        is_first && !is_paused && self.is_caught_up && self.state.is_complete()
-    }
 }
 
 fn to_outcome(entry: &Entry) -> &'static str {
