Find the line of a finding by binary search

Cause: the place of each finding, and of each value that must be unique, was found by scanning the text from its start.

--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -20,6 +20,8 @@
 pub struct Document<'i> {
     file: &'i str,
     text: &'i str,
+    /// Offset at which each line starts.
+    lines: Vec<usize>,
     /// Start and line of each syntax error.
     syntax: Vec<(usize, usize)>,
     findings: RefCell<Vec<Finding>>,
@@ -45,6 +47,7 @@
         let mut document = Self {
             file,
             text,
+            lines: to_line_starts(text),
             syntax: Vec::new(),
             findings: RefCell::default(),
         };
@@ -103,9 +106,10 @@
     }
 
     fn to_place(&self, start: usize) -> (usize, usize) {
-        let before = self.text.get(..start).unwrap_or(self.text);
-        let line = before.matches('\n').count() + 1;
-        let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
+        let line = self.lines.partition_point(|at| *at <= start);
+        let line_start = self.lines[line - 1];
+        let before = self.text.get(line_start..start).unwrap_or("");
+        let column = before.chars().count() + 1;
         (line, column)
     }
 
@@ -445,3 +449,10 @@
         }
     }
 }
+
+fn to_line_starts(text: &str) -> Vec<usize> {
+    let ends = text.match_indices('\n');
+    let mut starts = vec![0];
+    starts.extend(ends.map(|(at, _)| at + 1));
+    starts
+}
