--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -11,8 +11,10 @@
 use crate::output;
 
 mod drain;
+mod explain;
 mod key_hash;
 mod key_new;
+mod load;
 mod settings_apply;
 mod settings_check;
 mod settings_diff;
@@ -48,6 +50,8 @@
     key_hash::COMMAND,
     status::COMMAND,
     drain::COMMAND,
+    explain::COMMAND,
+    load::COMMAND,
 ];
 
 /// Runs the command that the words of a command line select.
--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -57,6 +57,9 @@
     /// Output cannot be written as JSON.
     #[error("the output cannot be written as JSON: {0}")]
     Json(serde_json::Error),
+    /// A load run cannot be made.
+    #[error("{0}")]
+    Load(#[from] crate::load::Error),
     /// A file has findings.
     #[error("{0}")]
     Findings(#[from] Findings),
