--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod deployment;
 pub mod publish;
 pub mod raw;
+pub mod scenario;
 
 mod binary;
 mod control;
--- a/crates/harness/src/members.rs
+++ b/crates/harness/src/members.rs
@@ -67,6 +67,23 @@
         0.0
     }
 
+    /// Returns the sum of a counter over all its labels.
+    pub fn to_sum(&self, name: &str) -> f64 {
+        let page = self.to_metrics().unwrap_or_default();
+        let mut sum = 0.0;
+        for line in page.lines() {
+            let Some(rest) = line.strip_prefix(name) else {
+                continue;
+            };
+            if !rest.starts_with(['{', ' ']) {
+                continue;
+            }
+            let value = rest.rsplit(' ').next().unwrap_or("");
+            sum += value.parse::<f64>().unwrap_or(0.0);
+        }
+        sum
+    }
+
     /// Begins a planned stop over the operators' address and returns whether the daemon accepted it.
     pub fn drain(&self) -> bool {
         let url = format!("http://{}/drain", self.operator_address());
