Probe endpoints every two seconds

A probe of the stand-in engine takes 569 bytes: 107 and 110 for the two requests, 202 and 150 for the answers. At one second, the owner of a planned shard with 14 endpoints would spend 8.0 KB/s on it without TCP headers, where a daemon has 5 KB/s for all control traffic; at two seconds it is 4.0 KB/s. Lost connections still cause a probe at once, so crashes are confirmed as fast as before. Load reports now lower the limit for 5 s, which bridges two failed probes.

--- a/crates/core/src/coordination/scheduler/endpoint.rs
+++ b/crates/core/src/coordination/scheduler/endpoint.rs
@@ -27,8 +27,8 @@
 /// Late observations that a reduction needs at least.
 const LATE_MIN: u32 = 2;
 
-/// Time for which a load report lowers the limit, in milliseconds.
-const LOAD_LIFETIME_MS: u64 = 2_000;
+/// Time for which a load report lowers the limit, in milliseconds; two probes may fail before it is forgotten.
+const LOAD_LIFETIME_MS: u64 = 5_000;
 
 /// Attempts in a row that fail before the endpoint is ejected.
 pub(super) const FAILURES_MAX: u32 = 3;
--- a/crates/core/tests/slow_endpoints.rs
+++ b/crates/core/tests/slow_endpoints.rs
@@ -119,6 +119,8 @@
     assert_eq!(slots(&shard), before);
     shard.step(load(2, 3));
     assert_eq!(slots(&shard), 2);
-    shard.now_ms += 2_000;
+    shard.now_ms += 4_999;
+    assert_eq!(slots(&shard), 2);
+    shard.now_ms += 1;
     assert_eq!(slots(&shard), before, "an old report no longer counts");
 }
--- a/crates/router/src/prober.rs
+++ b/crates/router/src/prober.rs
@@ -25,7 +25,10 @@
 use crate::shared::View;
 
 /// Time between two probes of an endpoint, in milliseconds.
-const INTERVAL_MS: u64 = 1_000;
+///
+/// A probe takes 569 bytes both ways without TCP headers. With the 14 endpoints of a planned shard, an interval of one
+/// second would exceed the 5 KB/s of control traffic that a daemon may cause.
+const INTERVAL_MS: u64 = 2_000;
 
 /// Least time between two rounds when lost connections ask for an early one, in milliseconds.
 const EARLY_INTERVAL_MS: u64 = 100;
