--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -102,7 +102,7 @@
 }
 
 /// A final answer that no result will follow.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Refusal {
     /// Why.
     pub reason: Reason,
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,3 +1,4 @@
 //! Shared state: the settings tree and what is replayed from log streams.
 
+pub mod claims;
 pub mod settings;
--- /dev/null
+++ b/crates/core/src/state/claims.rs
@@ -0,0 +1,230 @@
+//! The claims of one key range, replayed from its log stream.
+
+mod record;
+
+use std::collections::BTreeMap;
+
+pub use record::Answer;
+pub use record::CLAIM_RANGES;
+pub use record::Claim;
+pub use record::ClaimId;
+pub use record::ClaimKey;
+pub use record::Outcome;
+pub use record::Owner;
+pub use record::Record;
+
+/// Latest claim of a key.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Entry {
+    /// Identity of the claim.
+    pub id: ClaimId,
+    /// Random identity of the request that holds the claim.
+    pub claimant: u64,
+    /// BLAKE3 hash of target and body.
+    pub body_hash: [u8; 32],
+    /// What became of it, if known.
+    pub outcome: Option<Outcome>,
+}
+
+impl Entry {
+    /// Returns whether the key can be claimed again.
+    pub fn is_free(&self) -> bool {
+        self.outcome == Some(Outcome::NotRun)
+    }
+}
+
+/// State of one key range; every reader of the log reaches the same one.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct ClaimTable {
+    next_offset: u64,
+    fence: u64,
+    owner: Option<Owner>,
+    is_truncated: bool,
+    is_active: bool,
+    is_released: bool,
+    may_use_memory: bool,
+    cutoff_ms: u64,
+    claims: BTreeMap<ClaimKey, Entry>,
+}
+
+impl ClaimTable {
+    /// Creates the state of a stream whose oldest kept record has the offset `first_offset`.
+    ///
+    /// A stream that has lost its beginning has an unknown owner until the next `Active` record.
+    pub fn new(first_offset: u64) -> Self {
+        Self {
+            next_offset: first_offset,
+            fence: 0,
+            owner: None,
+            is_truncated: first_offset > 0,
+            is_active: false,
+            is_released: false,
+            may_use_memory: false,
+            cutoff_ms: 0,
+            claims: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the offset of the next record to apply.
+    pub fn next_offset(&self) -> u64 {
+        self.next_offset
+    }
+
+    /// Returns the current fencing token; 0 while the range never had an owner.
+    pub fn fence(&self) -> u64 {
+        self.fence
+    }
+
+    /// Returns the owner, also after it has released the range.
+    pub fn owner(&self) -> Option<&Owner> {
+        self.owner.as_ref()
+    }
+
+    /// Returns whether the beginning of the stream is lost and the owner is not yet known.
+    pub fn is_truncated(&self) -> bool {
+        self.is_truncated
+    }
+
+    /// Returns whether the owner serves.
+    pub fn is_active(&self) -> bool {
+        self.is_active && !self.is_released
+    }
+
+    /// Returns whether the owner has handed the range over.
+    pub fn is_released(&self) -> bool {
+        self.is_released
+    }
+
+    /// Returns whether claims may exist that are not in the log.
+    pub fn may_use_memory(&self) -> bool {
+        self.may_use_memory
+    }
+
+    /// Returns the time before which unclaimed keys may have run, in milliseconds since the epoch.
+    pub fn cutoff_ms(&self) -> u64 {
+        self.cutoff_ms
+    }
+
+    /// Returns the latest claim of a key.
+    pub fn get(&self, key: &ClaimKey) -> Option<&Entry> {
+        self.claims.get(key)
+    }
+
+    /// Returns the number of keys.
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Returns whether there are no keys.
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
+    /// Removes keys created before `created_ms`, which no owner accepts any more.
+    pub fn prune(&mut self, created_ms: u64) {
+        self.claims
+            .retain(|key, _| key.to_created_ms() >= created_ms);
+    }
+
+    /// Passes over a record that does not decode.
+    pub fn skip(&mut self, offset: u64) {
+        self.next_offset = self.next_offset.max(offset + 1);
+    }
+
+    /// Applies the record at `offset`; records before [`next_offset`](Self::next_offset) are ignored.
+    pub fn apply(&mut self, offset: u64, record: &Record) {
+        if offset < self.next_offset {
+            return;
+        }
+        self.next_offset = offset + 1;
+        match record {
+            Record::Own {
+                owner,
+                previous_fence,
+            } => self.own(offset, owner, *previous_fence),
+            Record::Active {
+                owner,
+                fence,
+                cutoff_ms,
+                may_use_memory,
+            } => self.activate(owner, *fence, *cutoff_ms, *may_use_memory),
+            Record::Release { fence } => self.release(*fence),
+            Record::Claims { fence, claims } => {
+                for claim in claims {
+                    self.claim(*fence, claim);
+                }
+            }
+            Record::Outcome { key, claim, result } => self.settle(key, *claim, result),
+        }
+    }
+
+    fn own(&mut self, offset: u64, owner: &Owner, previous_fence: u64) {
+        if self.is_truncated || previous_fence != self.fence {
+            return;
+        }
+        self.fence = offset + 1;
+        self.owner = Some(owner.clone());
+        self.is_active = false;
+        self.is_released = false;
+    }
+
+    fn activate(&mut self, owner: &Owner, fence: u64, cutoff_ms: u64, may_use_memory: bool) {
+        if self.is_truncated && fence >= self.fence {
+            self.is_truncated = false;
+            self.fence = fence;
+            self.owner = Some(owner.clone());
+        }
+        if fence != self.fence || self.is_released {
+            return;
+        }
+        // Within one ownership the permission stays: a repeated older record must not hide claims held in memory.
+        self.may_use_memory = may_use_memory || (self.is_active && self.may_use_memory);
+        self.is_active = true;
+        // A later owner that has nothing to fear itself does not lift the cutoff of an earlier one.
+        self.cutoff_ms = self.cutoff_ms.max(cutoff_ms);
+    }
+
+    fn release(&mut self, fence: u64) {
+        if fence != self.fence || self.is_truncated {
+            return;
+        }
+        self.is_released = true;
+        self.may_use_memory = false;
+    }
+
+    fn claim(&mut self, fence: u64, claim: &Claim) {
+        // While the owner is unknown a claim is kept in any case, since losing one could run its key twice.
+        let is_current = fence == self.fence && !self.is_released;
+        if !is_current && !self.is_truncated {
+            return;
+        }
+        let next = match self.claims.get(&claim.key) {
+            None => None,
+            Some(entry) if entry.is_free() => Some(entry.id.attempt + 1),
+            Some(_) => return,
+        };
+        // A key without an entry accepts any attempt: its earlier ones may have been dropped by retention.
+        if next.is_some_and(|next| claim.attempt != next) {
+            return;
+        }
+        let entry = Entry {
+            id: ClaimId {
+                fence,
+                attempt: claim.attempt,
+            },
+            claimant: claim.claimant,
+            body_hash: claim.body_hash,
+            outcome: None,
+        };
+        self.claims.insert(claim.key.clone(), entry);
+    }
+
+    fn settle(&mut self, key: &ClaimKey, id: ClaimId, result: &Outcome) {
+        let Some(entry) = self.claims.get_mut(key) else {
+            return;
+        };
+        if entry.id == id && entry.outcome.is_none() {
+            entry.outcome = Some(result.clone());
+        }
+    }
+}
--- a/crates/wire/src/claim.rs
+++ b/crates/wire/src/claim.rs
@@ -15,7 +15,7 @@
     pub body_hash: [u8; 32],
     /// Class, with the team as prefix.
     pub class: String,
-    /// Incarnation of the process that will send the call.
+    /// Random identity of the request that will send the call; a repeated message for the same request carries it again.
     pub claimant: u64,
     /// Whether the claim may be granted from memory while the log is down.
     pub may_use_memory: bool,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod caller;
 pub mod chat;
 pub mod claim;
+pub mod claim_record;
 pub mod platform;
