Claim keys before non-idempotent requests wait for a slot

Cause: the decision code for claims had no threads around it, and requests of non-idempotent classes were sent without a claim.

The claim is made before the request is enqueued, so that no slot is idle during the round trip to the log; a request that gets no slot settles its claim as not_run.

A process no longer takes a range back from a process of its own name, and waits 10 s before it takes back a range from any other.

Ruled out: claiming after the grant of a slot (the slot waits for a group commit), and a wait for the claim up to the deadline of the request (the caller is told after at most 2 s).

--- a/crates/core/src/coordination/claim_owner.rs
+++ b/crates/core/src/coordination/claim_owner.rs
@@ -22,11 +22,11 @@
 use crate::state::claims::Owner;
 use crate::state::claims::Record;
 
+use self::pending::Pending;
+
 pub use claimant::Claimant;
 pub use claimant::Farewell;
 
-use pending::Pending;
-
 /// Keys that may have unconfirmed claims or outcomes; 4096 with kept bodies stay below 64 MiB.
 const PENDING_KEYS_MAX: usize = 4_096;
 
@@ -66,6 +66,8 @@
     pub outage_after_ms: u64,
     /// Time after which an owner confirms its ownership in the log again, in milliseconds.
     pub renew_ms: u64,
+    /// Pause before a process takes a range back that it has lost, in milliseconds.
+    pub retake_ms: u64,
     /// Whether any class may be claimed from memory.
     pub uses_memory: bool,
 }
@@ -185,6 +187,8 @@
     is_caught_up: bool,
     confirmed_ms: u64,
     active_ms: u64,
+    has_owned: bool,
+    lost_ms: Option<u64>,
     raise_requested: u64,
     raised: u64,
     cutoff_ms: u64,
@@ -211,6 +215,8 @@
             is_caught_up: false,
             confirmed_ms: now.now_ms,
             active_ms: now.now_ms,
+            has_owned: false,
+            lost_ms: None,
             raise_requested: 0,
             raised: 0,
             cutoff_ms: 0,
@@ -458,12 +464,22 @@
                 self.active_ms = now.now_ms;
             }
         }
+        self.note_owner(now);
         self.confirm(now, effects);
         for record in records.iter().filter_map(|(_, record)| record.as_ref()) {
             self.pending.retry_rejected(record);
         }
     }
 
+    fn note_owner(&mut self, now: Now) {
+        if self.table.owner() == Some(&self.identity) {
+            self.has_owned = true;
+            self.lost_ms = None;
+        } else if self.has_owned && self.lost_ms.is_none() {
+            self.lost_ms = Some(now.now_ms);
+        }
+    }
+
     /// Grants what the log holds, and refuses what it can no longer accept.
     fn confirm(&mut self, now: Now, effects: &mut Vec<Effect>) {
         self.pending.confirm(&self.table);
@@ -568,7 +584,7 @@
     fn to_control(&self, now: Now) -> Option<Record> {
         let fence = self.table.fence();
         if !self.is_owner() {
-            return self.may_take_over().then(|| Record::Own {
+            return self.may_take_over(now).then(|| Record::Own {
                 owner: self.identity.clone(),
                 previous_fence: fence,
             });
@@ -603,16 +619,24 @@
         }
     }
 
-    fn may_take_over(&self) -> bool {
+    fn may_take_over(&self, now: Now) -> bool {
         let is_preferred = self.preferred.as_ref() == Some(&self.identity.vm);
         if !is_preferred || self.is_stopping || !self.is_caught_up || self.table.is_truncated() {
             return false;
         }
+        // Two processes that take each other for gone would otherwise alternate as fast as the log allows.
+        let pause_ms = self.limits.retake_ms;
+        if self
+            .lost_ms
+            .is_some_and(|lost_ms| now.now_ms < lost_ms + pause_ms)
+        {
+            return false;
+        }
         let Some(owner) = self.table.owner() else {
             return true;
         };
-        // The predecessor on the same VM is gone, since a VM runs one process.
-        let is_predecessor = owner.vm == self.identity.vm;
+        // A VM runs one process. Another one of the same name is its predecessor, unless it took the range from this one.
+        let is_predecessor = owner.vm == self.identity.vm && !self.has_owned;
         self.table.is_released() || is_predecessor || !self.live.contains(&owner.vm)
     }
 }
--- a/crates/core/tests/claim_model.rs
+++ b/crates/core/tests/claim_model.rs
@@ -245,6 +245,7 @@
         append_retry_ms: 0,
         outage_after_ms: STEP_MS,
         renew_ms: 1_000_000,
+        retake_ms: 0,
         uses_memory: scenario.uses_memory,
     }
 }
--- /dev/null
+++ b/crates/router/src/claims/worker.rs
@@ -0,0 +1,350 @@
+//! The claims thread: passes events to the owner of each range in use and carries out its effects.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use flume::Receiver;
+use flume::RecvTimeoutError;
+use flume::Sender;
+use waxwing_core::Name;
+use waxwing_core::Reason;
+use waxwing_core::Refusal;
+use waxwing_core::coordination::claim_owner::ClaimOwner;
+use waxwing_core::coordination::claim_owner::Effect;
+use waxwing_core::coordination::claim_owner::Input;
+use waxwing_core::coordination::claim_owner::Limits;
+use waxwing_core::coordination::claim_owner::Now;
+use waxwing_core::coordination::claim_owner::Request;
+use waxwing_core::coordination::claim_owner::Verdict;
+use waxwing_core::state::claims::CLAIM_RANGES;
+use waxwing_core::state::claims::Owner;
+use waxwing_core::state::settings::Class;
+use waxwing_core::state::settings::OnLogOutage;
+use waxwing_core::state::settings::Settings;
+use waxwing_wire::claim::ClaimRequest;
+use waxwing_wire::claim::ClaimVerdict;
+use waxwing_wire::claim::Grant;
+
+use crate::shared::Shared;
+use crate::shared::View;
+use crate::shared::wall_clock_ms;
+use crate::transport::log_client::LogClient;
+
+use super::Message;
+use super::RETRY_AFTER_MS;
+use super::counters;
+use super::fence;
+use super::range::Range;
+use super::range::Reporter;
+use super::to_key;
+use super::to_preferred;
+
+/// Time between ticks, in milliseconds.
+const TICK_MS: u64 = 10;
+
+/// Pause after a failed append, in milliseconds.
+const APPEND_RETRY_MS: u64 = 200;
+
+/// Pause before a lost range is taken back, in milliseconds; longer than the 6 s after which a silent VM counts as gone.
+const RETAKE_MS: u64 = 10_000;
+
+/// Retention that is assumed until the log has reported its own, in milliseconds.
+const RETENTION_ASSUMED_MS: u64 = 3_600_000;
+
+struct Worker<'a> {
+    shared: &'a Arc<Shared>,
+    messages: Sender<Message>,
+    client: LogClient,
+    ranges: HashMap<u8, Range>,
+    view: Option<Arc<View>>,
+    /// Retention that the log has reported.
+    retention_ms: Option<u64>,
+    /// Retention and need of the last finding, which is logged once.
+    finding: Option<(u64, u64)>,
+    epoch: u64,
+    stop: Vec<Sender<()>>,
+    is_stopping: bool,
+}
+
+/// Runs the claims thread until the process ends.
+pub(super) fn run(shared: &Arc<Shared>, messages: &Receiver<Message>) {
+    let mut worker = Worker {
+        shared,
+        messages: shared.claims.messages.clone(),
+        client: LogClient::new(&shared.config.platform.log_address),
+        ranges: HashMap::new(),
+        view: None,
+        retention_ms: None,
+        finding: None,
+        epoch: 0,
+        stop: Vec::new(),
+        is_stopping: false,
+    };
+    let mut next_tick_ms = 0;
+    loop {
+        match messages.recv_timeout(Duration::from_millis(TICK_MS)) {
+            Ok(message) => worker.take(message),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        let now_ms = shared.now_ms();
+        if now_ms >= next_tick_ms {
+            next_tick_ms = now_ms + TICK_MS;
+            worker.tick();
+        }
+    }
+}
+
+impl Worker<'_> {
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Claim { request, reply } => self.claim(&request, reply),
+            Message::GiveUp { key, claimant } => {
+                let range = key.to_range();
+                if let Some(range) = self.ranges.get_mut(&range) {
+                    range.replies.remove(&claimant);
+                }
+                self.step(range, Input::GiveUp { key, claimant });
+            }
+            Message::Settle(settlement) => {
+                let key = to_key(&settlement.organisation, settlement.key);
+                let id = settlement.grant.into();
+                let result = settlement.result.into();
+                self.step(key.to_range(), Input::Settle { key, id, result });
+            }
+            Message::Range {
+                range,
+                epoch,
+                input,
+            } => {
+                if self.ranges.get(&range).is_some_and(|r| r.epoch == epoch) {
+                    self.step(range, *input);
+                }
+            }
+            Message::Retention { retention_ms } => {
+                self.retention_ms = Some(retention_ms);
+                self.view = None;
+            }
+            Message::Stop { done } => {
+                self.is_stopping = true;
+                self.stop.push(done);
+                for range in 0..CLAIM_RANGES {
+                    self.step(range, Input::Stop);
+                }
+            }
+        }
+    }
+
+    fn claim(&mut self, request: &ClaimRequest, reply: Sender<ClaimVerdict>) {
+        let key = to_key(&request.organisation, request.key);
+        let range = key.to_range();
+        let Some(state) = self.ranges.get_mut(&range) else {
+            let message = "this VM does not own the range of the key";
+            let refusal = Refusal::not_run(Reason::RangeHandover, RETRY_AFTER_MS, message);
+            // A requester that has left reports it itself.
+            let _ = reply.try_send(ClaimVerdict::Refused(refusal));
+            return;
+        };
+        state.replies.insert(request.claimant, reply);
+        let request = Request {
+            key,
+            claimant: request.claimant,
+            body_hash: request.body_hash,
+            may_use_memory: request.may_use_memory,
+            deadline_ms: self.shared.now_ms() + request.wait_ms,
+        };
+        self.step(range, Input::Claim(Box::new(request)));
+    }
+
+    fn tick(&mut self) {
+        self.refresh();
+        for range in 0..CLAIM_RANGES {
+            self.step(range, Input::Tick);
+        }
+        if self.is_stopping && self.ranges.values().all(|r| r.owner.is_handed_over()) {
+            for done in self.stop.drain(..) {
+                // The daemon may have stopped waiting.
+                let _ = done.try_send(());
+            }
+        }
+    }
+
+    /// Follows a change of settings, members or retention, and ends the use of ranges that other VMs own.
+    fn refresh(&mut self) {
+        let view = self.shared.view();
+        let own = &self.shared.config.vm.name;
+        if self
+            .view
+            .as_ref()
+            .is_some_and(|known| Arc::ptr_eq(known, &view))
+        {
+            return self.close_unused(&view, own);
+        }
+        let retention_ms = self.retention_ms.unwrap_or(RETENTION_ASSUMED_MS);
+        let limits = to_limits(&view.settings, retention_ms);
+        self.check_retention(&limits);
+        let live: BTreeSet<Name> = view.members.iter().map(|m| m.name.clone()).collect();
+        for range in 0..CLAIM_RANGES {
+            let preferred = to_preferred(&view, own, range);
+            let is_wanted = preferred == *own && uses_claims(&view.settings) && !self.is_stopping;
+            if is_wanted && !self.ranges.contains_key(&range) {
+                self.open(range, limits.clone());
+            }
+            self.step(range, Input::Limits(limits.clone()));
+            let live = live.clone();
+            self.step(range, Input::Members { preferred, live });
+        }
+        self.close_unused(&view, own);
+        self.view = Some(view);
+    }
+
+    fn open(&mut self, range: u8, limits: Limits) {
+        self.epoch += 1;
+        let identity = Owner {
+            vm: self.shared.config.vm.name.clone(),
+            incarnation: self.shared.incarnation,
+        };
+        let reporter = Reporter {
+            range,
+            epoch: self.epoch,
+            messages: self.messages.clone(),
+        };
+        let owner = ClaimOwner::new(identity, limits, self.now());
+        let state = Range::start(owner, &self.client, reporter);
+        self.ranges.insert(range, state);
+    }
+
+    fn close_unused(&mut self, view: &View, own: &Name) {
+        self.ranges.retain(|range, state| {
+            let is_preferred = to_preferred(view, own, *range) == *own;
+            is_preferred || !state.owner.is_handed_over() || !state.replies.is_empty()
+        });
+    }
+
+    fn check_retention(&mut self, limits: &Limits) {
+        let needed_ms = limits.key_lifetime_ms + 2 * limits.clock_skew_max_ms;
+        let Some(retention_ms) = self.retention_ms.filter(|kept_ms| *kept_ms <= needed_ms) else {
+            self.finding = None;
+            return;
+        };
+        if self.finding.replace((retention_ms, needed_ms)) == Some((retention_ms, needed_ms)) {
+            return;
+        }
+        counters::count_short_retention();
+        log::error!(
+            "the log keeps records for {retention_ms} ms, but claims need more than {needed_ms} ms: lower \
+             claims.key_lifetime_s or raise the retention of the streams claims-0 to claims-7"
+        );
+    }
+
+    fn now(&self) -> Now {
+        Now {
+            now_ms: self.shared.now_ms(),
+            wall_ms: wall_clock_ms(),
+        }
+    }
+
+    fn step(&mut self, range: u8, input: Input) {
+        let now = self.now();
+        let Some(state) = self.ranges.get_mut(&range) else {
+            return;
+        };
+        let fence = state.owner.table().fence();
+        let effects = state.owner.step(now, input);
+        if state.owner.table().fence() != fence {
+            log::info!(
+                "range {range}: fence {}, owner {:?}",
+                state.owner.table().fence(),
+                state.owner.table().owner()
+            );
+        }
+        counters::set_pending(range, state.owner.pending_len());
+        for effect in effects {
+            apply(self.shared, &self.messages, range, state, effect);
+        }
+    }
+}
+
+fn apply(
+    shared: &Arc<Shared>,
+    messages: &Sender<Message>,
+    range: u8,
+    state: &mut Range,
+    effect: Effect,
+) {
+    match effect {
+        Effect::Append(records) => state.append(records),
+        Effect::Reply { claimant, verdict } => {
+            if let Some(reply) = state.replies.remove(&claimant) {
+                // A requester that has left reports it itself.
+                let _ = reply.try_send(to_verdict(range, verdict));
+            }
+        }
+        Effect::RaiseFence(fence) => {
+            state.is_raise_over.store(true, Ordering::Relaxed);
+            state.is_raise_over = Arc::new(AtomicBool::new(false));
+            let is_over = Arc::clone(&state.is_raise_over);
+            let reporter = Reporter {
+                range,
+                epoch: state.epoch,
+                messages: messages.clone(),
+            };
+            fence::start(Arc::clone(shared), range, fence, is_over, move || {
+                reporter.report(Input::FenceRaised(fence));
+            });
+        }
+    }
+}
+
+fn to_verdict(range: u8, verdict: Verdict) -> ClaimVerdict {
+    match verdict {
+        Verdict::Granted(id) => ClaimVerdict::Granted(Grant {
+            range,
+            fence: id.fence,
+            attempt: id.attempt,
+        }),
+        Verdict::Done(answer) => ClaimVerdict::Done(answer.into()),
+        Verdict::Refused(refusal) => ClaimVerdict::Refused(refusal),
+    }
+}
+
+fn to_limits(settings: &Settings, retention_ms: u64) -> Limits {
+    let claims = &settings.claims;
+    Limits {
+        key_lifetime_ms: claims.key_lifetime_s * 1_000,
+        clock_skew_max_ms: claims.clock_skew_max_ms,
+        group_commit_ms: claims.group_commit_ms,
+        append_retry_ms: APPEND_RETRY_MS,
+        outage_after_ms: claims.outage_after_ms,
+        renew_ms: retention_ms / 4,
+        retake_ms: RETAKE_MS,
+        uses_memory: classes(settings).any(|class| may_use_memory(settings, class)),
+    }
+}
+
+fn classes(settings: &Settings) -> impl Iterator<Item = &Class> {
+    settings
+        .teams
+        .values()
+        .flat_map(|team| team.classes.values())
+}
+
+fn uses_claims(settings: &Settings) -> bool {
+    classes(settings).any(|class| !class.idempotent)
+}
+
+/// Returns whether claims of the class may be granted from memory while the log is down.
+pub(crate) fn may_use_memory(settings: &Settings, class: &Class) -> bool {
+    let Some(pool) = settings.pools.get(&class.pool) else {
+        return false;
+    };
+    let is_fenced = pool
+        .endpoints
+        .iter()
+        .all(|endpoint| endpoint.checks_fencing);
+    !class.idempotent && class.on_log_outage == OnLogOutage::FromMemory && is_fenced
+}
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -7,6 +7,8 @@
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
 
+use crate::claims;
+use crate::claims::Claims;
 use crate::config::Config;
 use crate::logging;
 use crate::metric;
@@ -17,6 +19,9 @@
 use crate::shared::Shared;
 use crate::transport::front;
 
+/// Time for the log to confirm that all key ranges are handed over, in milliseconds.
+const RELEASE_WAIT_MS: u64 = 5_000;
+
 /// Result of running a daemon.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -44,10 +49,13 @@
 ///
 /// Fails if an address cannot be bound or a thread cannot be started.
 pub fn run(config: Config) -> Result<()> {
-    start(config)?;
+    let shared = start(config)?;
     let mut signals = Signals::new([SIGTERM, SIGINT])?;
     let signal = signals.forever().next();
     log::info!("stopping after signal {signal:?}");
+    if !shared.claims.release(RELEASE_WAIT_MS) {
+        log::warn!("some key ranges were not handed over; their next owner has to take them over");
+    }
     Ok(())
 }
 
@@ -61,8 +69,10 @@
     let metrics = metric::install();
     let listener = bind("vm.caller_address", &config.vm.caller_address)?;
     let (scheduling, inbox) = Scheduling::new();
-    let shared = Arc::new(Shared::new(config, scheduling));
+    let (claims, claims_inbox) = Claims::new();
+    let shared = Arc::new(Shared::new(config, scheduling, claims));
     scheduling::start(Arc::clone(&shared), inbox);
+    claims::start(Arc::clone(&shared), claims_inbox);
     settings_sync::start(Arc::clone(&shared));
     operator::start(Arc::clone(&shared), metrics)?;
     front::start(Arc::clone(&shared), listener)?;
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -2,6 +2,7 @@
 
 pub mod admit;
 pub mod answer;
+pub mod claimed;
 pub mod exchange;
 pub mod run;
 
--- /dev/null
+++ b/crates/router/src/request/claimed.rs
@@ -0,0 +1,198 @@
+//! The claim of a non-idempotent request, from before it waits for a slot to its settlement.
+//!
+//! The claim is made before the request waits for a slot, so that no slot is idle while the log confirms the claim. A
+//! request that then gets no slot settles its claim as `not_run`, which costs one outcome in a group commit.
+
+use std::time::Instant;
+
+use waxwing_core::Reason;
+use waxwing_core::Refusal;
+use waxwing_core::coordination::claim_owner::Claimant;
+use waxwing_core::coordination::claim_owner::Farewell;
+use waxwing_core::coordination::claim_owner::Verdict;
+use waxwing_core::state::claims::Answer;
+use waxwing_core::state::claims::Outcome;
+use waxwing_wire::caller::FENCE_HEADER;
+use waxwing_wire::caller::IDEMPOTENCY_KEY_HEADER;
+use waxwing_wire::caller::RANGE_HEADER;
+use waxwing_wire::claim::ClaimRequest;
+use waxwing_wire::claim::ClaimVerdict;
+use waxwing_wire::claim::Grant;
+use waxwing_wire::claim::Settlement;
+use waxwing_wire::claim::StoredAnswer;
+
+use crate::claims;
+use crate::metric;
+use crate::request::admit::Job;
+use crate::request::admit::Target;
+use crate::request::answer::Answerer;
+use crate::shared::Shared;
+
+/// Longest answer that is kept for repeats, in bytes; longer ones would fill the memory of the range's owner.
+const ANSWER_KEPT_MAX_BYTES: usize = 16 * 1_024;
+
+/// Longest wait for a claim, in milliseconds; a caller is told early that the log does not answer.
+const CLAIM_WAIT_MAX_MS: u64 = 2_000;
+
+/// The claim of one request; an idempotent request has none. Dropping it settles what is left.
+#[derive(Debug)]
+pub struct Claimed<'a> {
+    shared: &'a Shared,
+    claim: Option<Claim>,
+}
+
+#[derive(Debug)]
+struct Claim {
+    organisation: String,
+    key: uuid::Uuid,
+    grant: Grant,
+    state: Claimant,
+}
+
+/// Claims the key of a non-idempotent request.
+///
+/// Returns `None` if the request is answered already: with the stored answer of its first run, or with a refusal.
+pub fn open<'a>(shared: &'a Shared, job: &Job, answerer: &Answerer) -> Option<Claimed<'a>> {
+    if job.class_settings.idempotent {
+        return Some(Claimed {
+            shared,
+            claim: None,
+        });
+    }
+    match to_claim(shared, job) {
+        Ok(Opened::Granted(claim)) => Some(Claimed {
+            shared,
+            claim: Some(claim),
+        }),
+        Ok(Opened::Done(answer)) => {
+            let body = answer.body.unwrap_or_default();
+            // The caller may be gone; the answer stays with the owner of the range.
+            let _ = answerer.whole(answer.status, &answer.content_type, body);
+            None
+        }
+        Err(refusal) => {
+            metric::count_refusal(job.class.as_str(), &refusal);
+            answerer.refuse(&refusal);
+            None
+        }
+    }
+}
+
+enum Opened {
+    Granted(Claim),
+    Done(StoredAnswer),
+}
+
+fn to_claim(shared: &Shared, job: &Job) -> Result<Opened, Refusal> {
+    let Some(key) = job.idempotency_key else {
+        let message = "the class is not idempotent; send an Idempotency-Key (UUID version 7)";
+        return Err(Refusal::not_run(Reason::KeyRequired, 0, message));
+    };
+    let left = job.deadline.saturating_duration_since(Instant::now());
+    let settings = &shared.view().settings;
+    let request = ClaimRequest {
+        organisation: job.organisation.to_string(),
+        key,
+        body_hash: to_body_hash(job),
+        class: job.class.to_string(),
+        claimant: rand::random(),
+        may_use_memory: claims::may_use_memory(settings, &job.class_settings),
+        wait_ms: CLAIM_WAIT_MAX_MS.min(left.as_millis() as u64),
+    };
+    match shared.claims.claim(shared, &request) {
+        ClaimVerdict::Granted(grant) => {
+            let mut state = Claimant::default();
+            state.answer(&Verdict::Granted(grant.into()));
+            Ok(Opened::Granted(Claim {
+                organisation: request.organisation,
+                key,
+                grant,
+                state,
+            }))
+        }
+        ClaimVerdict::Done(answer) if answer.body.is_some() => Ok(Opened::Done(answer)),
+        ClaimVerdict::Done(answer) => {
+            let status = answer.status;
+            let message =
+                format!("the request ran with status {status}; its answer was too long to be kept");
+            Err(Refusal::unknown(Reason::OutcomeUnknown, 0, message))
+        }
+        ClaimVerdict::Refused(refusal) => Err(refusal),
+    }
+}
+
+/// Returns the hash of target and body, by which a key that is used twice for different requests is noticed.
+fn to_body_hash(job: &Job) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(job.class.as_str().as_bytes());
+    hasher.update(&[0]);
+    if let Target::Service { pool, path } = &job.target {
+        hasher.update(pool.as_str().as_bytes());
+        hasher.update(&[0]);
+        hasher.update(path.as_bytes());
+    }
+    hasher.update(&[0]);
+    hasher.update(&job.body);
+    *hasher.finalize().as_bytes()
+}
+
+impl Claimed<'_> {
+    /// Returns the headers of the call and notes that it may leave now; called directly before each attempt.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an earlier call of this claim may have left, so that the request must not be sent again.
+    pub fn send(&mut self) -> Result<Vec<(String, String)>, Refusal> {
+        let Some(claim) = &mut self.claim else {
+            return Ok(Vec::new());
+        };
+        if claim.state.send().is_none() {
+            let message = "the call may have run and is not repeated";
+            return Err(Refusal::unknown(Reason::OutcomeUnknown, 0, message));
+        }
+        Ok(vec![
+            (RANGE_HEADER.to_owned(), claim.grant.range.to_string()),
+            (FENCE_HEADER.to_owned(), claim.grant.fence.to_string()),
+            (IDEMPOTENCY_KEY_HEADER.to_owned(), claim.key.to_string()),
+        ])
+    }
+
+    /// Notes that the attempt certainly did not leave; another endpoint may be tried under the same claim.
+    pub fn not_sent(&mut self) {
+        if let Some(claim) = &mut self.claim {
+            claim.state.not_sent();
+        }
+    }
+
+    /// Settles the claim with the answer that repeats receive.
+    pub fn done(&mut self, status: u16, content_type: &str, body: &[u8]) {
+        let is_kept = body.len() <= ANSWER_KEPT_MAX_BYTES;
+        self.end(Some(Outcome::Done(Answer {
+            status,
+            content_type: content_type.to_owned(),
+            body: is_kept.then(|| body.to_vec()),
+        })));
+    }
+
+    fn end(&mut self, outcome: Option<Outcome>) {
+        let Some(claim) = &mut self.claim else {
+            return;
+        };
+        let Some(Farewell::Settle(_, result)) = claim.state.end(outcome) else {
+            return;
+        };
+        let settlement = Settlement {
+            organisation: claim.organisation.clone(),
+            key: claim.key,
+            grant: claim.grant,
+            result: result.into(),
+        };
+        self.shared.claims.settle(self.shared, settlement);
+    }
+}
+
+impl Drop for Claimed<'_> {
+    fn drop(&mut self) {
+        self.end(None);
+    }
+}
--- a/crates/router/src/request/run.rs
+++ b/crates/router/src/request/run.rs
@@ -22,6 +22,8 @@
 use crate::request::admit::Job;
 use crate::request::admit::Target;
 use crate::request::answer::Answerer;
+use crate::request::claimed;
+use crate::request::claimed::Claimed;
 use crate::scheduling::Order;
 use crate::shared::Shared;
 use crate::transport::attempt;
@@ -34,11 +36,15 @@
 /// Runs an admitted request to its final answer.
 pub fn run(shared: &Arc<Shared>, job: Job, mut answerer: Answerer) {
     answerer.set_request_id(&job.request_id);
+    let Some(claimed) = claimed::open(shared, &job, &answerer) else {
+        return;
+    };
     let ticket = shared.to_ticket();
     let mut running = Running {
         shared,
         job,
         answerer,
+        claimed,
         ticket,
         text: String::new(),
         tokens: 0,
@@ -64,6 +70,7 @@
     shared: &'a Arc<Shared>,
     job: Job,
     answerer: Answerer,
+    claimed: Claimed<'a>,
     ticket: TicketId,
     text: String,
     tokens: u32,
@@ -115,7 +122,9 @@
             }
         };
         let sent = Instant::now();
-        let events = attempt::start(self.to_call(&address));
+        let mut call = self.to_call(&address);
+        call.headers.extend(self.claimed.send()?);
+        let events = attempt::start(call);
         loop {
             let left = self.job.deadline.saturating_duration_since(Instant::now());
             if left.is_zero() {
@@ -146,11 +155,13 @@
                     body,
                 } => {
                     self.report(End::Done);
+                    self.claimed.done(status, &content_type, &body);
                     let _ = self.answerer.whole(status, &content_type, body);
                     return Ok(());
                 }
                 Event::NotSent(message) => {
                     self.report(End::NotSent);
+                    self.claimed.not_sent();
                     return Err(Refusal::not_run(Reason::EndpointFailed, 1_000, message));
                 }
                 Event::Status { status, .. } => {
@@ -269,11 +280,14 @@
         metrics::counter!(metric::ANSWERS, "class" => self.job.class.to_string()).increment(1);
         metrics::histogram!(metric::TOTAL, "class" => self.job.class.to_string())
             .record(self.job.received.elapsed().as_secs_f64());
+        let answer = self.to_answer(finish_reason);
+        let body = serde_json::to_vec(&answer).unwrap_or_default();
+        self.claimed.done(200, "application/json", &body);
         if self.is_streaming() {
             let _ = self.answerer.piece(format!("data: {DONE}\n\n"));
             let _ = self.answerer.end();
         } else {
-            self.answerer.json(200, &self.to_answer(finish_reason));
+            self.answerer.json(200, &answer);
         }
         Ok(())
     }
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -14,6 +14,7 @@
 use waxwing_core::TicketId;
 use waxwing_core::state::settings::Settings;
 
+use crate::claims::Claims;
 use crate::config::Config;
 use crate::scheduling::Scheduling;
 
@@ -26,6 +27,8 @@
     pub incarnation: u64,
     /// Access to the scheduler of each pool.
     pub scheduling: Scheduling,
+    /// Access to the owners of key ranges.
+    pub claims: Claims,
     /// Requests in progress.
     pub in_progress: AtomicUsize,
     /// Whether a planned stop has begun.
@@ -63,7 +66,7 @@
 
 impl Shared {
     /// Creates the shared state of a process.
-    pub fn new(config: Config, scheduling: Scheduling) -> Self {
+    pub fn new(config: Config, scheduling: Scheduling, claims: Claims) -> Self {
         let own = Member {
             name: config.vm.name.clone(),
             data_centre: config.vm.data_centre.clone(),
@@ -79,6 +82,7 @@
             config,
             incarnation: rand::random(),
             scheduling,
+            claims,
             in_progress: AtomicUsize::new(0),
             is_draining: AtomicBool::new(false),
             view: RwLock::new(Arc::new(view)),
--- a/crates/router/src/transport/log_client.rs
+++ b/crates/router/src/transport/log_client.rs
@@ -4,6 +4,7 @@
 
 use attohttpc::ProxySettings;
 use attohttpc::Session;
+use serde::Deserialize;
 use thiserror::Error;
 use waxwing_wire::platform::Append;
 use waxwing_wire::platform::Page;
@@ -36,6 +37,14 @@
         /// HTTP status code.
         status: u16,
     },
+    /// The log no longer keeps the records that were asked for.
+    #[error("log service at {address} keeps records only from {first_offset}")]
+    Truncated {
+        /// Address of the service.
+        address: String,
+        /// Oldest offset that is kept.
+        first_offset: u64,
+    },
     /// The answer does not decode.
     #[error("log service at {address}: the answer does not decode: {source}")]
     Decode {
@@ -46,6 +55,14 @@
     },
 }
 
+/// HTTP status of a read that asks for records which retention has dropped.
+const GONE_STATUS: u16 = 410;
+
+#[derive(Deserialize)]
+struct Gone {
+    first_offset: u64,
+}
+
 /// Client of the platform's log service.
 #[derive(Clone, Debug)]
 pub struct LogClient {
@@ -78,7 +95,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the service does not answer, with status 410 if `from` is no longer kept.
+    /// Fails if the service does not answer, with [`Error::Truncated`] if `from` is no longer kept.
     pub fn read(&self, stream: &str, from: u64, wait_ms: u64) -> Result<Page> {
         let address = &self.address;
         let url =
@@ -90,6 +107,17 @@
 
     fn to_bytes(&self, response: attohttpc::Result<attohttpc::Response>) -> Result<Vec<u8>> {
         let response = response.map_err(|source| self.to_transport_error(source))?;
+        if response.status().as_u16() == GONE_STATUS {
+            let bytes = response
+                .bytes()
+                .map_err(|source| self.to_transport_error(source))?;
+            let gone: Gone =
+                serde_json::from_slice(&bytes).map_err(|source| self.to_decode_error(source))?;
+            return Err(Error::Truncated {
+                address: self.address.clone(),
+                first_offset: gone.first_offset,
+            });
+        }
         if !response.is_success() {
             return Err(Error::Status {
                 address: self.address.clone(),
