Merge claims; let a non-idempotent call outlive its caller

A call that cannot be taken back goes on after its deadline or the departure of its caller, which has its final answer by then; the outcome is recorded for repeats of the request. A request keeps one ticket in all its attempts, since the scheduler counts preemptions by ticket.

--- a/crates/core/src/coordination.rs
+++ b/crates/core/src/coordination.rs
@@ -1,5 +1,6 @@
 //! Decisions that the processes make together.
 
+pub mod claim_owner;
 pub mod hedge;
 pub mod membership;
 pub mod rendezvous;
--- a/crates/harness/examples/experiment.rs
+++ b/crates/harness/examples/experiment.rs
@@ -15,6 +15,9 @@
 
 const POLICIES: [&str; 2] = ["tiers", "baseline"];
 
+/// Name of a measure, and how it is read off a result.
+type Measure<T> = (&'static str, fn(&T) -> f64);
+
 struct Options {
     file: String,
     seeds: Vec<u64>,
@@ -102,7 +105,7 @@
     );
     println!("| Class | Measure | tiers | baseline |");
     println!("|---|---|---|---|");
-    let measures: [(&str, fn(&ClassReport) -> f64); 5] = [
+    let measures: [Measure<ClassReport>; 5] = [
         ("attainment, %", |class| class.attainment * 100.0),
         ("goodput, 1/s", |class| class.goodput_per_s),
         ("first token p99, ms", |class| class.first_token.p99_ms),
@@ -124,7 +127,7 @@
             );
         }
     }
-    let totals: [(&str, fn(&Outcome) -> f64); 3] = [
+    let totals: [Measure<Outcome>; 3] = [
         ("wasted tokens", |run| run.wasted_tokens),
         ("preemptions", |run| run.preemptions),
         ("calls run twice", |run| run.doubled as f64),
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -10,25 +10,27 @@
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
 
+use crate::claims;
 use crate::config::Config;
 use crate::jobs;
 use crate::logging;
 use crate::members;
-use crate::members::Members;
 use crate::metric;
 use crate::operator;
 use crate::peer;
-use crate::peer::Peers;
 use crate::prober;
 use crate::scheduling;
-use crate::scheduling::Scheduling;
 use crate::settings_sync;
+use crate::shared::Handles;
 use crate::shared::Shared;
 use crate::transport::front;
 
 /// Time between looks at the requests in progress during a planned stop, in milliseconds.
 const STOP_POLL_MS: u64 = 20;
 
+/// Time for the log to confirm that all key ranges are handed over, in milliseconds.
+const RELEASE_WAIT_MS: u64 = 5_000;
+
 /// Result of running a daemon.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -86,6 +88,9 @@
     {
         thread::sleep(Duration::from_millis(STOP_POLL_MS));
     }
+    if !shared.claims.release(RELEASE_WAIT_MS) {
+        log::warn!("some key ranges were not handed over; their next owner has to take them over");
+    }
     log::info!("no request is in progress, the process ends");
 }
 
@@ -99,13 +104,12 @@
     let metrics = metric::install();
     let listener = bind("vm.caller_address", &config.vm.caller_address)?;
     let peer_listener = bind("vm.peer_address", &config.vm.peer_address)?;
-    let (scheduling, scheduling_inbox) = Scheduling::new();
-    let (peers, peers_inbox) = Peers::new();
-    let (members, members_inbox) = Members::new();
-    let shared = Arc::new(Shared::new(config, scheduling, peers, members));
-    scheduling::start(Arc::clone(&shared), scheduling_inbox);
-    peer::start(Arc::clone(&shared), peers_inbox, peer_listener)?;
-    members::start(Arc::clone(&shared), members_inbox)?;
+    let (handles, inboxes) = Handles::new();
+    let shared = Arc::new(Shared::new(config, handles));
+    scheduling::start(Arc::clone(&shared), inboxes.scheduling);
+    peer::start(Arc::clone(&shared), inboxes.peers, peer_listener)?;
+    members::start(Arc::clone(&shared), inboxes.members)?;
+    claims::start(Arc::clone(&shared), inboxes.claims);
     settings_sync::start(Arc::clone(&shared));
     prober::start(Arc::clone(&shared));
     jobs::start(&shared)?;
--- a/crates/router/src/request/relay.rs
+++ b/crates/router/src/request/relay.rs
@@ -6,7 +6,9 @@
 use waxwing_wire::chat::ChatAnswer;
 use waxwing_wire::chat::ChatChunk;
 use waxwing_wire::chat::ChatRequest;
+use waxwing_wire::chat::ChunkChoice;
 use waxwing_wire::chat::DONE;
+use waxwing_wire::chat::Delta;
 use waxwing_wire::chat::Message;
 use waxwing_wire::chat::Usage;
 
@@ -104,13 +106,13 @@
         serde_json::to_vec(&request).unwrap_or_default()
     }
 
-    /// Takes the data of one event and passes it on to the caller of a stream.
+    /// Takes the data of one event and passes it on to the caller of a stream, if there is one.
     ///
     /// # Errors
     ///
     /// Fails if the event does not decode, belongs to another answer or follows the last token, or if the caller is
     /// gone.
-    pub fn event(&mut self, data: &str, answerer: &Answerer) -> Result<Relayed, Fault> {
+    pub fn event(&mut self, data: &str, answerer: Option<&Answerer>) -> Result<Relayed, Fault> {
         let mut chunk: ChatChunk = serde_json::from_str(data)
             .map_err(|error| Fault::Invalid(format!("an event does not decode: {error}")))?;
         self.check(&chunk)?;
@@ -125,7 +127,10 @@
         if finish_reason.is_some() {
             self.finish_reason = finish_reason;
         }
-        if self.is_streaming && (has_text || self.finish_reason.is_some()) {
+        if let Some(answerer) = answerer
+            && self.is_streaming
+            && (has_text || self.finish_reason.is_some())
+        {
             // An attempt after the first has another id; the caller sees one answer.
             chunk.id = self.answer_id.clone().unwrap_or_default();
             self.pass_on(&chunk, answerer)?;
@@ -147,8 +152,32 @@
             answerer.piece(format!("data: {DONE}\n\n"))?;
             return answerer.end();
         }
-        let body = serde_json::to_vec(&self.to_answer()).unwrap_or_default();
-        answerer.whole(200, "application/json", body)
+        answerer.whole(200, "application/json", self.to_stored().1)
+    }
+
+    /// Returns content type and body of the whole answer, as a repeat of the request receives it at once.
+    pub fn to_stored(&self) -> (&'static str, Vec<u8>) {
+        if !self.is_streaming {
+            let body = serde_json::to_vec(&self.to_answer()).unwrap_or_default();
+            return ("application/json", body);
+        }
+        let chunk = ChatChunk {
+            id: self.answer_id.clone().unwrap_or_default(),
+            object: "chat.completion.chunk".to_owned(),
+            created: self.created,
+            model: self.model.clone(),
+            choices: vec![ChunkChoice {
+                index: 0,
+                delta: Delta {
+                    role: None,
+                    content: Some(self.text.clone()),
+                },
+                finish_reason: self.finish_reason.clone(),
+            }],
+        };
+        let data = serde_json::to_string(&chunk).unwrap_or_default();
+        let body = format!("data: {data}\n\ndata: {DONE}\n\n");
+        ("text/event-stream", body.into_bytes())
     }
 
     /// Returns the whole answer as one body.
--- a/crates/router/src/request/run.rs
+++ b/crates/router/src/request/run.rs
@@ -13,11 +13,14 @@
 use waxwing_core::coordination::scheduler::Ask;
 use waxwing_core::coordination::scheduler::End;
 use waxwing_core::coordination::scheduler::Input;
+use waxwing_wire::platform::STALE_FENCE_STATUS;
 
 use crate::metric;
 use crate::request::admit::Job;
 use crate::request::admit::Target;
 use crate::request::answer::Answerer;
+use crate::request::claimed;
+use crate::request::claimed::Claimed;
 use crate::request::relay::Fault;
 use crate::request::relay::Relay;
 use crate::request::relay::Relayed;
@@ -46,14 +49,20 @@
 pub fn run(shared: &Arc<Shared>, job: Job, mut answerer: Answerer) {
     answerer.set_request_id(&job.request_id);
     open_trace(shared, &job);
+    let Some(claimed) = claimed::open(shared, &job, &answerer) else {
+        return;
+    };
     let relay = job.chat.as_ref().map(Relay::new);
     let mut running = Running {
         shared,
+        ticket: shared.to_ticket(),
         prefix_hash: job.to_prefix_hash(),
         content_hash: job.to_content_hash(),
         job,
         answerer,
+        claimed,
         relay,
+        is_detached: false,
         excluded: Vec::new(),
         attempts: 0,
         failed_attempts: 0,
@@ -62,8 +71,14 @@
     running.add(Step::Admitted {
         deadline_ms: running.to_left().as_millis() as u64,
     });
-    match running.run() {
+    let result = running.run();
+    shared
+        .scheduling
+        .leave(&running.job.class_settings.pool, running.ticket);
+    match result {
         Ok(status) => running.conclude(status),
+        // A detached request has had its final answer.
+        Err(Stop::Refused(_)) if running.is_detached => {}
         Err(Stop::Refused(refusal)) => running.refuse(&refusal),
         Err(Stop::CallerGone) => running.abandon(),
     }
@@ -89,7 +104,6 @@
 
 /// A slot that was granted.
 struct Slot {
-    ticket: TicketId,
     endpoint: Name,
     address: String,
     orders: Receiver<Order>,
@@ -99,7 +113,7 @@
 enum Ended {
     /// The whole answer went to the caller with this status.
     Answered(u16),
-    /// The endpoint was never reached.
+    /// The endpoint was never reached, or rejected the call before it ran anything.
     NotSent(String),
     /// The endpoint answered with an error.
     Failed(String),
@@ -115,9 +129,14 @@
 
 struct Running<'a> {
     shared: &'a Arc<Shared>,
+    /// Identity of the request in all its attempts, by which the scheduler counts its preemptions.
+    ticket: TicketId,
     job: Job,
     answerer: Answerer,
+    claimed: Claimed<'a>,
     relay: Option<Relay>,
+    /// Whether nobody waits for the answer any more; the call goes on only to learn its outcome.
+    is_detached: bool,
     excluded: Vec<Name>,
     attempts: u32,
     failed_attempts: u32,
@@ -154,12 +173,11 @@
 
     fn wait_for_slot(&mut self) -> Result<Slot, Stop> {
         let pool = self.job.class_settings.pool.clone();
-        let ticket = self.shared.to_ticket();
         let queued = Instant::now();
         self.add(Step::Queued {
             attempt: self.attempts,
         });
-        let orders = self.shared.scheduling.enqueue(&pool, self.to_ask(ticket));
+        let orders = self.shared.scheduling.enqueue(&pool, self.to_ask());
         match self.wait_for_grant(&orders) {
             Ok((endpoint, address)) => {
                 let waited = queued.elapsed();
@@ -170,16 +188,12 @@
                     waited_ms: waited.as_millis() as u64,
                 });
                 Ok(Slot {
-                    ticket,
                     endpoint,
                     address,
                     orders,
                 })
             }
-            Err(stop) => {
-                self.shared.scheduling.leave(&pool, ticket);
-                Err(stop)
-            }
+            Err(stop) => Err(stop),
         }
     }
 
@@ -212,23 +226,27 @@
     }
 
     fn attempt(&mut self, slot: &Slot) -> Ended {
+        let mut call = self.build_call(&slot.address);
+        match self.claimed.send() {
+            Ok(headers) => call.headers.extend(headers),
+            Err(refusal) => return Ended::Failed(refusal.message),
+        }
         let sent = Instant::now();
-        let events = attempt::start(self.build_call(&slot.address));
+        let events = attempt::start(call);
         let mut progress = Progress::new(sent);
         loop {
             let left = self.to_left();
-            if left.is_zero() {
-                return Ended::TimedOut;
-            }
-            if self.answerer.is_caller_gone() {
-                return Ended::CallerGone;
+            if !self.is_detached
+                && let Some(ended) = self.look_for_end(left)
+            {
+                return ended;
             }
             if let Ok(Order::Preempt) = slot.orders.try_recv() {
                 return Ended::Preempted;
             }
-            match events.recv_timeout(left.min(Duration::from_millis(POLL_MS))) {
+            match events.recv_timeout(Duration::from_millis(POLL_MS)) {
                 Ok(Event::Data(data)) => {
-                    if let Some(ended) = self.relay(slot, &data, &mut progress) {
+                    if let Some(ended) = self.relay(&data, &mut progress) {
                         return ended;
                     }
                 }
@@ -241,25 +259,55 @@
         }
     }
 
+    /// Returns how the attempt ends if the caller is gone or out of time.
+    ///
+    /// A non-idempotent call cannot be taken back and cannot be repeated, so it goes on without its caller: its outcome
+    /// is what a repeat of the request will receive.
+    fn look_for_end(&mut self, left: Duration) -> Option<Ended> {
+        let is_caller_gone = self.answerer.is_caller_gone();
+        if !is_caller_gone && !left.is_zero() {
+            return None;
+        }
+        if self.job.class_settings.idempotent {
+            return Some(if is_caller_gone {
+                Ended::CallerGone
+            } else {
+                Ended::TimedOut
+            });
+        }
+        self.is_detached = true;
+        if !is_caller_gone {
+            let message = "the deadline passed; a repeat with the same key receives the outcome";
+            let refusal = Refusal::unknown(Reason::DeadlinePassed, FAILED_RETRY_AFTER_MS, message);
+            self.refuse(&refusal);
+        }
+        None
+    }
+
     /// Passes the data of one event on; returns how the attempt ended if the event ends it.
-    fn relay(&mut self, slot: &Slot, data: &str, progress: &mut Progress) -> Option<Ended> {
+    fn relay(&mut self, data: &str, progress: &mut Progress) -> Option<Ended> {
         let relay = self.relay.as_mut()?;
-        match relay.event(data, &self.answerer) {
-            Ok(Relayed::Token) => self.note_token(slot, progress),
+        let answerer = (!self.is_detached).then_some(&self.answerer);
+        match relay.event(data, answerer) {
+            Ok(Relayed::Token) => self.note_token(progress),
             Ok(Relayed::Nothing) => {}
             Err(Fault::Invalid(message)) => return Some(Ended::Failed(message)),
-            Err(Fault::CallerGone) => return Some(Ended::CallerGone),
+            Err(Fault::CallerGone) if self.job.class_settings.idempotent => {
+                return Some(Ended::CallerGone);
+            }
+            // The text is kept; the next event goes to nobody.
+            Err(Fault::CallerGone) => self.is_detached = true,
         }
         None
     }
 
-    fn note_token(&self, slot: &Slot, progress: &mut Progress) {
+    fn note_token(&self, progress: &mut Progress) {
         let pool = &self.job.class_settings.pool;
         let now = Instant::now();
         if progress.tokens == 0 {
             let elapsed_ms = (now - progress.sent).as_millis() as u64;
             self.add(Step::FirstToken { elapsed_ms });
-            let ticket = slot.ticket;
+            let ticket = self.ticket;
             self.shared
                 .scheduling
                 .input(pool, Input::FirstToken { ticket, elapsed_ms });
@@ -278,7 +326,7 @@
             let since = (now - progress.reported).as_micros() as u64;
             progress.reported = now;
             let input = Input::Progress {
-                ticket: slot.ticket,
+                ticket: self.ticket,
                 tokens: progress.tokens,
                 gap_us: since / u64::from(PROGRESS_TOKENS),
             };
@@ -294,9 +342,16 @@
                 content_type,
                 body,
             } => {
+                if !self.job.class_settings.idempotent && status == STALE_FENCE_STATUS {
+                    return Ended::NotSent("the endpoint rejected the fencing token".to_owned());
+                }
                 if self.job.class_settings.idempotent && is_retryable(status) {
                     return Ended::Failed(format!("status {status}"));
                 }
+                self.claimed.done(status, &content_type, &body);
+                if self.is_detached {
+                    return Ended::Answered(status);
+                }
                 match self.answerer.whole(status, &content_type, body) {
                     Ok(()) => Ended::Answered(status),
                     Err(_) => Ended::CallerGone,
@@ -316,6 +371,11 @@
         if !relay.is_whole() {
             return Ended::Failed("the answer ended without a finish reason".to_owned());
         }
+        let (content_type, body) = relay.to_stored();
+        self.claimed.done(200, content_type, &body);
+        if self.is_detached {
+            return Ended::Answered(200);
+        }
         match relay.finish(&self.answerer) {
             Ok(()) => Ended::Answered(200),
             Err(_) => Ended::CallerGone,
@@ -333,15 +393,17 @@
             Ended::TimedOut => (End::Cancelled, "deadline passed"),
             Ended::CallerGone => (End::Cancelled, "caller gone"),
         };
+        if end == End::NotSent {
+            self.claimed.not_sent();
+        }
         self.may_have_run |= end != End::NotSent;
         let input = Input::Finish {
-            ticket: slot.ticket,
+            ticket: self.ticket,
             end,
             tokens,
         };
         let pool = &self.job.class_settings.pool;
         self.shared.scheduling.input(pool, input);
-        self.shared.scheduling.leave(pool, slot.ticket);
         if end != End::Done {
             self.add(Step::AttemptFailed {
                 endpoint: slot.endpoint.clone(),
@@ -376,11 +438,11 @@
         Ok(())
     }
 
-    fn to_ask(&self, ticket: TicketId) -> Ask {
+    fn to_ask(&self) -> Ask {
         let class = &self.job.class_settings;
         let organisation = &self.job.organisation_settings;
         Ask {
-            ticket,
+            ticket: self.ticket,
             class: self.job.class.clone(),
             organisation: self.job.organisation.clone(),
             weight: organisation.weight,
--- a/crates/router/src/scheduling/own.rs
+++ b/crates/router/src/scheduling/own.rs
@@ -158,7 +158,12 @@
 
     pub(super) fn enqueue(&mut self, pool_name: &Name, ask: Ask, orders: Sender<Order>) {
         let ticket = ask.ticket;
-        if self.own.contains_key(&ticket) {
+        // A request between two attempts is only known to the scheduler by its earlier ones, which still count.
+        if self
+            .own
+            .get(&ticket)
+            .is_some_and(|own| own.phase != Phase::Idle)
+        {
             self.withdraw(ticket);
         }
         // Without the pool, the dropped sender tells the request that there is none.
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -19,14 +19,68 @@
 use waxwing_core::TicketId;
 use waxwing_core::state::settings::Settings;
 
+use crate::claims;
+use crate::claims::Claims;
 use crate::config::Config;
 use crate::jobs::Jobs;
+use crate::members;
 use crate::members::Members;
+use crate::peer;
 use crate::peer::Peers;
 use crate::request::trace::Traces;
+use crate::scheduling;
 use crate::scheduling::Scheduling;
 use crate::settings_sync::SettingsHandle;
 
+/// Access to the threads that are started with the shared state.
+#[derive(Debug)]
+pub struct Handles {
+    /// Scheduler thread.
+    pub scheduling: Scheduling,
+    /// Peer thread.
+    pub peers: Peers,
+    /// Members thread.
+    pub members: Members,
+    /// Claims thread.
+    pub claims: Claims,
+}
+
+/// The other ends of [`Handles`], for the threads.
+#[derive(Debug)]
+pub struct Inboxes {
+    /// Scheduler thread.
+    pub scheduling: scheduling::Inbox,
+    /// Peer thread.
+    pub peers: peer::Inbox,
+    /// Members thread.
+    pub members: members::Inbox,
+    /// Claims thread.
+    pub claims: claims::Inbox,
+}
+
+impl Handles {
+    /// Creates the access to all threads and their inboxes.
+    pub fn new() -> (Self, Inboxes) {
+        let (scheduling, scheduling_inbox) = Scheduling::new();
+        let (peers, peers_inbox) = Peers::new();
+        let (members, members_inbox) = Members::new();
+        let (claims, claims_inbox) = Claims::new();
+        let handles = Self {
+            scheduling,
+            peers,
+            members,
+            claims,
+        };
+        let inboxes = Inboxes {
+            scheduling: scheduling_inbox,
+            peers: peers_inbox,
+            members: members_inbox,
+            claims: claims_inbox,
+        };
+        (handles, inboxes)
+    }
+}
+
 /// State that all threads of the daemon reach.
 #[derive(Debug)]
 pub struct Shared {
@@ -46,6 +100,8 @@
     pub jobs: Jobs,
     /// Access to the settings thread.
     pub settings_sync: SettingsHandle,
+    /// Access to the owners of key ranges.
+    pub claims: Claims,
     /// Requests in progress.
     pub in_progress: AtomicUsize,
     /// Open connections of callers.
@@ -139,7 +195,7 @@
 
 impl Shared {
     /// Creates the shared state of a process.
-    pub fn new(config: Config, scheduling: Scheduling, peers: Peers, members: Members) -> Self {
+    pub fn new(config: Config, handles: Handles) -> Self {
         let incarnation = rand::random();
         let own = Member {
             name: config.vm.name.clone(),
@@ -159,12 +215,13 @@
         Self {
             config,
             incarnation,
-            scheduling,
+            scheduling: handles.scheduling,
             traces: Traces::default(),
-            peers,
-            members,
+            peers: handles.peers,
+            members: handles.members,
             jobs: Jobs::new(),
             settings_sync: SettingsHandle::new(),
+            claims: handles.claims,
             in_progress: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
             is_draining: AtomicBool::new(false),
--- a/crates/router/tests/endpoint_probes.rs
+++ b/crates/router/tests/endpoint_probes.rs
@@ -14,12 +14,10 @@
 use waxwing_core::coordination::scheduler::Input;
 use waxwing_core::state::settings::Settings;
 use waxwingrouter::config::Config;
-use waxwingrouter::members::Members;
-use waxwingrouter::peer::Peers;
 use waxwingrouter::prober;
 use waxwingrouter::scheduling;
 use waxwingrouter::scheduling::Order;
-use waxwingrouter::scheduling::Scheduling;
+use waxwingrouter::shared::Handles;
 use waxwingrouter::shared::Shared;
 
 const CONFIG: &str = r#"
@@ -38,10 +36,8 @@
 /// Starts the scheduler and prober threads for one pool with one endpoint.
 fn start(address: &str) -> Arc<Shared> {
     let config = Config::parse("test", CONFIG).expect("the settings are valid");
-    let (access, inbox) = Scheduling::new();
-    let (peers, _peers_inbox) = Peers::new();
-    let (members, _members_inbox) = Members::new();
-    let shared = Arc::new(Shared::new(config, access, peers, members));
+    let (handles, inboxes) = Handles::new();
+    let shared = Arc::new(Shared::new(config, handles));
     let text = format!(
         "[pools.chat]\nkind = \"model\"\n[[pools.chat.endpoints]]\nname = \"e1\"\n\
          address = \"{address}\"\ndata_centre = \"dc-1\"\nslots_max = 4\n"
@@ -51,7 +47,7 @@
         view.settings = settings;
         view.settings_version = 1;
     });
-    scheduling::start(Arc::clone(&shared), inbox);
+    scheduling::start(Arc::clone(&shared), inboxes.scheduling);
     prober::start(Arc::clone(&shared));
     shared
 }
--- a/crates/router/tests/relay_answer.rs
+++ b/crates/router/tests/relay_answer.rs
@@ -30,10 +30,10 @@
     let mut relay = Relay::new(&request);
     relay.to_body(&request, 0);
     relay
-        .event(&to_event("a", "one ", None), &answerer)
+        .event(&to_event("a", "one ", None), Some(&answerer))
         .unwrap();
     assert!(is_invalid(
-        relay.event(&to_event("b", "two ", None), &answerer)
+        relay.event(&to_event("b", "two ", None), Some(&answerer))
     ));
     assert_eq!(relay.to_answer().choices[0].message.content, "one ");
 }
@@ -46,10 +46,10 @@
     let mut relay = Relay::new(&request);
     relay.to_body(&request, 0);
     relay
-        .event(&to_event("a", "one ", Some("stop")), &answerer)
+        .event(&to_event("a", "one ", Some("stop")), Some(&answerer))
         .unwrap();
     assert!(is_invalid(
-        relay.event(&to_event("a", "two ", None), &answerer)
+        relay.event(&to_event("a", "two ", None), Some(&answerer))
     ));
     assert!(relay.is_whole());
 }
@@ -62,7 +62,7 @@
     let mut relay = Relay::new(&request);
     relay.to_body(&request, 0);
     relay
-        .event(&to_event("a", "one ", None), &answerer)
+        .event(&to_event("a", "one ", None), Some(&answerer))
         .unwrap();
 
     let resumed: Value = serde_json::from_slice(&relay.to_body(&request, 0)).unwrap();
@@ -73,7 +73,7 @@
     assert_eq!(resumed["continue_final_message"], json!(true));
 
     relay
-        .event(&to_event("b", "two ", Some("stop")), &answerer)
+        .event(&to_event("b", "two ", Some("stop")), Some(&answerer))
         .unwrap();
     relay.finish(&answerer).unwrap();
     assert_eq!(relay.to_answer().choices[0].message.content, "one two ");
@@ -98,7 +98,7 @@
     let mut relay = Relay::new(&request);
     relay.to_body(&request, 0);
     relay
-        .event(&to_event("a", "one ", None), &answerer)
+        .event(&to_event("a", "one ", None), Some(&answerer))
         .unwrap();
     assert!(!relay.is_whole());
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -20,12 +20,12 @@
 use waxwing_wire::platform::LoadReport;
 use waxwing_wire::platform::Order;
 use waxwing_wire::platform::OrderKind;
+use waxwing_wire::platform::STALE_FENCE_STATUS;
 
 use crate::fault::Common;
 use crate::fault::FaultCell;
 use crate::fence::Fences;
 use crate::fence::OrderAnswer;
-use crate::fence::STALE_FENCE_STATUS;
 use crate::http;
 use crate::http::Call;
 use crate::http::ClientGone;
--- a/crates/standin/src/fence.rs
+++ b/crates/standin/src/fence.rs
@@ -19,9 +19,6 @@
     pub fence: u64,
 }
 
-/// HTTP status of an order or call with a stale fencing token.
-pub(crate) const STALE_FENCE_STATUS: u16 = 412;
-
 impl Fences {
     pub(crate) fn new(is_checked: bool) -> Self {
         Self {
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -21,12 +21,12 @@
 use waxwing_wire::platform::Health;
 use waxwing_wire::platform::LoadReport;
 use waxwing_wire::platform::Order;
+use waxwing_wire::platform::STALE_FENCE_STATUS;
 
 use crate::fault::Common;
 use crate::fault::FaultCell;
 use crate::fence::Fences;
 use crate::fence::OrderAnswer;
-use crate::fence::STALE_FENCE_STATUS;
 use crate::http;
 use crate::http::Call;
 use crate::http::Started;
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -3,6 +3,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// HTTP status by which an endpoint rejects an order or call with a stale fencing token; it ran nothing.
+pub const STALE_FENCE_STATUS: u16 = 412;
+
 /// Records to append in one operation.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Append {
