Readmit an endpoint when its running probe has become fast

A probe request that is granted while the endpoint is slow may be long, and its first token cannot show the recovery any more, so the endpoint stayed ejected until the request had ended and the next one was sent. The time between its tokens now readmits the endpoint too.

Ruled out: preempting a probe request that turns out slow. It would end the probe sooner, but spend a preemption of the request on it.

--- a/crates/core/src/coordination/scheduler/speed.rs
+++ b/crates/core/src/coordination/scheduler/speed.rs
@@ -115,6 +115,7 @@
         let running = &mut self.running[key];
         running.tokens = running.tokens.max(tokens);
         let endpoint_key = running.endpoint;
+        let is_probe = running.is_probe;
         let relative = match self.gaps_us.to_count() {
             0..SAMPLES_MIN => 1.0,
             _ => gap_us as f32 / self.gaps_us.to_quantile(0.5).max(1) as f32,
@@ -125,6 +126,10 @@
         }
         let is_late = gap_us > self.config.gap_target_us;
         endpoint.observe_target(now_ms, is_late, &self.config);
+        // A long probe request shows the recovery long before the next one could.
+        if is_probe {
+            self.end_probe(endpoint_key, relative);
+        }
         self.observe_speed(now_ms, endpoint_key, relative);
     }
 
--- a/crates/core/tests/slow_endpoints.rs
+++ b/crates/core/tests/slow_endpoints.rs
@@ -124,3 +124,29 @@
     shard.now_ms += 1;
     assert_eq!(slots(&shard), before, "an old report no longer counts");
 }
+
+#[test]
+fn recovery_during_a_long_probe_is_noticed() {
+    let mut shard = Shard::new(Config::default(), &[4, 4, 4]);
+    run(&mut shard, 20, &[]);
+    run(&mut shard, 8, &["e2"]);
+    let progress = |shard: &mut Shard, sequence: u64, gap_us: u64| {
+        shard.step(Input::Progress {
+            ticket: shard::ticket(sequence),
+            tokens: 16,
+            gap_us,
+        })
+    };
+    shard.enqueue(ask(1, 1));
+    for _ in 0..10 {
+        progress(&mut shard, 1, 20_000);
+    }
+    shard.now_ms += 2_000;
+    let probe = grants(&shard.enqueue(ask(2, 1)));
+    assert_eq!(probe, vec![(2, "e2".to_owned())]);
+    shard.first_token(2, 1_000);
+    progress(&mut shard, 2, 120_000);
+    assert_eq!(shard.scheduler.counters().readmissions, 0);
+    progress(&mut shard, 2, 20_000);
+    assert_eq!(shard.scheduler.counters().readmissions, 1);
+}
