--- a/crates/harness/tests/silent_connection.rs
+++ b/crates/harness/tests/silent_connection.rs
@@ -11,7 +11,7 @@
 use waxwing_harness::deployment::Plan;
 use waxwing_standin::proxy;
 
-const TOKENS: u64 = 50;
+const TOKENS: u64 = 100;
 const SLOTS_MAX: u64 = 8;
 const SILENT: &str = "waxwing_peer_silent_connections_total";
 
@@ -95,15 +95,23 @@
         }
         threads
     };
+    let is_full = || deployment.engines[0].to_running() == SLOTS_MAX;
     let first = start_all();
-    condition::wait_until("the engine is full", || {
-        deployment.engines[0].to_running() == SLOTS_MAX
+    // The ends are to be the first reports that meet the silent connection; later ones wait behind those in flight.
+    condition::wait_until("all first tokens are reported", || {
+        let series = "waxwing_first_token_seconds_count{class=\"desk/draft\"}";
+        deployment.daemons[entry].to_count(series) == SLOTS_MAX as f64 && is_full()
     });
     proxy.set_faults(&proxy::Faults {
         silence_existing: true,
         ..proxy::Faults::default()
     });
-    for thread in first.into_iter().chain(start_all()) {
+    for thread in first {
+        assert!(thread.join().is_ok(), "a caller failed");
+    }
+    let second = start_all();
+    condition::wait_until("all slots are used again", is_full);
+    for thread in second {
         assert!(thread.join().is_ok(), "a caller failed");
     }
 }
