Bound the memory of claims and keep settlements local while a range is in use

Cause: kept answers grew with the rate of calls times the lifetime of keys, an outcome went to another VM while this one still had the range in use, and a former owner repeated fence orders that endpoints reject.

Bodies are dropped from the oldest on beyond 4 MiB a range, in log order, so that all readers drop the same ones; a repeat of such a key is told that it ran. The buffer of unconfirmed changes holds 1024 keys and an append 256 changes.

--- a/crates/core/src/coordination/claim_owner.rs
+++ b/crates/core/src/coordination/claim_owner.rs
@@ -27,11 +27,11 @@
 pub use claimant::Claimant;
 pub use claimant::Farewell;
 
-/// Keys that may have unconfirmed claims or outcomes; 4096 with kept bodies stay below 64 MiB.
-const PENDING_KEYS_MAX: usize = 4_096;
+/// Keys that may have unconfirmed claims or outcomes; 1024 answers of 16 KiB take 16 MiB.
+const PENDING_KEYS_MAX: usize = 1_024;
 
-/// Claims and outcomes of one append.
-const APPEND_CHANGES_MAX: usize = 512;
+/// Claims and outcomes of one append; 256 answers of 16 KiB stay below 6 MiB in base64.
+const APPEND_CHANGES_MAX: usize = 256;
 
 /// Time between removals of expired keys, in milliseconds.
 const PRUNE_INTERVAL_MS: u64 = 10_000;
--- a/crates/core/src/state/claims.rs
+++ b/crates/core/src/state/claims.rs
@@ -3,6 +3,7 @@
 mod record;
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 
 pub use record::Answer;
 pub use record::CLAIM_RANGES;
@@ -13,6 +14,9 @@
 pub use record::Owner;
 pub use record::Record;
 
+/// Bodies of answers that are kept for repeats, in bytes; the eight ranges of one VM stay below 32 MiB.
+const BODIES_MAX_BYTES: usize = 4 * 1_024 * 1_024;
+
 /// Latest claim of a key.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Entry {
@@ -31,6 +35,13 @@
     pub fn is_free(&self) -> bool {
         self.outcome == Some(Outcome::NotRun)
     }
+
+    fn to_body_bytes(&self) -> usize {
+        match &self.outcome {
+            Some(Outcome::Done(answer)) => answer.body.as_ref().map_or(0, Vec::len),
+            _ => 0,
+        }
+    }
 }
 
 /// State of one key range; every reader of the log reaches the same one.
@@ -45,6 +56,9 @@
     may_use_memory: bool,
     cutoff_ms: u64,
     claims: BTreeMap<ClaimKey, Entry>,
+    /// Keys whose answers have a body, the oldest first.
+    bodies: VecDeque<ClaimKey>,
+    bodies_bytes: usize,
 }
 
 impl ClaimTable {
@@ -62,6 +76,8 @@
             may_use_memory: false,
             cutoff_ms: 0,
             claims: BTreeMap::new(),
+            bodies: VecDeque::new(),
+            bodies_bytes: 0,
         }
     }
 
@@ -124,6 +140,10 @@
     pub fn prune(&mut self, created_ms: u64) {
         self.claims
             .retain(|key, _| key.to_created_ms() >= created_ms);
+        let claims = &self.claims;
+        self.bodies.retain(|key| claims.contains_key(key));
+        let kept = self.bodies.iter().filter_map(|key| claims.get(key));
+        self.bodies_bytes = kept.map(Entry::to_body_bytes).sum();
     }
 
     /// Passes over a record that does not decode.
@@ -223,8 +243,31 @@
         let Some(entry) = self.claims.get_mut(key) else {
             return;
         };
-        if entry.id == id && entry.outcome.is_none() {
-            entry.outcome = Some(result.clone());
+        if entry.id != id || entry.outcome.is_some() {
+            return;
+        }
+        entry.outcome = Some(result.clone());
+        let body_bytes = entry.to_body_bytes();
+        if body_bytes > 0 {
+            self.bodies.push_back(key.clone());
+            self.bodies_bytes += body_bytes;
+        }
+        self.drop_bodies();
+    }
+
+    /// Drops the oldest bodies beyond the bound; their keys still count as having run.
+    fn drop_bodies(&mut self) {
+        while self.bodies_bytes > BODIES_MAX_BYTES {
+            let Some(key) = self.bodies.pop_front() else {
+                return;
+            };
+            let Some(entry) = self.claims.get_mut(&key) else {
+                continue;
+            };
+            self.bodies_bytes -= entry.to_body_bytes();
+            if let Some(Outcome::Done(answer)) = &mut entry.outcome {
+                answer.body = None;
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/core/tests/claim_owner.rs
@@ -0,0 +1,220 @@
+//! Bounds of keys, of the log's retention and of memory in the decisions about claims.
+
+use std::collections::BTreeSet;
+
+use uuid::Uuid;
+use waxwing_core::Name;
+use waxwing_core::Reason;
+use waxwing_core::Run;
+use waxwing_core::coordination::claim_owner::ClaimOwner;
+use waxwing_core::coordination::claim_owner::Effect;
+use waxwing_core::coordination::claim_owner::Input;
+use waxwing_core::coordination::claim_owner::Limits;
+use waxwing_core::coordination::claim_owner::Now;
+use waxwing_core::coordination::claim_owner::Request;
+use waxwing_core::coordination::claim_owner::Verdict;
+use waxwing_core::state::claims::Answer;
+use waxwing_core::state::claims::Claim;
+use waxwing_core::state::claims::ClaimId;
+use waxwing_core::state::claims::ClaimKey;
+use waxwing_core::state::claims::ClaimTable;
+use waxwing_core::state::claims::Outcome;
+use waxwing_core::state::claims::Owner;
+use waxwing_core::state::claims::Record;
+
+const WALL_MS: u64 = 1_000_000;
+const LIFETIME_MS: u64 = 60_000;
+const SKEW_MS: u64 = 1_000;
+
+fn key(created_ms: u64, low: u64) -> ClaimKey {
+    ClaimKey {
+        organisation: Name::from("o"),
+        key: Uuid::from_u128(u128::from(created_ms) << 80 | 7 << 76 | u128::from(low)),
+    }
+}
+
+fn identity() -> Owner {
+    Owner {
+        vm: Name::from("a"),
+        incarnation: 1,
+    }
+}
+
+fn now(now_ms: u64) -> Now {
+    Now {
+        now_ms,
+        wall_ms: WALL_MS,
+    }
+}
+
+/// Returns an owner that serves, with the next offset of its stream.
+fn to_serving() -> (ClaimOwner, u64) {
+    let limits = Limits {
+        key_lifetime_ms: LIFETIME_MS,
+        clock_skew_max_ms: SKEW_MS,
+        group_commit_ms: 0,
+        append_retry_ms: 0,
+        outage_after_ms: 5_000,
+        renew_ms: 600_000,
+        retake_ms: 0,
+        uses_memory: true,
+    };
+    let mut owner = ClaimOwner::new(identity(), limits, now(0));
+    let preferred = Name::from("a");
+    let live = BTreeSet::from([preferred.clone()]);
+    owner.step(now(0), Input::Members { preferred, live });
+    let mut offset = 0;
+    let mut effects = read(&mut owner, Vec::new());
+    while !owner.table().is_active() {
+        let mut records = Vec::new();
+        for effect in effects.drain(..) {
+            let Effect::Append(appended) = effect else {
+                continue;
+            };
+            for record in appended {
+                records.push((offset, Some(record)));
+                offset += 1;
+            }
+        }
+        owner.step(now(0), Input::AppendEnded { is_confirmed: true });
+        effects = read(&mut owner, records);
+    }
+    (owner, offset)
+}
+
+fn read(owner: &mut ClaimOwner, records: Vec<(u64, Option<Record>)>) -> Vec<Effect> {
+    let is_end = true;
+    owner.step(now(0), Input::Read { records, is_end })
+}
+
+fn ask(owner: &mut ClaimOwner, now: Now, key: ClaimKey) -> Option<Verdict> {
+    let request = Request {
+        key,
+        claimant: 1,
+        body_hash: [0; 32],
+        may_use_memory: true,
+        deadline_ms: now.now_ms + 1_000,
+    };
+    let effects = owner.step(now, Input::Claim(Box::new(request)));
+    effects.into_iter().find_map(|effect| match effect {
+        Effect::Reply { verdict, .. } => Some(verdict),
+        _ => None,
+    })
+}
+
+fn refusal(verdict: Option<Verdict>) -> Option<(Reason, Run)> {
+    match verdict {
+        Some(Verdict::Refused(refusal)) => Some((refusal.reason, refusal.run)),
+        _ => None,
+    }
+}
+
+/// Guards against a key that outlives its records in the log, and against one that starts to age late.
+#[test]
+fn key_age() {
+    let (mut owner, _) = to_serving();
+    let old = ask(&mut owner, now(0), key(WALL_MS - LIFETIME_MS - 1, 0));
+    assert_eq!(refusal(old), Some((Reason::KeyTooOld, Run::Unknown)));
+    let ahead = ask(&mut owner, now(0), key(WALL_MS + SKEW_MS + 1, 0));
+    assert_eq!(refusal(ahead), Some((Reason::KeyMalformed, Run::NotRun)));
+    assert_eq!(ask(&mut owner, now(0), key(WALL_MS - LIFETIME_MS, 0)), None);
+    assert_eq!(ask(&mut owner, now(0), key(WALL_MS + SKEW_MS, 0)), None);
+}
+
+/// Guards against a buffer that grows without bound during an outage.
+#[test]
+fn full_buffer() {
+    let (mut owner, _) = to_serving();
+    let lost = now(5_000);
+    let mut granted = 0;
+    while matches!(
+        ask(&mut owner, lost, key(WALL_MS, granted)),
+        Some(Verdict::Granted(_))
+    ) {
+        granted += 1;
+    }
+    assert_eq!(granted, 1_024);
+    let refused = ask(&mut owner, lost, key(WALL_MS, granted));
+    assert_eq!(refusal(refused), Some((Reason::QueueFull, Run::NotRun)));
+}
+
+/// Guards against a wait beyond its deadline, and a claim that stays taken after its requester was refused.
+#[test]
+fn wait_deadline() {
+    let (mut owner, _) = to_serving();
+    assert_eq!(ask(&mut owner, now(0), key(WALL_MS, 0)), None);
+    let effects = owner.step(now(1_000), Input::Tick);
+    assert!(
+        matches!(&effects[..], [Effect::Reply { .. }]),
+        "{effects:?}"
+    );
+    let effects = owner.step(now(1_000), Input::AppendEnded { is_confirmed: true });
+    let is_settled = |record: &Record| {
+        matches!(
+            record,
+            Record::Outcome {
+                result: Outcome::NotRun,
+                ..
+            }
+        )
+    };
+    assert!(
+        matches!(&effects[..], [Effect::Append(records)] if records.iter().any(is_settled)),
+        "{effects:?}"
+    );
+}
+
+/// Guards against a reader that takes a range for unowned because retention has dropped the record of its owner.
+#[test]
+fn dropped_ownership() {
+    let mut table = ClaimTable::new(100);
+    let own = Record::Own {
+        owner: identity(),
+        previous_fence: 0,
+    };
+    table.apply(100, &own);
+    assert_eq!(table.owner(), None);
+    let active = Record::Active {
+        owner: identity(),
+        fence: 7,
+        cutoff_ms: 9,
+        may_use_memory: true,
+    };
+    table.apply(101, &active);
+    assert_eq!((table.fence(), table.owner()), (7, Some(&identity())));
+    assert!(table.is_active() && table.may_use_memory());
+}
+
+/// Guards against bodies of answers that fill the memory of the owner.
+#[test]
+fn dropped_bodies() {
+    let (owner, mut offset) = to_serving();
+    let mut table = owner.table().clone();
+    let fence = table.fence();
+    for low in 0..5 {
+        let claim = Claim {
+            key: key(WALL_MS, low),
+            attempt: 1,
+            claimant: low,
+            body_hash: [0; 32],
+        };
+        let outcome = Record::Outcome {
+            key: claim.key.clone(),
+            claim: ClaimId { fence, attempt: 1 },
+            result: Outcome::Done(Answer {
+                status: 200,
+                content_type: String::new(),
+                body: Some(vec![0; 1_024 * 1_024]),
+            }),
+        };
+        let claims = vec![claim];
+        table.apply(offset, &Record::Claims { fence, claims });
+        table.apply(offset + 1, &outcome);
+        offset += 2;
+    }
+    let has_body = |low| match table.get(&key(WALL_MS, low)).map(|entry| &entry.outcome) {
+        Some(Some(Outcome::Done(answer))) => answer.body.is_some(),
+        other => panic!("key {low} has the outcome {other:?}"),
+    };
+    assert_eq!([0, 1, 4].map(has_body), [false, true, true]);
+}
--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -7,6 +7,8 @@
 mod worker;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -79,6 +81,8 @@
 #[derive(Clone, Debug)]
 pub struct Claims {
     messages: Sender<Message>,
+    /// One bit for each range that the claims thread has in use.
+    in_use: Arc<AtomicU8>,
 }
 
 /// The other end of [`Claims`], for the thread.
@@ -91,7 +95,11 @@
     /// Creates the access and the inbox of its thread.
     pub fn new() -> (Self, Inbox) {
         let (sender, receiver) = flume::bounded(MESSAGES_MAX);
-        (Self { messages: sender }, Inbox { messages: receiver })
+        let claims = Self {
+            messages: sender,
+            in_use: Arc::default(),
+        };
+        (claims, Inbox { messages: receiver })
     }
 
     /// Asks the owner of the key's range for a claim and waits for its answer, at most `wait_ms` and a short grace.
@@ -106,10 +114,15 @@
     }
 
     /// Tells the owner of the key's range what became of a granted claim.
+    ///
+    /// An outcome is valid whoever writes it, so this process writes it itself while it has the range in use.
     pub fn settle(&self, shared: &Shared, settlement: Settlement) {
-        match to_route(shared, settlement.grant.range) {
-            Route::Local => self.settle_here(settlement),
-            Route::Remote(member) => remote::settle(shared, &member, settlement),
+        let range = settlement.grant.range;
+        match to_route(shared, range) {
+            Route::Remote(member) if !self.is_in_use(range) => {
+                remote::settle(shared, &member, settlement);
+            }
+            _ => self.settle_here(settlement),
         }
     }
 
@@ -164,6 +177,10 @@
         })
     }
 
+    fn is_in_use(&self, range: u8) -> bool {
+        self.in_use.load(Ordering::Relaxed) & to_bit(range) != 0
+    }
+
     fn send(&self, message: Message) -> bool {
         let timeout = Duration::from_millis(SEND_TIMEOUT_MS);
         let is_sent = self.messages.send_timeout(message, timeout).is_ok();
@@ -200,6 +217,10 @@
         .map_or_else(|| own.clone(), |name| (*name).clone())
 }
 
+fn to_bit(range: u8) -> u8 {
+    1_u8.checked_shl(range.into()).unwrap_or(0)
+}
+
 fn to_key(organisation: &str, key: uuid::Uuid) -> ClaimKey {
     ClaimKey {
         organisation: organisation.into(),
--- a/crates/router/src/claims/range.rs
+++ b/crates/router/src/claims/range.rs
@@ -36,7 +36,9 @@
     /// Requests that wait, by claimant.
     pub(super) replies: HashMap<u64, Sender<ClaimVerdict>>,
     pub(super) epoch: u64,
-    pub(super) is_over: Arc<AtomicBool>,
+    /// Value of the gauge of unconfirmed keys.
+    pub(super) pending_shown: usize,
+    is_over: Arc<AtomicBool>,
     /// Whether the fence order of an earlier fencing token is to end.
     pub(super) is_raise_over: Arc<AtomicBool>,
     appends: Sender<Vec<Record>>,
@@ -77,6 +79,7 @@
             owner,
             replies: HashMap::new(),
             epoch,
+            pending_shown: 0,
             is_over,
             is_raise_over: Arc::default(),
             appends,
--- a/crates/router/src/claims/worker.rs
+++ b/crates/router/src/claims/worker.rs
@@ -40,6 +40,7 @@
 use super::fence;
 use super::range::Range;
 use super::range::Reporter;
+use super::to_bit;
 use super::to_key;
 use super::to_preferred;
 
@@ -112,6 +113,9 @@
             }
             Message::Settle(settlement) => {
                 let key = to_key(&settlement.organisation, settlement.key);
+                if !self.ranges.contains_key(&key.to_range()) {
+                    counters::count_lost_settlement();
+                }
                 let id = settlement.grant.into();
                 let result = settlement.result.into();
                 self.step(key.to_range(), Input::Settle { key, id, result });
@@ -216,6 +220,7 @@
         let owner = ClaimOwner::new(identity, limits, self.now());
         let state = Range::start(owner, &self.client, reporter);
         self.ranges.insert(range, state);
+        self.publish_in_use();
     }
 
     fn close_unused(&mut self, view: &View, own: &Name) {
@@ -223,6 +228,13 @@
             let is_preferred = to_preferred(view, own, *range) == *own;
             is_preferred || !state.owner.is_handed_over() || !state.replies.is_empty()
         });
+        self.publish_in_use();
+    }
+
+    fn publish_in_use(&self) {
+        let bits = self.ranges.keys().map(|range| to_bit(*range));
+        let in_use = bits.fold(0, |all, bit| all | bit);
+        self.shared.claims.in_use.store(in_use, Ordering::Relaxed);
     }
 
     fn check_retention(&mut self, limits: &Limits) {
@@ -262,7 +274,15 @@
                 state.owner.table().owner()
             );
         }
-        counters::set_pending(range, state.owner.pending_len());
+        let pending = state.owner.pending_len();
+        if pending != state.pending_shown {
+            state.pending_shown = pending;
+            counters::set_pending(range, pending);
+        }
+        if !state.owner.is_owner() {
+            // A former owner must not repeat orders that endpoints reject.
+            state.is_raise_over.store(true, Ordering::Relaxed);
+        }
         for effect in effects {
             apply(self.shared, &self.messages, range, state, effect);
         }
