Hedge late first tokens and give retries a budget

A repeat of a call that may have run costs a retry of its organisation. The request module is split by step.

--- /dev/null
+++ b/crates/router/src/budget.rs
@@ -0,0 +1,61 @@
+//! Budgets of repeated attempts, which all request threads share.
+
+use std::sync::MutexGuard;
+
+use waxwing_core::Name;
+use waxwing_core::coordination::hedge;
+use waxwing_core::coordination::hedge::Hedging;
+use waxwing_core::coordination::retry;
+use waxwing_core::coordination::retry::RetryBudgets;
+
+/// The state behind [`Budgets`].
+#[derive(Debug)]
+pub struct Inner {
+    retries: RetryBudgets,
+    hedging: Hedging,
+}
+
+impl Default for Inner {
+    fn default() -> Self {
+        Self {
+            retries: RetryBudgets::new(retry::Config::default()),
+            hedging: Hedging::new(hedge::Config::default()),
+        }
+    }
+}
+
+/// Locked access to the budgets.
+#[derive(Debug)]
+pub struct Budgets<'a> {
+    inner: MutexGuard<'a, Inner>,
+    now_ms: u64,
+}
+
+impl<'a> Budgets<'a> {
+    pub(crate) fn new(inner: MutexGuard<'a, Inner>, now_ms: u64) -> Self {
+        Self { inner, now_ms }
+    }
+
+    /// Counts a new request, which earns shares of a retry and, if it may be hedged, of a second attempt.
+    pub fn earn(&mut self, organisation: &Name, may_hedge: bool) {
+        self.inner.retries.earn(self.now_ms, organisation);
+        if may_hedge {
+            self.inner.hedging.earn();
+        }
+    }
+
+    /// Takes a retry; returns `false` if the organisation has none left.
+    pub fn take_retry(&mut self, organisation: &Name) -> bool {
+        self.inner.retries.take(self.now_ms, organisation)
+    }
+
+    /// Takes a second attempt if the first has waited long enough and the budget allows it.
+    pub fn take_hedge(&mut self, class: &Name, waited_ms: u64) -> bool {
+        self.inner.hedging.take(class, waited_ms)
+    }
+
+    /// Learns a first-token time of a class.
+    pub fn learn(&mut self, class: &Name, first_token_ms: u64) {
+        self.inner.hedging.learn(class, first_token_ms);
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,5 +1,6 @@
 //! The waxwingrouter daemon: the threads of an entry VM and what they share.
 
+pub mod budget;
 pub mod claims;
 pub mod config;
 pub mod daemon;
--- /dev/null
+++ b/crates/router/src/request/run/slot.rs
@@ -0,0 +1,106 @@
+//! The wait of a request for a slot.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use flume::Receiver;
+use flume::RecvTimeoutError;
+use waxwing_core::Name;
+use waxwing_core::Reason;
+use waxwing_core::TicketId;
+use waxwing_core::coordination::scheduler::Ask;
+
+use super::FAILED_RETRY_AFTER_MS;
+use super::POLL_MS;
+use super::Running;
+use super::Slot;
+use super::Stop;
+use crate::metric;
+use crate::request::trace::Step;
+use crate::scheduling::Order;
+
+impl Running<'_> {
+    pub(super) fn wait_for_slot(&mut self) -> Result<Slot, Stop> {
+        let pool = self.job.class_settings.pool.clone();
+        let queued = Instant::now();
+        self.add(Step::Queued {
+            attempt: self.attempts,
+        });
+        let ask = self.to_ask(self.ticket, &[]);
+        let orders = self.shared.scheduling.enqueue(&pool, ask);
+        match self.wait_for_grant(&orders) {
+            Ok((endpoint, address)) => {
+                let waited = queued.elapsed();
+                metrics::histogram!(metric::QUEUE_WAIT, "class" => self.job.class.to_string())
+                    .record(waited.as_secs_f64());
+                self.add(Step::Granted {
+                    endpoint: endpoint.clone(),
+                    waited_ms: waited.as_millis() as u64,
+                });
+                Ok(Slot {
+                    ticket: self.ticket,
+                    endpoint,
+                    address,
+                    orders,
+                })
+            }
+            Err(stop) => Err(stop),
+        }
+    }
+
+    fn wait_for_grant(&self, orders: &Receiver<Order>) -> Result<(Name, String), Stop> {
+        loop {
+            if self.answerer.is_caller_gone() {
+                return Err(Stop::CallerGone);
+            }
+            let left = self.to_left();
+            if left.is_zero() {
+                let message = "the deadline passed before a slot was free";
+                return Err(self.stop(Reason::DeadlinePassed, 0, message));
+            }
+            match orders.recv_timeout(left.min(Duration::from_millis(POLL_MS))) {
+                Ok(Order::Grant { endpoint, address }) => return Ok((endpoint, address)),
+                Ok(Order::Refuse {
+                    reason,
+                    retry_after_ms,
+                }) => {
+                    let message = format!("no slot was granted: {}", reason.as_str());
+                    return Err(self.stop(reason, retry_after_ms, message));
+                }
+                Ok(Order::Preempt) | Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => {
+                    let message = "the pool does not exist";
+                    return Err(self.stop(Reason::NoEndpoint, FAILED_RETRY_AFTER_MS, message));
+                }
+            }
+        }
+    }
+
+    /// Returns what the scheduler needs to know, without the endpoints that failed before and those in `more_excluded`.
+    pub(super) fn to_ask(&self, ticket: TicketId, more_excluded: &[Name]) -> Ask {
+        let mut excluded = self.excluded.clone();
+        excluded.extend_from_slice(more_excluded);
+        let class = &self.job.class_settings;
+        let organisation = &self.job.organisation_settings;
+        Ask {
+            ticket,
+            class: self.job.class.clone(),
+            organisation: self.job.organisation.clone(),
+            weight: organisation.weight,
+            tier: class.tier,
+            deadline_at_ms: self.shared.now_ms() + self.to_left().as_millis() as u64,
+            target_ms: class.target_ms,
+            ageing_ms: class.ageing_ms,
+            idempotent: class.idempotent,
+            preemptible: class.preemptible,
+            expected_tokens: class.expected_tokens,
+            generated_tokens: self.tokens(),
+            class_in_flight_max: class.in_flight_max,
+            organisation_in_flight_max: organisation.in_flight_max,
+            prefix_hash: self.prefix_hash,
+            content_hash: self.content_hash,
+            data_centre: self.shared.config.vm.data_centre.clone(),
+            excluded,
+        }
+    }
+}
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -19,6 +19,8 @@
 use waxwing_core::TicketId;
 use waxwing_core::state::settings::Settings;
 
+use crate::budget;
+use crate::budget::Budgets;
 use crate::claims;
 use crate::claims::Claims;
 use crate::config::Config;
@@ -98,6 +100,7 @@
     pub members: Members,
     /// Jobs.
     pub jobs: Jobs,
+    budgets: Mutex<budget::Inner>,
     /// Access to the settings thread.
     pub settings_sync: SettingsHandle,
     /// Access to the owners of key ranges.
@@ -220,6 +223,7 @@
             peers: handles.peers,
             members: handles.members,
             jobs: Jobs::new(),
+            budgets: Mutex::default(),
             settings_sync: SettingsHandle::new(),
             claims: handles.claims,
             in_progress: AtomicUsize::new(0),
@@ -280,6 +284,15 @@
         *guard = Arc::new(view);
     }
 
+    /// Returns the budgets of repeated attempts, locked.
+    pub fn to_budgets(&self) -> Budgets<'_> {
+        let inner = self
+            .budgets
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        Budgets::new(inner, self.now_ms())
+    }
+
     /// Returns a new identity for a request.
     pub fn to_ticket(&self) -> TicketId {
         TicketId {
