Refuse requests on idle connections of a stopping VM, and judge silence from the time a call is sent

A full test run failed once in planned_stop: a connection that was opened during the stop was closed before its request was read, so that the caller got no refusal.

A call that had waited for a connection could time out right after it was sent and close a healthy connection; calls that are answered from memory now have their time from the sending on, and the peer answers questions within less.

--- a/crates/router/src/peer/client.rs
+++ b/crates/router/src/peer/client.rs
@@ -37,6 +37,7 @@
 
 use crate::metric;
 use crate::peer::Answer;
+use crate::peer::CALL_TIMEOUT_MS;
 use crate::peer::CALLS_MAX;
 use crate::peer::Call;
 use crate::peer::Command;
@@ -245,6 +246,10 @@
             reply(context, name, request.reply, Err(Error::UnknownPeer)).await;
             continue;
         }
+        if request.deadline <= Instant::now() {
+            reply(context, name, request.reply, Err(Error::Timeout)).await;
+            continue;
+        }
         if connection.in_flight.get() >= CALLS_MAX {
             reply(context, name, request.reply, Err(Error::Busy)).await;
             continue;
@@ -412,6 +417,11 @@
 async fn perform(connection: &Connection, call: Call, deadline: Instant) -> Result<Answer> {
     // A slot or a claim may take as long as the request has time; any other answer comes from memory.
     let is_prompt = !matches!(call, Call::Enqueue { .. } | Call::Claim(_));
+    // Time that the call waited for a connection says nothing about this connection.
+    let deadline = match is_prompt {
+        true => Instant::now() + Duration::from_millis(CALL_TIMEOUT_MS),
+        false => deadline,
+    };
     let answered = ask(&connection.router, call);
     let closed = connection.wait_for_close();
     pin_mut!(answered);
--- a/crates/router/src/peer/server.rs
+++ b/crates/router/src/peer/server.rs
@@ -33,7 +33,6 @@
 use waxwing_wire::peer_capnp::router;
 
 use crate::metric;
-use crate::peer::CALL_TIMEOUT_MS;
 use crate::peer::Question;
 use crate::peer::Questions;
 use crate::peer::client::Context;
@@ -47,6 +46,11 @@
 /// Silence after which a connection of another VM is closed, in milliseconds; its heartbeats come each second.
 const IDLE_MAX_MS: u64 = 10_000;
 
+/// Time for the answer to a question that is answered from memory, in milliseconds.
+///
+/// It is shorter than the time after which the caller takes the connection for silent.
+const QUESTION_TIMEOUT_MS: u64 = 1_000;
+
 /// Pause after a failed accept, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 50;
 
@@ -371,7 +375,7 @@
         let reader = decode(params.get().and_then(|params| params.get_settlement()))?;
         let settlement = decode(Settlement::try_from(reader))?;
         let questions = &self.context.shared.peers.settlements;
-        self.put(questions, settlement, CALL_TIMEOUT_MS).await
+        self.put(questions, settlement, QUESTION_TIMEOUT_MS).await
     }
 
     async fn settings(
@@ -381,7 +385,9 @@
     ) -> Result<()> {
         let have_version = decode(params.get())?.get_have_version();
         let questions = &self.context.shared.peers.settings;
-        let state = self.put(questions, have_version, CALL_TIMEOUT_MS).await?;
+        let state = self
+            .put(questions, have_version, QUESTION_TIMEOUT_MS)
+            .await?;
         if let Some(state) = state {
             let mut answer = results.get();
             answer.set_version(state.version);
@@ -400,7 +406,7 @@
             evidence.push(decode(Evidence::try_from(reader))?);
         }
         let questions = &self.context.shared.peers.evidence;
-        self.put(questions, evidence, CALL_TIMEOUT_MS).await
+        self.put(questions, evidence, QUESTION_TIMEOUT_MS).await
     }
 
     async fn explain(
@@ -411,7 +417,7 @@
         let params = decode(params.get())?;
         let request_id = decode(to_name(decode(params.get_request_id())?))?.to_string();
         let questions = &self.context.shared.peers.explain;
-        let lines = self.put(questions, request_id, CALL_TIMEOUT_MS).await?;
+        let lines = self.put(questions, request_id, QUESTION_TIMEOUT_MS).await?;
         let mut list = results.get().init_lines(lines.len() as u32);
         for (index, line) in lines.iter().enumerate() {
             list.set(index as u32, line.as_str());
--- a/crates/router/src/transport/front.rs
+++ b/crates/router/src/transport/front.rs
@@ -28,6 +28,8 @@
 use hyper::body::Bytes;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::HttpService;
 use hyper::service::service_fn;
@@ -46,6 +48,9 @@
 /// Pause after a failed accept, for example when the process has no free descriptors, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 50;
 
+/// Time for which a connection may wait for a request when the VM stops, in milliseconds.
+const STOP_GRACE_MS: u64 = 1_000;
+
 /// Time after which a caller that was refused for lack of threads may come back, in milliseconds.
 const BUSY_RETRY_AFTER_MS: u64 = 1_000;
 
@@ -100,6 +105,8 @@
 }
 
 /// Serves a connection; when the VM stops, the connection ends after the answer in progress.
+///
+/// A connection without a request stays open for a moment, so that a request under way is refused and not cut.
 async fn finish_when_stopping<S>(
     shared: &Shared,
     connection: http1::Connection<FuturesIo<Async<TcpStream>>, S>,
@@ -107,7 +114,10 @@
 where
     S: HttpService<Incoming, ResBody = AnswerBody, Error = Infallible>,
 {
-    let stopping = shared.wait_for_stopping();
+    let stopping = async {
+        shared.wait_for_stopping().await;
+        Timer::after(Duration::from_millis(STOP_GRACE_MS)).await;
+    };
     futures::pin_mut!(connection, stopping);
     match select(connection, stopping).await {
         Either::Left((result, _)) => result,
@@ -128,12 +138,17 @@
     match read_body(&shared, incoming).await {
         Ok(bytes) => {
             let exchange = Exchange::new(parts, bytes.to_vec(), received);
-            start_request(shared, exchange, answerer);
+            start_request(Arc::clone(&shared), exchange, answerer);
         }
         Err(refusal) => answerer.refuse(&refusal),
     }
     let head = head.recv_async().await.unwrap_or_else(|_| Head::lost());
-    Ok(to_response(head, body.into_stream()))
+    let mut response = to_response(head, body.into_stream());
+    if shared.is_stopping.load(Ordering::SeqCst) {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response)
 }
 
 async fn read_body(shared: &Shared, incoming: Incoming) -> Result<Bytes, Refusal> {
