--- a/crates/router/src/jobs/appender.rs
+++ b/crates/router/src/jobs/appender.rs
@@ -19,11 +19,17 @@
 use crate::transport::log_client::LogClient;
 
 /// Longest wait for a message, in milliseconds.
-const POLL_MS: u64 = 50;
+const POLL_MS: u64 = 20;
 
 /// Time after which a record that was not read back is appended again, in milliseconds.
 const APPEND_AGAIN_MS: u64 = 1_000;
 
+/// Least time between two appends of this VM, in milliseconds.
+///
+/// The log takes several hundred appends a second from all clients, of which claims may use 400. Five VMs use at most
+/// 50 with this pause, whatever the number of jobs.
+const APPEND_PAUSE_MS: u64 = 100;
+
 /// Size of one append beyond which no further record is added to it, in bytes of base64.
 const APPEND_MAX_BYTES: usize = 4 * 1_024 * 1_024;
 
@@ -84,17 +90,20 @@
     let client = LogClient::new(&shared.config.platform.log_address);
     let jobs = &shared.jobs;
     let mut entries: Vec<Entry> = Vec::new();
+    let mut append_from = Instant::now();
     loop {
         if let Ok(message) = jobs.inbox.recv_timeout(Duration::from_millis(POLL_MS)) {
             entries.extend(to_entry(message));
         }
-        // What arrived during the last append goes into one append together.
+        // What arrived since the last append goes into one append together.
         entries.extend(jobs.inbox.try_iter().filter_map(to_entry));
         {
             let state = jobs.lock();
             entries.retain(|entry| !entry.is_settled(&state.jobs));
         }
-        append(&client, &mut entries);
+        if Instant::now() >= append_from && append(&client, &mut entries) {
+            append_from = Instant::now() + Duration::from_millis(APPEND_PAUSE_MS);
+        }
     }
 }
 
@@ -163,8 +172,8 @@
     }
 }
 
-/// Makes one append of the entries that are due.
-fn append(client: &LogClient, entries: &mut [Entry]) {
+/// Makes one append of the entries that are due, and returns whether there were any.
+fn append(client: &LogClient, entries: &mut [Entry]) -> bool {
     let now = Instant::now();
     let mut append = Append::default();
     let mut bytes = 0;
@@ -178,7 +187,7 @@
         sent.push(index);
     }
     if sent.is_empty() {
-        return;
+        return false;
     }
     let appended = client.append(STREAM, &append);
     if let Err(error) = &appended {
@@ -191,4 +200,5 @@
         entry.append_at = Instant::now() + Duration::from_millis(APPEND_AGAIN_MS);
         entry.may_be_in_log |= !is_not_appended;
     }
+    true
 }
