Answer from the claim and the cutoff before the clock of the key is checked

Cause: a successor whose clock is behind that of the former owner answered key_malformed, not_run for a key that had run, since the check for times in the future came first. Seen by the model check when the key-skew scenario was run without a switched-off mechanism; the test without_key_skew had found this fault instead of its own.

--- a/crates/core/src/coordination/claim_owner.rs
+++ b/crates/core/src/coordination/claim_owner.rs
@@ -288,11 +288,6 @@
 
     fn claim(&mut self, now: Now, request: Request, effects: &mut Vec<Effect>) {
         let created_ms = request.key.to_created_ms();
-        if created_ms > now.wall_ms + self.limits.clock_skew_max_ms {
-            let message = "the time in the idempotency key is in the future";
-            let refusal = Refusal::not_run(Reason::KeyMalformed, 0, message);
-            return reply(effects, request.claimant, Verdict::Refused(refusal));
-        }
         if created_ms + self.limits.key_lifetime_ms < now.wall_ms {
             let message = "the idempotency key is too old to tell whether it was used";
             let refusal = Refusal::unknown(Reason::KeyTooOld, 0, message);
@@ -328,11 +323,17 @@
 
     /// Returns why a key that no claim holds cannot be claimed now.
     fn to_refusal(&self, now: Now, request: &Request) -> Option<Refusal> {
+        let created_ms = request.key.to_created_ms();
         // Also after `not_run`: a former owner may have granted the key again without a trace in the log.
-        if request.key.to_created_ms() < self.table.cutoff_ms() {
+        if created_ms < self.table.cutoff_ms() {
             let message = "the key may have run before the range changed its owner";
             return Some(Refusal::unknown(Reason::OutcomeUnknown, 0, message));
         }
+        // Checked late: the clock of a former owner may have been ahead of this one when it accepted the key.
+        if created_ms > now.wall_ms + self.limits.clock_skew_max_ms {
+            let message = "the time in the idempotency key is in the future";
+            return Some(Refusal::not_run(Reason::KeyMalformed, 0, message));
+        }
         let is_lost = self.is_log_lost(now);
         if !self.is_serving() {
             return Some(to_handover(is_lost));
--- a/crates/core/tests/claim_model.rs
+++ b/crates/core/tests/claim_model.rs
@@ -67,6 +67,8 @@
     Cold,
     /// The first process is the owner.
     Settled,
+    /// The first process is the owner, has been cut from the log and grants claims from memory.
+    CutOff,
     /// The first process is cut from the log and the second has taken over.
     TakenOver,
 }
@@ -369,6 +371,10 @@
         if self.scenario.start != Start::Cold {
             self.settle(&mut world, 0);
         }
+        if self.scenario.start == Start::CutOff {
+            world.processes[0].is_cut = true;
+            world.step = 1;
+        }
         if self.scenario.start == Start::TakenOver {
             world.processes[0].is_cut = true;
             self.members(&mut world, 1, false);
@@ -925,6 +931,23 @@
     });
 }
 
+/// Key that the first owner accepts in the second step of the clock, when its own clock is ahead.
+const AHEAD: Scenario = Scenario {
+    created_ms: 3 * STEP_MS,
+    failures: 1,
+    steps: 2,
+    ahead_ms: STEP_MS,
+    skew_ms: STEP_MS,
+    start: Start::CutOff,
+    ..MEMORY
+};
+
+/// Guards against a second run, or a wrong `not_run`, of a key whose time is ahead of the successor's clock.
+#[test]
+fn skewed_clocks() {
+    hold(AHEAD);
+}
+
 /// Guards against claims that a planned handover leaves behind, in the log and in memory.
 #[test]
 fn planned_stop() {
@@ -1014,11 +1037,7 @@
 fn without_key_skew() {
     let scenario = Scenario {
         broken: Broken::KeySkew,
-        created_ms: 3 * STEP_MS,
-        steps: 2,
-        ahead_ms: STEP_MS,
-        skew_ms: STEP_MS,
-        ..MEMORY
+        ..AHEAD
     };
     fail(scenario);
 }
