--- a/crates/harness/src/deployment.rs
+++ b/crates/harness/src/deployment.rs
@@ -54,6 +54,8 @@
     pub engines: usize,
     /// Options of each engine.
     pub engine_options: Vec<&'static str>,
+    /// Whether the settings name a fault proxy in front of each engine.
+    pub proxies_engines: bool,
     /// Number of plain services, in the pool `dispatch`.
     pub services: usize,
     /// Options of each plain service.
@@ -73,6 +75,7 @@
         Self {
             engines: 1,
             engine_options: Vec::new(),
+            proxies_engines: false,
             services: 0,
             service_options: Vec::new(),
             daemons: 1,
@@ -92,6 +95,8 @@
     pub daemons: Vec<Daemon>,
     /// Engines `engine-1` and up.
     pub engines: Vec<Standin>,
+    /// Fault proxies in front of the engines, if the plan has them.
+    pub engine_proxies: Vec<Standin>,
     /// Plain services `service-1` and up.
     pub services: Vec<Standin>,
     /// VM list.
@@ -120,9 +125,18 @@
         };
         let engines = to_endpoints(plan.engines, "engine", &plan.engine_options);
         let services = to_endpoints(plan.services, "service", &plan.service_options);
+        let mut engine_proxies = Vec::new();
+        for (index, engine) in engines.iter().enumerate() {
+            if plan.proxies_engines {
+                let name = format!("engine-proxy-{}", index + 1);
+                let proxy = Standin::start_proxy(&run, &name, &engine.address());
+                engine_proxies.push(proxy);
+            }
+        }
         let mut deployment = Self {
             daemons: Vec::new(),
             engines,
+            engine_proxies,
             services,
             vm_list,
             log,
@@ -154,7 +168,11 @@
     /// Returns the settings tree with `extra` at its end.
     pub fn to_settings(&self, extra: &str) -> String {
         let hash = blake3::hash(API_KEY.as_bytes()).to_hex();
-        let mut text = to_pool("chat", "model", &self.engines);
+        let engines = match self.engine_proxies.as_slice() {
+            [] => &self.engines,
+            _ => &self.engine_proxies,
+        };
+        let mut text = to_pool("chat", "model", engines);
         if !self.services.is_empty() {
             text += &to_pool("dispatch", "service", &self.services);
             text += SERVICE_CLASSES;
