--- a/crates/core/tests/claim_model.rs
+++ b/crates/core/tests/claim_model.rs
@@ -998,6 +998,13 @@
         steps: 0,
         ..PLAIN
     });
+    // A key below the cutoff whose logged claim was given up may have run from memory since.
+    hold(Scenario {
+        failures: 1,
+        callers: 3,
+        start: Start::CutOff,
+        ..MEMORY
+    });
     for created_ms in [0, NEW_KEY_MS] {
         let scenario = Scenario {
             failures: 0,
@@ -1027,6 +1034,8 @@
 fn without_cutoff() {
     let scenario = Scenario {
         broken: Broken::Cutoff,
+        failures: 1,
+        start: Start::CutOff,
         ..MEMORY
     };
     fail(scenario);
