--- a/crates/ctl/src/load/arrivals.rs
+++ b/crates/ctl/src/load/arrivals.rs
@@ -97,7 +97,7 @@
         straggler_factor,
         prefixes,
         ..
-    } = &stream.kind
+    } = &stream.call
     else {
         return (0, 0);
     };
--- a/crates/ctl/src/load/call.rs
+++ b/crates/ctl/src/load/call.rs
@@ -135,7 +135,7 @@
             Err(error) => return to_broken(error.to_string()),
         };
         let is_success = response.is_success();
-        let is_stream = matches!(stream.kind, Kind::Chat { stream: true, .. });
+        let is_stream = matches!(stream.call, Kind::Chat { stream: true, .. });
         if is_success && is_stream {
             let (_, _, reader) = response.split();
             return read_stream(BufReader::new(reader));
@@ -156,7 +156,7 @@
             ..
         } = self.arrival;
         let seed = self.plan.seed;
-        let body = match &stream.kind {
+        let body = match &stream.call {
             Kind::Chat {
                 stream: is_stream,
                 prompt_bytes,
@@ -177,7 +177,7 @@
 }
 
 fn to_path(stream: &Stream) -> String {
-    match &stream.kind {
+    match &stream.call {
         Kind::Chat { .. } => "/v1/chat/completions".to_owned(),
         Kind::Service { pool, path } => format!("/v1/services/{pool}/{path}"),
     }
@@ -189,7 +189,7 @@
         return None;
     };
     // A repeat with an idempotency key is always safe: the router answers with the first outcome.
-    let is_safe = stream.has_key || *run == Run::NotRun || matches!(stream.kind, Kind::Chat { .. });
+    let is_safe = stream.has_key || *run == Run::NotRun || matches!(stream.call, Kind::Chat { .. });
     (is_safe && !reply.retry_after.is_zero()).then(|| reason.clone())
 }
 
@@ -218,7 +218,7 @@
 }
 
 fn to_whole(stream: &Stream, bytes: &[u8]) -> Reply {
-    let tokens = match &stream.kind {
+    let tokens = match &stream.call {
         Kind::Service { .. } => 0,
         Kind::Chat { .. } => match serde_json::from_slice::<ChatAnswer>(bytes) {
             Ok(answer) => answer.usage.completion_tokens,
--- a/crates/ctl/src/load/plan.rs
+++ b/crates/ctl/src/load/plan.rs
@@ -28,8 +28,7 @@
     /// API key of the organisation.
     pub api_key: String,
     /// What is called.
-    #[serde(flatten)]
-    pub kind: Kind,
+    pub call: Kind,
     /// Mean arrivals a second.
     pub rate_per_s: f64,
     /// Times at which the rate is multiplied.
@@ -49,7 +48,7 @@
 
 /// What a stream calls.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "kind", rename_all = "snake_case")]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
 pub enum Kind {
     /// Chat completions.
     Chat {
--- a/crates/ctl/src/load/report.rs
+++ b/crates/ctl/src/load/report.rs
@@ -111,7 +111,7 @@
             report.streams.push(StreamInfo {
                 class,
                 target_us: stream.target_ms * 1_000,
-                is_stream: matches!(stream.kind, Kind::Chat { stream: true, .. }),
+                is_stream: matches!(stream.call, Kind::Chat { stream: true, .. }),
             });
         }
         report
--- a/crates/harness/src/scenario.rs
+++ b/crates/harness/src/scenario.rs
@@ -77,13 +77,12 @@
     /// Begin in seconds from the start of the load.
     pub at_s: f64,
     /// What happens.
-    #[serde(flatten)]
-    pub kind: FaultKind,
+    pub fault: FaultKind,
 }
 
 /// What a fault does.
 #[derive(Clone, Debug, Deserialize)]
-#[serde(tag = "fault", rename_all = "snake_case")]
+#[serde(tag = "kind", rename_all = "snake_case", deny_unknown_fields)]
 pub enum FaultKind {
     /// An endpoint is slower by a factor from now on; 1 ends it.
     SlowEndpoint {
@@ -266,7 +265,7 @@
         for fault in &faults {
             let due = started + Duration::from_secs_f64(fault.at_s);
             thread::sleep(due.saturating_duration_since(Instant::now()));
-            self.apply(running, &fault.kind);
+            self.apply(running, &fault.fault);
         }
     }
 
