--- a/crates/router/src/scheduling.rs
+++ b/crates/router/src/scheduling.rs
@@ -40,6 +40,7 @@
 use crate::scheduling::own::Phase;
 use crate::scheduling::own::Seat;
 use crate::scheduling::own::to_seat;
+use crate::scheduling::own::to_unknown_pool;
 use crate::shared::Shared;
 use crate::shared::View;
 
@@ -346,8 +347,13 @@
             let pools = &self.view.settings.pools;
             self.locals
                 .retain(|shard, _| pools.contains_key(&shard.pool));
-            self.own
-                .retain(|_, own| pools.contains_key(&own.shard.pool));
+            self.own.retain(|_, own| {
+                let is_kept = pools.contains_key(&own.shard.pool);
+                if !is_kept && own.phase == Phase::Waiting {
+                    let _ = own.orders.try_send(to_unknown_pool());
+                }
+                is_kept
+            });
         }
         if has_new_settings || old.leaving != self.view.leaving {
             let shards: Vec<Shard> = self.locals.keys().cloned().collect();
--- a/crates/router/src/scheduling/own.rs
+++ b/crates/router/src/scheduling/own.rs
@@ -5,6 +5,7 @@
 
 use flume::Sender;
 use waxwing_core::Name;
+use waxwing_core::Reason;
 use waxwing_core::TicketId;
 use waxwing_core::coordination::scheduler::Ask;
 use waxwing_core::coordination::scheduler::Input;
@@ -36,6 +37,9 @@
 /// Members that disagree on the owner agree again within a heartbeat. A second owner overfills an endpoint at worst.
 const UNPLACED_MAX_MS: u64 = 2_000;
 
+/// Time after which a request for an unknown pool may come back, in milliseconds.
+const UNKNOWN_POOL_RETRY_AFTER_MS: u64 = 1_000;
+
 /// Time after which a placement without a verdict was in the queue of its owner, in milliseconds.
 const HELD_MS: u64 = 500;
 
@@ -166,8 +170,8 @@
         {
             self.withdraw(ticket);
         }
-        // Without the pool, the dropped sender tells the request that there is none.
         let Some(pool) = self.view.settings.pools.get(pool_name) else {
+            let _ = orders.try_send(to_unknown_pool());
             return;
         };
         let now_ms = self.shared.now_ms();
@@ -484,3 +488,11 @@
     let unreachable = view.members.iter().filter(|member| !member.is_reachable);
     unreachable.map(|member| member.name.clone()).collect()
 }
+
+/// Returns the refusal of a request whose pool is unknown or was removed.
+pub(super) fn to_unknown_pool() -> Order {
+    Order::Refuse {
+        reason: Reason::NoEndpoint,
+        retry_after_ms: UNKNOWN_POOL_RETRY_AFTER_MS,
+    }
+}
--- a/crates/router/tests/peer_protocol.rs
+++ b/crates/router/tests/peer_protocol.rs
@@ -28,6 +28,8 @@
 use waxwingrouter::shared::Shared;
 
 const INCARNATION: u64 = 7;
+/// A public key that belongs to no operator; the daemon needs one to start.
+const ROOT_PUBLIC_KEY: &str = "11qYAYKxCrfVS/7TyWQHOg7hcvPapiMlrwIaaPcHURo=";
 const GARBAGE_ROUNDS: usize = 200;
 
 fn to_free_address() -> SocketAddr {
@@ -46,6 +48,8 @@
 operator_address = "{}"
 [platform]
 log_address = "{}"
+[operators]
+root_public_keys = ["{ROOT_PUBLIC_KEY}"]
 "#,
         to_free_address(),
         to_free_address(),
