Claim keys of ranges that other VMs own

Cause: a request that entered on a VM other than the owner of its key range was refused with range_handover, and its outcome was dropped, since nothing joined the claims thread to the peer connections.

The owner is given 250 ms less, so that its own refusal arrives first. Without an answer the call is never sent, hence not_run; if the owner may have received the claim, it is told to give it up. A give-up is a claim with wait_ms = 0, which needs no new message: the peer schema is unchanged. The owner also gives up a claim whose requester's call has ended before the verdict. A VM that does not have the range in use leaves a settlement unanswered, so that it is tried at the right VM. A planned stop waits for them within its release time.

Ruled out: answering on the peer thread, which would block heartbeats while the claims queue is full; a settlement that holds the request thread, which would delay the caller's answer.

The claim test starts the peer thread alone, because the claims thread now takes the questions; its assertions are unchanged.

--- /dev/null
+++ b/crates/harness/tests/claims_between_vms.rs
@@ -0,0 +1,184 @@
+//! Non-idempotent requests that enter on one VM and are claimed on another.
+
+use std::collections::BTreeMap;
+use std::thread;
+
+use uuid::Uuid;
+use waxwing_core::Name;
+use waxwing_core::Reason;
+use waxwing_core::Run;
+use waxwing_core::coordination::rendezvous;
+use waxwing_core::state::claims::ClaimKey;
+use waxwing_harness::caller::Answer;
+use waxwing_harness::caller::Caller;
+use waxwing_harness::condition;
+use waxwing_harness::deployment::Deployment;
+use waxwing_harness::deployment::Plan;
+use waxwing_wire::claim_record;
+
+const DAEMONS: usize = 3;
+const KEYS: usize = 24;
+
+fn start_deployment() -> Deployment {
+    let deployment = Deployment::start(&Plan {
+        daemons: DAEMONS,
+        services: 1,
+        vm_extra: "[limits]\nentries_lifetime_s = 1\n".to_owned(),
+        ..Plan::default()
+    });
+    deployment.wait_for_members();
+    deployment
+}
+
+fn book(caller: &Caller, key: Uuid) -> Answer {
+    let key = key.to_string();
+    let headers = [("Idempotency-Key", key.as_str())];
+    let path = "/v1/services/dispatch/bookings";
+    let answer = caller.post(path, "booking", &headers, key.as_bytes());
+    answer.expect("the daemon answers")
+}
+
+/// Repeats a request until it has an answer of the service.
+fn book_until_done(caller: &Caller, key: Uuid) -> Answer {
+    condition::wait_for("the booking is answered", || {
+        let answer = book(caller, key);
+        (answer.status == 200).then_some(answer)
+    })
+}
+
+/// Returns the index of the daemon that owns the range of a key while all daemons live.
+fn to_range_owner(key: Uuid) -> usize {
+    let organisation = "harness".into();
+    let range = ClaimKey { organisation, key }.to_range();
+    let mut names = Vec::new();
+    for number in 1..=DAEMONS {
+        names.push(Name::from(format!("vm-{number}")));
+    }
+    let order = rendezvous::to_order(&claim_record::to_stream(range), &names);
+    let index = names.iter().position(|name| name == order[0]);
+    index.expect("the range has an owner")
+}
+
+fn to_runs(deployment: &Deployment) -> BTreeMap<String, usize> {
+    let mut runs = BTreeMap::new();
+    for entry in deployment.services[0].to_ledger().entries {
+        *runs.entry(entry.key.unwrap_or_default()).or_default() += 1;
+    }
+    runs
+}
+
+fn assert_each_ran_once(deployment: &Deployment, keys: &[Uuid]) {
+    let mut expected = BTreeMap::new();
+    for key in keys {
+        expected.insert(key.to_string(), 1);
+    }
+    assert_eq!(to_runs(deployment), expected);
+}
+
+/// Sends a key to all VMs at once.
+fn book_everywhere(deployment: &Deployment, key: Uuid) -> Vec<Answer> {
+    let mut threads = Vec::new();
+    for index in 0..DAEMONS {
+        let caller = deployment.caller(index);
+        threads.push(thread::spawn(move || book(&caller, key)));
+    }
+    let mut answers = Vec::new();
+    for thread in threads {
+        answers.push(thread.join().expect("a caller ends"));
+    }
+    answers
+}
+
+/// Guards against a key that runs on several VMs, against a VM that refuses the ranges of others, and against an answer
+/// that only the VM that ran the request knows.
+#[test]
+fn key_sent_to_all_vms_runs_once() {
+    let deployment = start_deployment();
+    book_until_done_everywhere(&deployment);
+    let before = to_runs(&deployment);
+    let mut keys = Vec::new();
+    for _ in 0..KEYS {
+        let key = Uuid::now_v7();
+        let answers = book_everywhere(&deployment, key);
+        let done: Vec<&Answer> = answers.iter().filter(|it| it.status == 200).collect();
+        assert!(!done.is_empty(), "{answers:?}");
+        for answer in answers.iter().filter(|it| it.status != 200) {
+            let refusal = answer.to_refusal().expect("a refusal");
+            assert_eq!(refusal.run, Run::Unknown, "{refusal:?}");
+        }
+        for index in 0..DAEMONS {
+            let repeated = book_until_done(&deployment.caller(index), key);
+            assert_eq!(repeated.body, done[0].body);
+        }
+        keys.push(key);
+    }
+    let mut runs = to_runs(&deployment);
+    runs.retain(|key, _| !before.contains_key(key));
+    let expected: BTreeMap<String, usize> = keys.iter().map(|it| (it.to_string(), 1)).collect();
+    assert_eq!(runs, expected);
+    for daemon in &deployment.daemons {
+        assert_eq!(daemon.to_sum("waxwing_claim_settlements_lost_total"), 0.0);
+    }
+}
+
+/// Waits until each range has an owner that serves the requests of every VM.
+fn book_until_done_everywhere(deployment: &Deployment) -> Vec<Uuid> {
+    let mut keys = Vec::new();
+    for number in 0..KEYS {
+        let key = Uuid::now_v7();
+        book_until_done(&deployment.caller(number % DAEMONS), key);
+        keys.push(key);
+    }
+    keys
+}
+
+/// Guards against ranges that stay without an owner after a VM was killed, and against old keys that run again there.
+#[test]
+fn ranges_of_a_killed_vm_are_taken_over() {
+    let mut deployment = start_deployment();
+    let mut keys = book_until_done_everywhere(&deployment);
+    let old = keys.len();
+    assert_each_ran_once(&deployment, &keys);
+    let killed = to_range_owner(keys[0]);
+    deployment.daemons[killed].process().kill();
+    for number in 0..KEYS {
+        let caller = deployment.caller((killed + 1 + number % 2) % DAEMONS);
+        let key = condition::wait_for("a new key is served", || {
+            let key = Uuid::now_v7();
+            let answer = book(&caller, key);
+            if answer.status == 200 {
+                return Some(key);
+            }
+            let refusal = answer.to_refusal().expect("a refusal");
+            assert_eq!(refusal.run, Run::NotRun, "{refusal:?}");
+            None
+        });
+        keys.push(key);
+    }
+    for key in &keys[..old] {
+        let answer = book_until_done(&deployment.caller((killed + 1) % DAEMONS), *key);
+        assert!(answer.is_whole);
+    }
+    assert_each_ran_once(&deployment, &keys);
+}
+
+/// Guards against a key that stays claimed although the VM that asked for it has told its caller that it did not run.
+#[test]
+fn claim_without_answer_is_given_up() {
+    let mut deployment = start_deployment();
+    book_until_done_everywhere(&deployment);
+    let key = Uuid::now_v7();
+    let owner = to_range_owner(key);
+    let caller = deployment.caller((owner + 1) % DAEMONS);
+    let process = deployment.daemons[owner].process();
+    process.freeze();
+    let answer = book(&caller, key);
+    process.wake();
+    let refusal = answer.to_refusal().expect("a refusal");
+    let reasons = [Reason::LogUnavailable, Reason::RangeHandover];
+    assert!(reasons.contains(&refusal.code), "{refusal:?}");
+    assert_eq!(refusal.run, Run::NotRun);
+    assert_eq!(to_runs(&deployment).get(&key.to_string()), None);
+    book_until_done(&caller, key);
+    assert_eq!(to_runs(&deployment).get(&key.to_string()), Some(&1));
+}
--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -1,16 +1,20 @@
 //! The claims thread and the access that request threads and the peer server have to it.
 
 mod counters;
+mod delivery;
 mod fence;
 mod range;
 mod remote;
+mod serve;
 mod worker;
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use flume::Receiver;
 use flume::Sender;
@@ -28,6 +32,9 @@
 use crate::shared::Shared;
 use crate::shared::View;
 
+use self::delivery::Delivery;
+use self::delivery::Notice;
+
 pub(crate) use self::worker::may_use_memory;
 
 /// Messages that may wait for the claims thread.
@@ -39,6 +46,9 @@
 /// Time beyond the wait of a request in which the owner's own answer may still arrive, in milliseconds.
 const ANSWER_GRACE_MS: u64 = 250;
 
+/// Time between looks at the undelivered ends of claims during a planned stop, in milliseconds.
+const DELIVERY_POLL_MS: u64 = 20;
+
 /// Time after which a refused request may come back, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
@@ -83,23 +93,35 @@
     messages: Sender<Message>,
     /// One bit for each range that the claims thread has in use.
     in_use: Arc<AtomicU8>,
+    /// Ends of claims that other VMs have to learn.
+    deliveries: Sender<Delivery>,
+    /// Number of deliveries that have not ended.
+    undelivered: Arc<AtomicUsize>,
 }
 
 /// The other end of [`Claims`], for the thread.
 #[derive(Debug)]
 pub struct Inbox {
     messages: Receiver<Message>,
+    deliveries: Receiver<Delivery>,
 }
 
 impl Claims {
     /// Creates the access and the inbox of its thread.
     pub fn new() -> (Self, Inbox) {
         let (sender, receiver) = flume::bounded(MESSAGES_MAX);
+        let (delivery_sender, deliveries) = flume::bounded(delivery::NOTICES_MAX);
         let claims = Self {
             messages: sender,
             in_use: Arc::default(),
+            deliveries: delivery_sender,
+            undelivered: Arc::default(),
+        };
+        let inbox = Inbox {
+            messages: receiver,
+            deliveries,
         };
-        (claims, Inbox { messages: receiver })
+        (claims, inbox)
     }
 
     /// Asks the owner of the key's range for a claim and waits for its answer, at most `wait_ms` and a short grace.
@@ -119,8 +141,8 @@
     pub fn settle(&self, shared: &Shared, settlement: Settlement) {
         let range = settlement.grant.range;
         match to_route(shared, range) {
-            Route::Remote(member) if !self.is_in_use(range) => {
-                remote::settle(shared, &member, settlement);
+            Route::Remote(_) if !self.is_in_use(range) => {
+                self.deliver(Notice::Settle(settlement));
             }
             _ => self.settle_here(settlement),
         }
@@ -157,8 +179,13 @@
 
     /// Releases all ranges of this process and waits until the log has confirmed it, at most `wait_ms`.
     ///
-    /// Returns whether everything was handed over.
+    /// Ends of claims that other VMs have to learn are delivered first, in the same time. Returns whether everything was
+    /// handed over.
     pub fn release(&self, wait_ms: u64) -> bool {
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        while self.undelivered.load(Ordering::SeqCst) > 0 && Instant::now() < until {
+            thread::sleep(Duration::from_millis(DELIVERY_POLL_MS));
+        }
         let (done, receiver) = flume::bounded(1);
         self.send(Message::Stop { done });
         receiver
@@ -166,6 +193,29 @@
             .is_ok()
     }
 
+    /// Passes the end of a claim on to the owner of its range, without waiting.
+    fn deliver(&self, notice: Notice) {
+        self.undelivered.fetch_add(1, Ordering::SeqCst);
+        let delivery = Delivery::new(notice);
+        if self.deliveries.try_send(delivery).is_err() {
+            self.undelivered.fetch_sub(1, Ordering::SeqCst);
+            counters::count_lost_settlement();
+            log::warn!("too many ends of claims wait for the owners of their ranges");
+        }
+    }
+
+    /// Takes the end of a claim if this process has the range in use, and returns whether it did.
+    fn take_here(&self, notice: &Notice) -> bool {
+        if !self.is_in_use(notice.to_range()) {
+            return false;
+        }
+        match notice {
+            Notice::Settle(settlement) => self.settle_here(settlement.clone()),
+            Notice::GiveUp(request) => self.give_up_here(request),
+        }
+        true
+    }
+
     fn claim_and_wait(&self, request: &ClaimRequest) -> ClaimVerdict {
         let wait = Duration::from_millis(request.wait_ms + ANSWER_GRACE_MS);
         let answer = self.claim_here(request).recv_timeout(wait);
@@ -193,6 +243,8 @@
 
 /// Starts the claims thread.
 pub fn start(shared: Arc<Shared>, inbox: Inbox) {
+    delivery::start(&shared, &inbox.deliveries);
+    serve::start(&shared);
     thread::spawn(move || worker::run(&shared, &inbox.messages));
 }
 
--- a/crates/router/src/claims/counters.rs
+++ b/crates/router/src/claims/counters.rs
@@ -9,6 +9,8 @@
 const SETTLEMENTS: &str = "waxwing_claim_settlements_total";
 /// Counter of outcomes that did not reach the owner of the range.
 const LOST_SETTLEMENTS: &str = "waxwing_claim_settlements_lost_total";
+/// Counter of deliveries of outcomes that failed and were tried again.
+const DELIVERY_RETRIES: &str = "waxwing_claim_settlement_retries_total";
 /// Counter of messages that found the queue of the claims thread full.
 const DROPPED: &str = "waxwing_claim_messages_dropped_total";
 /// Counter of log records that were skipped because they do not decode.
@@ -46,6 +48,10 @@
     metrics::counter!(LOST_SETTLEMENTS).increment(1);
 }
 
+pub(super) fn count_delivery_retry() {
+    metrics::counter!(DELIVERY_RETRIES).increment(1);
+}
+
 pub(super) fn count_dropped_message() {
     metrics::counter!(DROPPED).increment(1);
 }
--- a/crates/router/src/claims/remote.rs
+++ b/crates/router/src/claims/remote.rs
@@ -4,27 +4,42 @@
 use waxwing_core::Refusal;
 use waxwing_wire::claim::ClaimRequest;
 use waxwing_wire::claim::ClaimVerdict;
-use waxwing_wire::claim::Settlement;
 
+use crate::peer::Error;
 use crate::shared::Member;
 use crate::shared::Shared;
 
 use super::RETRY_AFTER_MS;
-use super::counters;
+use super::delivery::Notice;
 
-/// Asks `member` for a claim; there is no peer connection yet, so that every request is refused.
-pub(super) fn claim(_: &Shared, member: &Member, _: &ClaimRequest) -> ClaimVerdict {
-    let message = format!("the range of the key is owned by {}", member.name);
-    let refusal = Refusal::not_run(Reason::RangeHandover, RETRY_AFTER_MS, message);
-    ClaimVerdict::Refused(refusal)
+/// Asks `member` for a claim.
+///
+/// Without an answer the call is never sent, so that the refusal is `not_run`. The owner may have granted the claim all
+/// the same; it is told to give it up.
+pub(super) fn claim(shared: &Shared, member: &Member, request: &ClaimRequest) -> ClaimVerdict {
+    if request.wait_ms == 0 {
+        let message = "no time is left to claim the key";
+        let refusal = Refusal::not_run(Reason::DeadlinePassed, RETRY_AFTER_MS, message);
+        return ClaimVerdict::Refused(refusal);
+    }
+    let error = match shared.peers.claim(&member.name, request.clone()) {
+        Ok(verdict) => return verdict,
+        Err(error) => error,
+    };
+    let reason = match error {
+        Error::Timeout => Reason::LogUnavailable,
+        _ => Reason::RangeHandover,
+    };
+    if may_be_received(&error) {
+        shared.claims.deliver(Notice::GiveUp(request.clone()));
+    }
+    let message = format!("{} did not decide about the key: {error}", member.name);
+    ClaimVerdict::Refused(Refusal::not_run(reason, RETRY_AFTER_MS, message))
 }
 
-/// Tells `member` what became of a claim; without a peer connection the claim stays without outcome.
-pub(super) fn settle(_: &Shared, member: &Member, settlement: Settlement) {
-    counters::count_lost_settlement();
-    log::warn!(
-        "the outcome of a claim in range {} did not reach {}",
-        settlement.grant.range,
-        member.name
-    );
+fn may_be_received(error: &Error) -> bool {
+    match error {
+        Error::Busy | Error::UnknownPeer | Error::Unreachable => false,
+        Error::Broken | Error::Timeout | Error::Refused(_) => true,
+    }
 }
--- /dev/null
+++ b/crates/router/src/claims/serve.rs
@@ -0,0 +1,96 @@
+//! Answers the claims and settlements of other VMs.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use flume::Receiver;
+use flume::Sender;
+use futures::future::Either;
+use futures::future::select;
+use waxwing_core::Reason;
+use waxwing_core::Refusal;
+use waxwing_wire::claim::ClaimRequest;
+use waxwing_wire::claim::ClaimVerdict;
+
+use crate::peer::Question;
+use crate::shared::Shared;
+
+use super::ANSWER_GRACE_MS;
+use super::RETRY_AFTER_MS;
+use super::delivery::Notice;
+
+/// Starts the threads that answer other VMs.
+pub(super) fn start(shared: &Arc<Shared>) {
+    let for_claims = Arc::clone(shared);
+    thread::spawn(move || serve_claims(&for_claims));
+    let for_settlements = Arc::clone(shared);
+    thread::spawn(move || serve_settlements(&for_settlements));
+}
+
+fn serve_claims(shared: &Shared) {
+    let questions = shared.peers.claims.to_receiver();
+    let executor = LocalExecutor::new();
+    async_io::block_on(executor.run(async {
+        while let Ok(question) = questions.recv_async().await {
+            let request = question.body;
+            // Passed on in the order of arrival, so that a give-up follows its claim.
+            if request.wait_ms == 0 {
+                give_up(shared, request, &question.answer);
+                continue;
+            }
+            let verdict = shared.claims.claim_here(&to_shorter(&request));
+            executor
+                .spawn(answer(shared, request, verdict, question.answer))
+                .detach();
+        }
+    }));
+}
+
+/// Leaves the asking VM time to receive the owner's own answer.
+fn to_shorter(request: &ClaimRequest) -> ClaimRequest {
+    let grace_ms = ANSWER_GRACE_MS.min(request.wait_ms / 2);
+    ClaimRequest {
+        wait_ms: request.wait_ms - grace_ms,
+        ..request.clone()
+    }
+}
+
+async fn answer(
+    shared: &Shared,
+    request: ClaimRequest,
+    verdict: Receiver<ClaimVerdict>,
+    answer: Sender<ClaimVerdict>,
+) {
+    let timeout = Timer::after(Duration::from_millis(request.wait_ms));
+    let is_answered = match select(verdict.recv_async(), timeout).await {
+        Either::Left((Ok(verdict), _)) => answer.try_send(verdict).is_ok(),
+        _ => false,
+    };
+    if !is_answered {
+        // The asking VM never sends the call, so that the key can be claimed again.
+        shared.claims.give_up_here(&request);
+    }
+}
+
+/// A give-up is a claim without time to wait; it is not answered if this process cannot settle the key.
+fn give_up(shared: &Shared, request: ClaimRequest, answer: &Sender<ClaimVerdict>) {
+    if shared.claims.take_here(&Notice::GiveUp(request)) {
+        let message = "the claim was given up";
+        let refusal = Refusal::not_run(Reason::DeadlinePassed, RETRY_AFTER_MS, message);
+        // The asking VM repeats what was not answered.
+        let _ = answer.try_send(ClaimVerdict::Refused(refusal));
+    }
+}
+
+fn serve_settlements(shared: &Shared) {
+    let questions = shared.peers.settlements.to_receiver();
+    for Question { body, answer, .. } in &questions {
+        if shared.claims.take_here(&Notice::Settle(body)) {
+            // The asking VM repeats what was not answered.
+            let _ = answer.try_send(());
+        }
+    }
+}
--- a/crates/router/src/peer/server.rs
+++ b/crates/router/src/peer/server.rs
@@ -356,7 +356,11 @@
     ) -> Result<()> {
         let reader = decode(params.get().and_then(|params| params.get_request()))?;
         let claim = decode(ClaimRequest::try_from(reader))?;
-        let wait_ms = claim.wait_ms;
+        // A claim that is given up has no time to wait, but its receipt is confirmed.
+        let wait_ms = match claim.wait_ms {
+            0 => CALL_TIMEOUT_MS,
+            wait_ms => wait_ms,
+        };
         let questions = &self.context.shared.peers.claims;
         let verdict = self.put(questions, claim, wait_ms).await?;
         verdict.write(results.get().init_verdict());
--- a/crates/router/tests/peer_protocol.rs
+++ b/crates/router/tests/peer_protocol.rs
@@ -25,6 +25,8 @@
 use waxwing_wire::peer_capnp::router;
 use waxwingrouter::config::Config;
 use waxwingrouter::daemon;
+use waxwingrouter::peer;
+use waxwingrouter::shared::Handles;
 use waxwingrouter::shared::Shared;
 
 const INCARNATION: u64 = 7;
@@ -35,7 +37,7 @@
     listener.local_addr().expect("the listener has an address")
 }
 
-fn start_daemon() -> Arc<Shared> {
+fn to_config() -> Config {
     let text = format!(
         r#"
 [vm]
@@ -46,14 +48,30 @@
 operator_address = "{}"
 [platform]
 log_address = "{}"
+[operators]
+root_public_keys = ["A6EHv/POEL4dcN0Y50vAmWfk1jCbpQ1fHdyGZBJVMbg="]
 "#,
         to_free_address(),
         to_free_address(),
         to_free_address(),
         to_free_address()
     );
-    let config = Config::parse("test", &text).expect("the settings are valid");
-    daemon::start(config).expect("the daemon starts")
+    Config::parse("test", &text).expect("the settings are valid")
+}
+
+fn start_daemon() -> Arc<Shared> {
+    daemon::start(to_config()).expect("the daemon starts")
+}
+
+/// Starts the peer thread alone, so that the test itself answers the questions.
+fn start_peer_thread() -> Arc<Shared> {
+    let config = to_config();
+    let listener = TcpListener::bind(&config.vm.peer_address).expect("the port is free");
+    let (handles, inboxes) = Handles::new();
+    let shared = Arc::new(Shared::new(config, handles));
+    let started = peer::start(Arc::clone(&shared), inboxes.peers, listener);
+    started.expect("the peer thread starts");
+    shared
 }
 
 fn to_peer_address(shared: &Shared) -> SocketAddr {
@@ -156,7 +174,7 @@
 
 #[test]
 fn claim_reaches_the_thread_that_answers_it() {
-    let shared = start_daemon();
+    let shared = start_peer_thread();
     let questions = shared.peers.claims.to_receiver();
     let claim = ClaimRequest {
         organisation: "organisation".to_owned(),
--- a/crates/wire/src/claim.rs
+++ b/crates/wire/src/claim.rs
@@ -19,7 +19,7 @@
     pub claimant: u64,
     /// Whether the claim may be granted from memory while the log is down.
     pub may_use_memory: bool,
-    /// Time for which the requester waits, in milliseconds.
+    /// Time for which the requester waits, in milliseconds; 0 gives the claim up, since the call will not be sent.
     pub wait_ms: u64,
 }
 
