Wait for the version that the test of the baseline publishes

baseline_is_scheduled_on_each_vm waited until every daemon had settings version 2. Since settings became one signed record for each subtree, the first publication already ends at version 2 and the second at 4: the wait passed or hung depending on whether it looked before the second publication arrived (seen once: "not within 60 s: all daemons have the new settings"). It now waits for exactly the version that its own publication leads to.

--- a/crates/harness/tests/remote_scheduling.rs
+++ b/crates/harness/tests/remote_scheduling.rs
@@ -69,6 +69,8 @@
         ..Plan::default()
     });
     deployment.wait_for_members();
+    // The deployment and its team are published as one record each.
+    let expected_version = deployment.daemons[0].wait_for_settings() + 2;
     let settings = deployment.to_settings(&to_baseline(&deployment.engines[0].address()));
     assert!(publish::publish_settings(
         &deployment.log.address(),
@@ -76,7 +78,7 @@
     ));
     condition::wait_until("all daemons have the new settings", || {
         let mut daemons = deployment.daemons.iter();
-        daemons.all(|daemon| daemon.wait_for_settings() == 2)
+        daemons.all(|daemon| daemon.wait_for_settings() == expected_version)
     });
     for index in 0..2 {
         let answer = deployment.caller(index).chat("plain", "a letter", TOKENS);
