Say unknown where a VM cannot tell whether a key has run

A restarted VM answered range_handover, log_unavailable or no_settings with not_run to the repeat of a booking that its predecessor had run. Cause: a process that had not yet read back its own Own record, had no settings, or had not taken the range into use, concluded from its empty claim table that the key was new. It now says not_run only while it owns the range by the log, has not released it, and no claim can be hidden in memory of a former owner. The time-out of the claims thread and its full queue say unknown too. Ruled out: a second run of the key (each ledger had one entry) and a claim that was lost (the next repeats were answered outcome_unknown).

--- a/crates/core/src/coordination/claim_owner.rs
+++ b/crates/core/src/coordination/claim_owner.rs
@@ -42,6 +42,9 @@
 /// Time after which a refused request may come back, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
+const HANDOVER_MESSAGE: &str = "the range of the key is changing its owner";
+const OUTAGE_MESSAGE: &str = "the claim cannot be recorded, since the log does not answer";
+
 /// Clocks of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Now {
@@ -335,7 +338,7 @@
         }
         let is_lost = self.is_log_lost(now);
         if !self.is_serving() {
-            return Some(to_handover(is_lost));
+            return Some(self.to_handover(is_lost));
         }
         if is_lost && !(request.may_use_memory && self.table.may_use_memory()) {
             return Some(to_outage());
@@ -347,6 +350,29 @@
         None
     }
 
+    /// Returns the refusal of a process that does not serve the range.
+    fn to_handover(&self, is_log_lost: bool) -> Refusal {
+        let (reason, message) = if is_log_lost {
+            (Reason::LogUnavailable, OUTAGE_MESSAGE)
+        } else {
+            (Reason::RangeHandover, HANDOVER_MESSAGE)
+        };
+        if self.knows_all_claims() {
+            Refusal::not_run(reason, RETRY_AFTER_MS, message)
+        } else {
+            Refusal::unknown(reason, RETRY_AFTER_MS, message)
+        }
+    }
+
+    /// Returns whether a key without a claim in the table certainly has none.
+    ///
+    /// Before the own `Own` record is read back, the unread part of the log may hold claims, and another process may
+    /// add more. After a release a successor may do so.
+    fn knows_all_claims(&self) -> bool {
+        let has_hidden_claims = !self.table.is_active() && self.table.may_use_memory();
+        self.is_owner() && self.released_fence != self.table.fence() && !has_hidden_claims
+    }
+
     fn answer_claimed(
         &mut self,
         now: Now,
@@ -645,15 +671,6 @@
     effects.push(Effect::Reply { claimant, verdict });
 }
 
-fn to_handover(is_log_lost: bool) -> Refusal {
-    if is_log_lost {
-        return to_outage();
-    }
-    let message = "the range of the key is changing its owner";
-    Refusal::not_run(Reason::RangeHandover, RETRY_AFTER_MS, message)
-}
-
 fn to_outage() -> Refusal {
-    let message = "the claim cannot be recorded, since the log does not answer";
-    Refusal::not_run(Reason::LogUnavailable, RETRY_AFTER_MS, message)
+    Refusal::not_run(Reason::LogUnavailable, RETRY_AFTER_MS, OUTAGE_MESSAGE)
 }
--- a/crates/harness/src/deployment.rs
+++ b/crates/harness/src/deployment.rs
@@ -1,7 +1,9 @@
 //! A log service, a VM list, endpoints and daemons that belong together.
 
 use std::fmt::Write;
+use std::fs;
 
+use waxwing_standin::service::LedgerEntry;
 use waxwing_wire::platform::Vm;
 use waxwing_wire::platform::VmList;
 use waxwing_wire::platform::VmRole;
@@ -114,7 +116,12 @@
             let mut endpoints = Vec::new();
             for number in 1..=count {
                 let name = format!("{kind}-{number}");
-                endpoints.push(Standin::start(&run, &name, kind, options));
+                let file = to_ledger_file(&run, number);
+                let mut options = options.to_vec();
+                if kind == "service" {
+                    options.extend(["--ledger-file", &file]);
+                }
+                endpoints.push(Standin::start(&run, &name, kind, &options));
             }
             endpoints
         };
@@ -192,12 +199,33 @@
         VmList { vms }
     }
 
+    /// Returns what all plain services ran, also before they were killed.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a ledger file cannot be read.
+    pub fn to_ledger(&self) -> Vec<LedgerEntry> {
+        let mut entries = Vec::new();
+        for number in 1..=self.services.len() {
+            let text = fs::read_to_string(to_ledger_file(&self.run, number));
+            for line in text.expect("the ledger file can be read").lines() {
+                entries.push(serde_json::from_str(line).expect("a line is a ledger entry"));
+            }
+        }
+        entries
+    }
+
     /// Returns a caller of the daemon at `index`.
     pub fn caller(&self, index: usize) -> Caller {
         Caller::new(self.daemons[index].caller_address(), API_KEY)
     }
 }
 
+fn to_ledger_file(run: &Run, number: usize) -> String {
+    let file = run.folder().join(format!("service-{number}.ledger"));
+    file.display().to_string()
+}
+
 fn to_pool(pool: &str, kind: &str, endpoints: &[Standin]) -> String {
     let mut text = format!("[pools.{pool}]\nkind = \"{kind}\"\n");
     let prefix = if kind == "model" { "engine" } else { kind };
--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -135,7 +135,8 @@
         };
         if !self.send(message) {
             let message = "too many requests wait for a claim";
-            let refusal = Refusal::not_run(Reason::QueueFull, RETRY_AFTER_MS, message);
+            // An earlier request with the key may have run; only the owner of the range could tell.
+            let refusal = Refusal::unknown(Reason::QueueFull, RETRY_AFTER_MS, message);
             // The receiver is held by this function, so that the channel takes the answer.
             let _ = reply.try_send(ClaimVerdict::Refused(refusal));
         }
@@ -172,7 +173,8 @@
         answer.unwrap_or_else(|_| {
             self.give_up_here(request);
             let message = "the claim was not confirmed in time";
-            let refusal = Refusal::not_run(Reason::LogUnavailable, RETRY_AFTER_MS, message);
+            // An earlier request with the key may have run; only the owner of the range could tell.
+            let refusal = Refusal::unknown(Reason::LogUnavailable, RETRY_AFTER_MS, message);
             ClaimVerdict::Refused(refusal)
         })
     }
