--- a/crates/harness/tests/truthful_refusal.rs
+++ b/crates/harness/tests/truthful_refusal.rs
@@ -16,20 +16,28 @@
 use waxwing_standin::proxy;
 use waxwing_standin::service;
 
-/// Text of the path under which a call is sent.
 const PATH: &str = "/v1/services/dispatch/book";
 
-fn start(service_ms: &'static str, silence_ms: u64) -> Deployment {
+/// Bookings that are answered before a test begins, so that all eight key ranges are very likely in use.
+const WARM_UP_BOOKINGS: usize = 32;
+
+/// Starts a deployment whose service takes 20 ms for a call, times `slow_down` once the ranges are in use.
+fn start(slow_down: f64, silence_ms: u64) -> Deployment {
     let deployment = Deployment::start(&Plan {
         services: 1,
-        service_options: vec!["--service-ms", service_ms],
         vm_extra: format!("[limits]\nendpoint_silence_ms = {silence_ms}\n"),
         ..Plan::default()
     });
     let caller = deployment.caller(0);
     condition::wait_until("the VM runs bookings", || {
-        let answer = book(&caller, Uuid::now_v7(), "20000");
-        answer.is_some_and(|answer| answer.status == 200)
+        (0..WARM_UP_BOOKINGS).all(|_| {
+            let answer = book(&caller, Uuid::now_v7(), "5000");
+            answer.is_some_and(|answer| answer.status == 200)
+        })
+    });
+    deployment.services[0].set_faults(&service::Faults {
+        slow_down,
+        ..service::Faults::default()
     });
     deployment
 }
@@ -60,7 +68,7 @@
 /// Guards against a refused connection that is reported as a call that may have run.
 #[test]
 fn refused_connection_is_not_run() {
-    let mut deployment = start("20", 15_000);
+    let mut deployment = start(1.0, 15_000);
     deployment.services[0].process().kill();
     let key = Uuid::now_v7();
     let (reason, run, runs) = to_refused(&deployment, key, "5000");
@@ -76,7 +84,7 @@
 /// Guards against a connection that breaks after the call left and is taken for one that was never made.
 #[test]
 fn reset_connection_is_unknown() {
-    let deployment = start("2000", 15_000);
+    let deployment = start(100.0, 15_000);
     let target = deployment.services[0].address();
     let proxy = Standin::start_proxy(&deployment.run, "proxy", &target);
     let settings = deployment
@@ -107,7 +115,7 @@
 /// Guards against a lost answer that is reported as `not_run` or makes the call run again.
 #[test]
 fn lost_answer_is_unknown() {
-    let deployment = start("20", 15_000);
+    let deployment = start(1.0, 15_000);
     deployment.services[0].set_faults(&service::Faults {
         lose_acknowledgements: true,
         ..service::Faults::default()
@@ -122,7 +130,7 @@
 /// Guards against a frozen endpoint that is reported as `not_run` although it runs the call when it wakes.
 #[test]
 fn frozen_endpoint_is_unknown() {
-    let mut deployment = start("20", 1_000);
+    let mut deployment = start(1.0, 1_000);
     deployment.services[0].process().freeze();
     let key = Uuid::now_v7();
     let answer = book(&deployment.caller(0), key, "5000");
@@ -137,7 +145,7 @@
 /// Guards against a deadline that passes while the call runs and is reported as `not_run`, and a lost outcome.
 #[test]
 fn passed_deadline_is_unknown() {
-    let deployment = start("1500", 15_000);
+    let deployment = start(75.0, 15_000);
     let key = Uuid::now_v7();
     let refused = to_refused(&deployment, key, "500");
     assert_eq!(refused, (Reason::DeadlinePassed, Run::Unknown, 1));
@@ -151,7 +159,7 @@
 /// Guards against a repeat that runs beside the first call, or is told that its key was not run.
 #[test]
 fn repeat_of_a_running_call_is_unknown() {
-    let deployment = start("1500", 15_000);
+    let deployment = start(75.0, 15_000);
     let key = Uuid::now_v7();
     let caller = deployment.caller(0);
     let first = thread::spawn(move || book(&caller, key, "10000"));
