Take newer settings from peers

Cause: a VM that started during a log outage served nothing, since nothing joined the export and import of the settings thread to the peer connections.

A thread looks at the versions in the heartbeats every 500 ms and asks the peer with the newest one when it is newer than the own; another answers such questions.

Ruled out: a push by the VM that is ahead, which would send the whole tree to every VM on each change.

With the question to the peer switched off, settings_from_peers fails: "not within 60 s: vm-2 has settings". Not tested with daemons: a running VM that alone is cut off from the log.

--- a/crates/router/src/settings_sync.rs
+++ b/crates/router/src/settings_sync.rs
@@ -1,6 +1,7 @@
 //! Settings of the deployment: following the stream, publishing changes and exchange with peers.
 
 mod clock;
+mod exchange;
 mod owner;
 mod publish;
 mod reader;
@@ -132,5 +133,6 @@
             owner.handle(message);
         }
     });
+    exchange::start(&shared);
     thread::spawn(move || reader::follow(&shared));
 }
