--- a/crates/harness/tests/booking_ledger.rs
+++ b/crates/harness/tests/booking_ledger.rs
@@ -412,3 +412,9 @@
 fn one_vm_books_once() {
     run_schedule(1);
 }
+
+/// Guards against the same with three VMs, where claims are made between VMs and ranges change their owner.
+#[test]
+fn three_vms_book_once() {
+    run_schedule(3);
+}
