--- a/crates/router/src/claims/remote.rs
+++ b/crates/router/src/claims/remote.rs
@@ -14,12 +14,12 @@
 
 /// Asks `member` for a claim.
 ///
-/// Without an answer the call is never sent, so that the refusal is `not_run`. The owner may have granted the claim all
-/// the same; it is told to give it up.
+/// Without an answer the call is never sent, but this VM cannot tell whether the key has run before, so the refusal is
+/// `unknown`. The owner may have granted the claim all the same; it is told to give it up.
 pub(super) fn claim(shared: &Shared, member: &Member, request: &ClaimRequest) -> ClaimVerdict {
     if request.wait_ms == 0 {
         let message = "no time is left to claim the key";
-        let refusal = Refusal::not_run(Reason::DeadlinePassed, RETRY_AFTER_MS, message);
+        let refusal = Refusal::unknown(Reason::DeadlinePassed, RETRY_AFTER_MS, message);
         return ClaimVerdict::Refused(refusal);
     }
     let error = match shared.peers.claim(&member.name, request.clone()) {
@@ -34,7 +34,7 @@
         shared.claims.deliver(Notice::GiveUp(request.clone()));
     }
     let message = format!("{} did not decide about the key: {error}", member.name);
-    ClaimVerdict::Refused(Refusal::not_run(reason, RETRY_AFTER_MS, message))
+    ClaimVerdict::Refused(Refusal::unknown(reason, RETRY_AFTER_MS, message))
 }
 
 fn may_be_received(error: &Error) -> bool {
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -12,6 +12,8 @@
 
 use crate::claims;
 use crate::config::Config;
+use crate::evidence;
+use crate::explain;
 use crate::jobs;
 use crate::logging;
 use crate::members;
@@ -112,6 +114,8 @@
     claims::start(Arc::clone(&shared), inboxes.claims);
     settings_sync::start(Arc::clone(&shared));
     prober::start(Arc::clone(&shared));
+    evidence::start(Arc::clone(&shared));
+    explain::start(Arc::clone(&shared));
     jobs::start(&shared)?;
     operator::start(Arc::clone(&shared), metrics)?;
     front::start(Arc::clone(&shared), listener)?;
--- /dev/null
+++ b/crates/router/src/explain.rs
@@ -0,0 +1,45 @@
+//! What VMs know of requests that other VMs took.
+
+use std::sync::Arc;
+use std::thread;
+
+use serde_json::Value;
+
+use crate::shared::Shared;
+
+/// Starts the thread that answers other VMs.
+pub fn start(shared: Arc<Shared>) {
+    thread::spawn(move || {
+        for question in shared.peers.explain.to_receiver() {
+            let trace = shared.traces.to_trace(&question.body);
+            let line = trace.and_then(|trace| serde_json::to_string(&trace).ok());
+            // The other VM may have stopped waiting.
+            let _ = question.answer.try_send(line.into_iter().collect());
+        }
+    });
+}
+
+/// Returns what is known of a request, by this VM or by the first peer that knows it.
+pub fn find(shared: &Shared, request_id: &str) -> Option<Value> {
+    if let Some(trace) = shared.traces.to_trace(request_id) {
+        return serde_json::to_value(trace).ok();
+    }
+    let own = &shared.config.vm.name;
+    for member in &shared.view().members {
+        if member.name == *own || !member.is_reachable {
+            continue;
+        }
+        match shared.peers.explain(&member.name, request_id) {
+            Ok(lines) => {
+                if let Some(trace) = lines
+                    .first()
+                    .and_then(|line| serde_json::from_str(line).ok())
+                {
+                    return Some(trace);
+                }
+            }
+            Err(error) => log::warn!("{} does not explain a request: {error}", member.name),
+        }
+    }
+    None
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -5,6 +5,8 @@
 pub mod config;
 pub mod daemon;
 pub mod demo;
+pub mod evidence;
+pub mod explain;
 pub mod jobs;
 pub mod logging;
 pub mod members;
--- a/crates/router/src/operator.rs
+++ b/crates/router/src/operator.rs
@@ -16,6 +16,7 @@
 use waxwing_wire::settings_api::PublishAnswer;
 use waxwing_wire::settings_record::SettingsChange;
 
+use crate::explain;
 use crate::scheduling;
 use crate::settings_sync;
 use crate::shared::Shared;
@@ -37,6 +38,8 @@
     is_draining: bool,
     in_progress: usize,
     members: Vec<String>,
+    /// Contents that crashed so many endpoints that they are refused.
+    refused_contents: usize,
     /// Member that schedules the requests of this VM, by pool.
     owners: BTreeMap<Name, Name>,
     /// Endpoints that the VM list or a peer marks as leaving.
@@ -81,9 +84,9 @@
 }
 
 fn explain(shared: &Shared, request_id: &str) -> Response {
-    match shared.traces.to_trace(request_id) {
+    match explain::find(shared, request_id) {
         Some(trace) => Response::json(&trace),
-        None => Response::text("this VM does not know the request\n").with_status_code(404),
+        None => Response::text("no reachable VM knows the request\n").with_status_code(404),
     }
 }
 
@@ -140,6 +143,7 @@
         settings: view.subtree_versions.clone(),
         is_draining: shared.is_draining.load(Ordering::SeqCst),
         in_progress: shared.in_progress.load(Ordering::SeqCst),
+        refused_contents: shared.refused_contents.load(Ordering::SeqCst),
         members: view
             .members
             .iter()
--- a/crates/router/src/request.rs
+++ b/crates/router/src/request.rs
@@ -71,6 +71,7 @@
     if shared.is_stopping.load(Ordering::SeqCst) {
         let message = "this VM is stopping; use another entry address";
         let refusal = Refusal::not_run(Reason::Stopping, STOPPING_RETRY_AFTER_MS, message);
+        let refusal = exchange.qualify(refusal);
         crate::metric::count_refusal("", &refusal);
         answerer.refuse(&refusal);
         return;
@@ -78,6 +79,7 @@
     match admit::to_job(shared, exchange, target) {
         Ok(job) => run::run(shared, job, answerer),
         Err(refusal) => {
+            let refusal = exchange.qualify(refusal);
             crate::metric::count_refusal("", &refusal);
             answerer.refuse(&refusal);
         }
--- a/crates/router/src/request/admit.rs
+++ b/crates/router/src/request/admit.rs
@@ -75,7 +75,7 @@
 pub fn to_caller(shared: &Shared, exchange: &Exchange) -> Result<Name> {
     let view = shared.view();
     if view.settings_version == 0 {
-        return Err(to_no_settings(false));
+        return Err(to_no_settings());
     }
     let found = view.settings.to_organisation(to_api_key(exchange)?);
     let (organisation, _) =
@@ -133,8 +133,7 @@
 pub fn to_job(shared: &Shared, exchange: &Exchange, target: Target) -> Result<Job> {
     let view = shared.view();
     if view.settings_version == 0 {
-        let has_key = exchange.header(IDEMPOTENCY_KEY_HEADER).is_some();
-        return Err(to_no_settings(has_key));
+        return Err(to_no_settings());
     }
     let key = to_api_key(exchange)?;
     let Some((organisation, organisation_settings)) = view.settings.to_organisation(key) else {
@@ -173,12 +172,9 @@
     })
 }
 
-/// Returns the refusal of a VM without settings, which cannot tell whether an idempotency key was used before.
-fn to_no_settings(has_key: bool) -> Refusal {
+/// Returns the refusal of a VM without settings.
+fn to_no_settings() -> Refusal {
     let message = "this VM has no settings yet";
-    if has_key {
-        return Refusal::unknown(Reason::NoSettings, NO_SETTINGS_RETRY_AFTER_MS, message);
-    }
     Refusal::not_run(Reason::NoSettings, NO_SETTINGS_RETRY_AFTER_MS, message)
 }
 
--- a/crates/router/src/request/exchange.rs
+++ b/crates/router/src/request/exchange.rs
@@ -4,6 +4,10 @@
 
 use hyper::Method;
 use hyper::http::request::Parts;
+use waxwing_core::Reason;
+use waxwing_core::Refusal;
+use waxwing_core::Run;
+use waxwing_wire::caller::IDEMPOTENCY_KEY_HEADER;
 
 /// A request with its whole body.
 #[derive(Debug)]
@@ -56,6 +60,20 @@
         self.parts.headers.get(name)?.to_str().ok()
     }
 
+    /// Returns the refusal as it holds for a request that may be a repeat.
+    ///
+    /// This VM has not looked at the claims yet, so it cannot tell whether a key has run before.
+    pub fn qualify(&self, refusal: Refusal) -> Refusal {
+        let is_passing = refusal.retry_after_ms > 0 || refusal.reason == Reason::DeadlinePassed;
+        if !is_passing || self.header(IDEMPOTENCY_KEY_HEADER).is_none() {
+            return refusal;
+        }
+        Refusal {
+            run: Run::Unknown,
+            ..refusal
+        }
+    }
+
     /// Returns the body.
     pub fn body(&self) -> &[u8] {
         &self.body
--- a/crates/router/src/request/run.rs
+++ b/crates/router/src/request/run.rs
@@ -164,7 +164,11 @@
                 }
                 Ended::Preempted => metric::count_retry("preempted"),
                 Ended::Overtaken => metric::count_retry("overtaken"),
-                Ended::NotSent(message) => self.prepare_retry(&slot, "not_sent", &message)?,
+                // An endpoint that refuses connections costs nothing, and each one is tried once.
+                Ended::NotSent(_) => {
+                    self.excluded.push(slot.endpoint.clone());
+                    metric::count_retry("not_sent");
+                }
                 Ended::Failed(message) => self.prepare_retry(&slot, "failed", &message)?,
                 Ended::Lost(message) => self.prepare_retry(&slot, "lost", &message)?,
             }
--- a/crates/router/src/scheduling.rs
+++ b/crates/router/src/scheduling.rs
@@ -160,6 +160,7 @@
     messages: Sender<Message>,
     losses: (Sender<()>, Receiver<()>),
     findings: Arc<RwLock<HashMap<Name, Vec<Finding>>>>,
+    evidence: Arc<RwLock<Vec<Finding>>>,
 }
 
 /// The other end of [`Scheduling`], for the thread.
@@ -176,6 +177,7 @@
             messages: sender,
             losses: flume::bounded(1),
             findings: Arc::default(),
+            evidence: Arc::default(),
         };
         (scheduling, Inbox { messages: receiver })
     }
@@ -223,6 +225,19 @@
         findings.get(pool).cloned().unwrap_or_default()
     }
 
+    /// Sets the evidence of all VMs, which the scheduler of a shard receives when it is created.
+    pub(crate) fn set_evidence(&self, findings: Vec<Finding>) {
+        let evidence = self.evidence.write();
+        *evidence.unwrap_or_else(|poisoned| poisoned.into_inner()) = findings;
+    }
+
+    fn to_evidence(&self) -> Vec<Finding> {
+        let evidence = self.evidence.read();
+        evidence
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+            .clone()
+    }
+
     fn set_findings(&self, pool: &Name, findings: Vec<Finding>) {
         let all = self.findings.write();
         let mut all = all.unwrap_or_else(|poisoned| poisoned.into_inner());
@@ -420,10 +435,21 @@
 }
 
 fn to_config(pool: &Pool) -> Config {
+    let slots_min = pool
+        .endpoints
+        .iter()
+        .map(|endpoint| endpoint.slots_min)
+        .min();
     Config {
         policy: pool.policy,
         reserved_slots: pool.reserved_slots,
         queue_max: pool.queue_max,
+        preempt_max: pool.preempt_max,
+        slots_min: slots_min.unwrap_or(1),
+        slow_factor: pool.slow_factor as f32,
+        eject_share_max: pool.eject_share_max,
+        probe_interval_ms: pool.probe_interval_ms,
+        poison_endpoints_max: pool.poison_endpoints_max,
         ..Config::default()
     }
 }
--- a/crates/router/src/scheduling/local.rs
+++ b/crates/router/src/scheduling/local.rs
@@ -92,6 +92,9 @@
             };
             self.locals.insert(shard.clone(), local);
             self.set_endpoints(shard);
+            // Without it, the first request to a new owner could be one that crashes endpoints.
+            let evidence = self.shared.scheduling.to_evidence();
+            self.step(shard, Input::Evidence(evidence));
         }
         let now_ms = self.shared.now_ms();
         if let Some(local) = self.locals.get_mut(shard) {
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -107,6 +107,8 @@
     pub claims: Claims,
     /// Requests in progress.
     pub in_progress: AtomicUsize,
+    /// Contents that crashed so many endpoints that they are refused.
+    pub refused_contents: AtomicUsize,
     /// Open connections of callers.
     pub connections: AtomicUsize,
     /// Whether a planned stop has begun.
@@ -227,6 +229,7 @@
             settings_sync: SettingsHandle::new(),
             claims: handles.claims,
             in_progress: AtomicUsize::new(0),
+            refused_contents: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
             is_draining: AtomicBool::new(false),
             is_stopping: AtomicBool::new(false),
--- a/crates/router/src/transport/front.rs
+++ b/crates/router/src/transport/front.rs
@@ -181,11 +181,8 @@
     if before >= shared.config.limits.requests_max {
         shared.in_progress.fetch_sub(1, Ordering::SeqCst);
         let message = "this VM has no free request threads; use another entry address";
-        answerer.refuse(&Refusal::not_run(
-            Reason::QueueFull,
-            BUSY_RETRY_AFTER_MS,
-            message,
-        ));
+        let refusal = Refusal::not_run(Reason::QueueFull, BUSY_RETRY_AFTER_MS, message);
+        answerer.refuse(&exchange.qualify(refusal));
         return;
     }
     let worker = thread::Builder::new().name("request".to_owned());
