--- a/crates/router/src/claims.rs
+++ b/crates/router/src/claims.rs
@@ -261,9 +261,13 @@
     }
 }
 
-/// Returns the first VM in rendezvous order that is not draining, or `own` if there is none.
+/// Returns the first VM in rendezvous order that is not draining and can be reached, or `own` if there is none.
+///
+/// A killed VM refuses connections seconds before it counts as gone. The log decides about the owner, so an early
+/// takeover is safe.
 fn to_preferred(view: &View, own: &Name, range: u8) -> Name {
-    let candidates = view.members.iter().filter(|member| !member.is_draining);
+    let is_candidate = |member: &&Member| !member.is_draining && member.is_reachable;
+    let candidates = view.members.iter().filter(is_candidate);
     let names = candidates.map(|member| &member.name);
     let order = rendezvous::to_order(&waxwing_wire::claim_record::to_stream(range), names);
     order
--- a/crates/router/src/claims/worker.rs
+++ b/crates/router/src/claims/worker.rs
@@ -192,7 +192,8 @@
         let retention_ms = self.retention_ms.unwrap_or(RETENTION_ASSUMED_MS);
         let limits = to_limits(&view.settings, retention_ms);
         self.check_retention(&limits);
-        let live: BTreeSet<Name> = view.members.iter().map(|m| m.name.clone()).collect();
+        let reachable = view.members.iter().filter(|member| member.is_reachable);
+        let live: BTreeSet<Name> = reachable.map(|member| member.name.clone()).collect();
         for range in 0..CLAIM_RANGES {
             let preferred = to_preferred(&view, own, range);
             let is_wanted = preferred == *own && uses_claims(&view.settings) && !self.is_stopping;
--- a/crates/router/src/demo.rs
+++ b/crates/router/src/demo.rs
@@ -59,6 +59,8 @@
 log_address = "{log_address}"
 [operators]
 root_public_keys = ["{root_key}"]
+[limits]
+entries_lifetime_s = 1
 "#
     );
     let config = Config::parse("demo", &config).map_err(std::io::Error::other)?;
