--- a/crates/harness/examples/experiment.rs
+++ b/crates/harness/examples/experiment.rs
@@ -146,7 +146,8 @@
         [] => "none".to_owned(),
         [only] => format!("{only:.1}"),
         [lowest, .., highest] => {
-            let median = values[values.len() / 2];
+            let (low, high) = (values[(values.len() - 1) / 2], values[values.len() / 2]);
+            let median = f64::midpoint(low, high);
             format!("{median:.1} ({lowest:.1} to {highest:.1})")
         }
     }
--- a/crates/router/src/metric.rs
+++ b/crates/router/src/metric.rs
@@ -39,9 +39,6 @@
 pub const QUEUE_LENGTH: &str = "waxwing_queue_length";
 /// Gauge of slots by pool and state.
 pub const SLOTS: &str = "waxwing_slots";
-
-/// Tiers that always have a gauge, so that an emptied queue shows as 0.
-const TIERS: u8 = 4;
 /// Counter of bytes on connections between entry VMs, by direction.
 pub const PEER_BYTES: &str = "waxwing_peer_bytes_total";
 /// Counter of failed calls to other entry VMs, by reason.
@@ -67,6 +64,9 @@
 /// Counter of failed reads of the settings stream.
 pub const SETTINGS_READ_FAILURES: &str = "waxwing_settings_read_failures_total";
 
+/// Tiers that always have a gauge, so that an emptied queue shows as 0.
+const TIERS: u8 = 4;
+
 const BUCKETS_S: &[f64] = &[
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0,
 ];
--- a/crates/router/src/request/run/slot.rs
+++ b/crates/router/src/request/run/slot.rs
@@ -28,24 +28,20 @@
         });
         let ask = self.to_ask(self.ticket, &[]);
         let orders = self.shared.scheduling.enqueue(&pool, ask);
-        match self.wait_for_grant(&orders) {
-            Ok((endpoint, address)) => {
-                let waited = queued.elapsed();
-                metrics::histogram!(metric::QUEUE_WAIT, "class" => self.job.class.to_string())
-                    .record(waited.as_secs_f64());
-                self.add(Step::Granted {
-                    endpoint: endpoint.clone(),
-                    waited_ms: waited.as_millis() as u64,
-                });
-                Ok(Slot {
-                    ticket: self.ticket,
-                    endpoint,
-                    address,
-                    orders,
-                })
-            }
-            Err(stop) => Err(stop),
-        }
+        let (endpoint, address) = self.wait_for_grant(&orders)?;
+        let waited = queued.elapsed();
+        metrics::histogram!(metric::QUEUE_WAIT, "class" => self.job.class.to_string())
+            .record(waited.as_secs_f64());
+        self.add(Step::Granted {
+            endpoint: endpoint.clone(),
+            waited_ms: waited.as_millis() as u64,
+        });
+        Ok(Slot {
+            ticket: self.ticket,
+            endpoint,
+            address,
+            orders,
+        })
     }
 
     fn wait_for_grant(&self, orders: &Receiver<Order>) -> Result<(Name, String), Stop> {
