--- /dev/null
+++ b/crates/core/src/forwarding/configuration.rs
@@ -0,0 +1,226 @@
+//! Routes, services, organisations and limits of one configuration version.
+
+use std::collections::HashMap;
+
+use crate::Name;
+
+/// What may be repeated on a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RouteKind {
+    /// A request may run any number of times.
+    Idempotent,
+    /// A request may run at most once.
+    NonIdempotent,
+    /// The answer is a series of events; it may run again only from the event at which it broke off.
+    Stream,
+}
+
+/// A service behind a route and its share of the requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Name of the service.
+    pub service: Name,
+    /// Share of the requests, relative to the other targets.
+    pub weight: u32,
+}
+
+/// A rule that sends requests of a host and path to services.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name of the route.
+    pub name: Name,
+    /// Host that the request names.
+    pub host: String,
+    /// Beginning of the path.
+    pub path_prefix: String,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Longest time that a request may wait for its answer, in milliseconds.
+    pub timeout_ms: u64,
+    /// Latency objective, in milliseconds; for streams up to the first event.
+    pub objective_ms: u64,
+    /// Rank of the requests; 0 is the most urgent.
+    pub priority: u8,
+    /// Endpoints that one request may be sent to.
+    pub attempts_max: u32,
+    /// Whether requests need no API key.
+    pub is_public: bool,
+    /// Whether a broken stream may go on at another endpoint.
+    pub is_resumable: bool,
+    /// Longest pause between events for which an answer is on time, in milliseconds.
+    pub gap_target_ms: Option<u64>,
+    /// Services that the route sends requests to; never empty.
+    pub targets: Vec<Target>,
+}
+
+impl Route {
+    /// Returns whether a request may run more than once.
+    pub fn is_repeatable(&self) -> bool {
+        match self.kind {
+            RouteKind::Idempotent => true,
+            RouteKind::NonIdempotent => false,
+            RouteKind::Stream => self.is_resumable,
+        }
+    }
+
+    /// Returns the service for a request; `draw` is uniformly random.
+    pub fn to_service(&self, draw: u32) -> Option<&Name> {
+        let total: u64 = self.targets.iter().map(|t| u64::from(t.weight)).sum();
+        if total == 0 {
+            return self.targets.first().map(|target| &target.service);
+        }
+        let mut left = u64::from(draw) % total;
+        for target in &self.targets {
+            if left < u64::from(target.weight) {
+                return Some(&target.service);
+            }
+            left -= u64::from(target.weight);
+        }
+        None
+    }
+}
+
+/// A pool of endpoints.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Name of the service.
+    pub name: Name,
+    /// Path that answers whether an endpoint is healthy.
+    pub health_path: String,
+    /// Connections that an endpoint accepts from all callers together.
+    pub connections_max: u32,
+    /// Tokens that the memory of one engine holds; `None` for services without a model.
+    pub memory_tokens: Option<u64>,
+}
+
+/// An organisation and its API keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Organisation {
+    /// Name that endpoints receive.
+    pub name: Name,
+    /// API keys of its callers.
+    pub keys: Vec<String>,
+    /// Rank that replaces that of the route.
+    pub priority: Option<u8>,
+}
+
+/// Bounds on what a caller may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Longest request head, in bytes.
+    pub head_max_bytes: usize,
+    /// Longest request body, in bytes.
+    pub body_max_bytes: usize,
+    /// Longest time for a request head and for a body to arrive, in milliseconds.
+    pub head_timeout_ms: u64,
+    /// Time after which an idle connection of a caller is closed, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head_max_bytes: 16_384,
+            body_max_bytes: 4_194_304,
+            head_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
+
+/// One version of the configuration, indexed for look-ups.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Configuration {
+    version: u64,
+    limits: Limits,
+    has_organisations: bool,
+    routes: HashMap<String, Vec<Route>>,
+    services: HashMap<Name, Service>,
+    organisations: Vec<Organisation>,
+    keys: HashMap<String, usize>,
+}
+
+impl Configuration {
+    /// Indexes a configuration; `organisations` is `None` if callers need no keys.
+    pub fn new(
+        version: u64,
+        limits: Limits,
+        routes: Vec<Route>,
+        services: Vec<Service>,
+        organisations: Option<Vec<Organisation>>,
+    ) -> Self {
+        let mut by_host: HashMap<String, Vec<Route>> = HashMap::new();
+        for route in routes {
+            by_host
+                .entry(to_host_key(&route.host))
+                .or_default()
+                .push(route);
+        }
+        for routes in by_host.values_mut() {
+            // The longest prefix comes first, so that the first match is the right one.
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        let has_organisations = organisations.is_some();
+        let organisations = organisations.unwrap_or_default();
+        let mut keys = HashMap::new();
+        for (index, organisation) in organisations.iter().enumerate() {
+            for key in &organisation.keys {
+                keys.insert(key.clone(), index);
+            }
+        }
+        Self {
+            version,
+            limits,
+            has_organisations,
+            routes: by_host,
+            services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
+            organisations,
+            keys,
+        }
+    }
+
+    /// Returns the version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the bounds on what callers send.
+    pub fn limits(&self) -> Limits {
+        self.limits
+    }
+
+    /// Returns whether callers need API keys on routes that are not public.
+    pub fn needs_keys(&self) -> bool {
+        self.has_organisations
+    }
+
+    /// Returns the route with the longest prefix of `path` among those of `host`.
+    pub fn to_route(&self, host: &str, path: &str) -> Option<&Route> {
+        let routes = self.routes.get(&to_host_key(host))?;
+        routes
+            .iter()
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// Returns the organisation that holds an API key.
+    pub fn to_organisation(&self, key: &str) -> Option<&Organisation> {
+        self.keys.get(key).map(|index| &self.organisations[*index])
+    }
+
+    /// Returns a service by its name.
+    pub fn to_service(&self, name: &Name) -> Option<&Service> {
+        self.services.get(name)
+    }
+}
+
+/// Returns a host in lower case and without its port.
+fn to_host_key(host: &str) -> String {
+    let name = host.rsplit_once(':').map_or(host, |(name, port)| {
+        if port.bytes().all(|byte| byte.is_ascii_digit()) {
+            name
+        } else {
+            host
+        }
+    });
+    name.to_ascii_lowercase()
+}
--- /dev/null
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -0,0 +1,532 @@
+//! What a VM knows of the endpoints: their entries, their load and how far they can be relied on.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::Name;
+use crate::forwarding::prompt::KeptParts;
+use crate::forwarding::prompt::Prompt;
+use crate::forwarding::run::End;
+
+new_key_type! {
+    /// Key of an endpoint; a restarted endpoint gets a new one.
+    pub struct EndpointKey;
+
+    /// Key of a run at an endpoint.
+    pub struct RunKey;
+}
+
+/// First pause before an unreachable endpoint is tried again, in milliseconds; doubles with each failure.
+const SUSPICION_MIN_MS: u64 = 500;
+
+/// Longest pause before an unreachable endpoint is tried again, in milliseconds.
+const SUSPICION_MAX_MS: u64 = 4_000;
+
+/// Runs in a row without a usable answer after which an endpoint is suspected.
+const LOSSES_SUSPECTED: u32 = 2;
+
+/// Time after which a load report says nothing about the present, in milliseconds.
+const LOAD_FRESH_MS: u64 = 1_000;
+
+/// Removed entries that are remembered, so that a late record does not bring one back.
+const REMOVED_MAX: usize = 4_096;
+
+/// Weight of the newest value in moving averages.
+const AVERAGE_WEIGHT: f64 = 0.2;
+
+/// Share of an engine's memory that is expected to hold cached prompts.
+const CACHE_SHARE: f64 = 0.6;
+
+/// Memory of an engine whose service does not state it, in tokens.
+const MEMORY_DEFAULT_TOKENS: u64 = 400_000;
+
+/// The published entry of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Id of the endpoint.
+    pub id: Name,
+    /// Service that it belongs to.
+    pub service: Name,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Data centre that it stands in.
+    pub data_centre: Name,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is about to leave.
+    pub is_draining: bool,
+    /// Time for which it stays slow after its start, in milliseconds.
+    pub cold_ms: u64,
+    /// Unix time of its start, in milliseconds, if it states that.
+    pub born_ms: Option<u64>,
+    /// Number of the entry within the incarnation; entries may arrive out of order.
+    pub sequence: u64,
+}
+
+/// Load that an endpoint states in an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// How long work takes at present; 100 is the usual.
+    pub slowness_percent: u32,
+}
+
+/// Load that one VM puts on an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// Requests in progress.
+    pub runs: u32,
+    /// Prompt tokens still to be read.
+    pub unread_tokens: u64,
+}
+
+/// Changes of the list that the caller may have to act on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The endpoint is new.
+    Added(EndpointKey),
+    /// The endpoint has a new incarnation; connections to `old` are of no use.
+    Restarted {
+        /// Key of the earlier incarnation.
+        old: EndpointKey,
+        /// Key of the new incarnation.
+        new: EndpointKey,
+    },
+    /// The endpoint began to leave.
+    Draining(EndpointKey),
+    /// The endpoint is gone.
+    Removed(EndpointKey),
+}
+
+/// An endpoint and what was learned of it.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// Its published entry.
+    pub entry: Entry,
+    /// Hash of its id, the same on all VMs.
+    pub hash: u64,
+    /// Prompt parts that it probably keeps.
+    pub kept: KeptParts,
+    /// Time until the first byte of an answer, as a moving average in milliseconds.
+    pub first_byte_ms: f64,
+    /// Share of runs that ended with a failure, as a moving average.
+    pub failure_share: f64,
+    own: Demand,
+    load: Option<(Load, u64)>,
+    is_misdirected: bool,
+    losses: u32,
+    suspicion_ms: u64,
+    suspect_until_ms: u64,
+}
+
+impl Endpoint {
+    /// Returns the load stated lately.
+    pub fn to_load(&self, now_ms: u64) -> Option<Load> {
+        let (load, at_ms) = self.load?;
+        (now_ms.saturating_sub(at_ms) < LOAD_FRESH_MS).then_some(load)
+    }
+
+    /// Returns whether new requests may be sent at all.
+    pub fn is_usable(&self) -> bool {
+        !self.entry.is_draining && !self.is_misdirected
+    }
+
+    /// Returns how far the endpoint can be relied on.
+    pub fn to_trust(&self, now_ms: u64) -> Trust {
+        if self.suspicion_ms == 0 {
+            return Trust::Full;
+        }
+        if now_ms < self.suspect_until_ms || self.own.runs > 0 {
+            return Trust::Suspect;
+        }
+        Trust::Trial
+    }
+
+    /// Returns the load that this VM puts on the endpoint.
+    pub fn to_own_demand(&self) -> Demand {
+        self.own
+    }
+
+    fn suspect(&mut self, now_ms: u64) {
+        let doubled = self.suspicion_ms.saturating_mul(2);
+        self.suspicion_ms = doubled.clamp(SUSPICION_MIN_MS, SUSPICION_MAX_MS);
+        self.suspect_until_ms = now_ms + self.suspicion_ms;
+    }
+
+    fn clear_suspicion(&mut self) {
+        self.losses = 0;
+        self.suspicion_ms = 0;
+        self.suspect_until_ms = 0;
+    }
+}
+
+/// How far an endpoint can be relied on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Trust {
+    /// Nothing speaks against it.
+    Full,
+    /// It failed a while ago; one request that may be repeated can try it.
+    Trial,
+    /// It failed just now.
+    Suspect,
+}
+
+#[derive(Debug)]
+struct Run {
+    endpoint: EndpointKey,
+    unread_tokens: u64,
+}
+
+/// All endpoints known to a VM.
+#[derive(Debug, Default)]
+pub struct Endpoints {
+    endpoints: SlotMap<EndpointKey, Endpoint>,
+    runs: SlotMap<RunKey, Run>,
+    by_id: HashMap<Name, EndpointKey>,
+    by_service: HashMap<Name, Vec<EndpointKey>>,
+    peer_demand: HashMap<Name, HashMap<u64, Demand>>,
+    removals_due_ms: HashMap<Name, u64>,
+    removed: HashMap<Name, (Option<u64>, u64)>,
+    regained_at_ms: Option<u64>,
+    is_source_lost: bool,
+}
+
+/// Time after the return of the list's source in which missing endpoints are expected back, in milliseconds.
+///
+/// Entries may lapse while the source is away, although their endpoints live.
+pub const LAPSE_GRACE_MS: u64 = 2_000;
+
+impl Endpoints {
+    /// Creates an empty list.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds or updates an entry; one that is older than what is known of the same incarnation is ignored.
+    pub fn update(&mut self, entry: Entry) -> Option<Change> {
+        let Some(key) = self.by_id.get(&entry.id).copied() else {
+            let removed = self.removed.get(&entry.id);
+            let is_old = removed.is_some_and(|(born_ms, sequence)| {
+                *born_ms == entry.born_ms && entry.sequence <= *sequence
+            });
+            return (!is_old).then(|| Change::Added(self.insert(entry)));
+        };
+        let known = &mut self.endpoints[key];
+        let is_older = match (entry.born_ms, known.entry.born_ms) {
+            (Some(born), Some(known)) if born != known => born < known,
+            _ => entry.sequence < known.entry.sequence,
+        };
+        if is_older {
+            return None;
+        }
+        self.removals_due_ms.remove(&entry.id);
+        let is_same = known.entry.born_ms == entry.born_ms
+            && known.entry.address == entry.address
+            && known.entry.service == entry.service;
+        if !is_same {
+            self.take(&entry.id.clone());
+            let new = self.insert(entry);
+            return Some(Change::Restarted { old: key, new });
+        }
+        let starts_draining = entry.is_draining && !known.entry.is_draining;
+        known.entry = entry;
+        starts_draining.then_some(Change::Draining(key))
+    }
+
+    /// Removes an entry; shortly after the source returned, the removal waits until [`Endpoints::tick`].
+    pub fn remove(&mut self, id: &Name, now_ms: u64) -> Option<Change> {
+        if let Some(due_ms) = self.to_grace_end(now_ms) {
+            if self.by_id.contains_key(id) {
+                self.removals_due_ms.entry(id.clone()).or_insert(due_ms);
+            }
+            return None;
+        }
+        self.take(id).map(Change::Removed)
+    }
+
+    /// Stops the use of an endpoint whose newest entry cannot be understood, until the next good one.
+    pub fn disable(&mut self, id: &Name) -> Option<Change> {
+        let key = self.find(id)?;
+        let known = self.endpoints.get_mut(key)?;
+        let starts_draining = !known.entry.is_draining;
+        known.entry.is_draining = true;
+        starts_draining.then_some(Change::Draining(key))
+    }
+
+    /// Removes all entries that a complete list does not contain.
+    pub fn retain(&mut self, listed: &[Name], now_ms: u64) -> Vec<Change> {
+        let mut missing = Vec::new();
+        for id in self.by_id.keys() {
+            if !listed.contains(id) {
+                missing.push(id.clone());
+            }
+        }
+        missing
+            .iter()
+            .filter_map(|id| self.remove(id, now_ms))
+            .collect()
+    }
+
+    /// Records that the source of the list cannot be read.
+    pub fn lose_source(&mut self) {
+        self.is_source_lost = true;
+    }
+
+    /// Records that the source of the list can be read again.
+    pub fn regain_source(&mut self, now_ms: u64) {
+        if self.is_source_lost {
+            self.is_source_lost = false;
+            self.regained_at_ms = Some(now_ms);
+        }
+    }
+
+    /// Carries out the removals that are due.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<Change> {
+        let mut due = Vec::new();
+        for (id, due_ms) in &self.removals_due_ms {
+            if *due_ms <= now_ms {
+                due.push(id.clone());
+            }
+        }
+        let mut changes = Vec::new();
+        for id in due {
+            self.removals_due_ms.remove(&id);
+            changes.extend(self.take(&id).map(Change::Removed));
+        }
+        changes
+    }
+
+    fn to_grace_end(&self, now_ms: u64) -> Option<u64> {
+        let due_ms = self.regained_at_ms? + LAPSE_GRACE_MS;
+        (now_ms < due_ms).then_some(due_ms)
+    }
+
+    fn insert(&mut self, entry: Entry) -> EndpointKey {
+        let id = entry.id.clone();
+        let service = entry.service.clone();
+        let endpoint = Endpoint {
+            hash: to_hash(id.as_str()),
+            entry,
+            kept: KeptParts::default(),
+            first_byte_ms: 0.0,
+            failure_share: 0.0,
+            own: Demand::default(),
+            load: None,
+            is_misdirected: false,
+            losses: 0,
+            suspicion_ms: 0,
+            suspect_until_ms: 0,
+        };
+        let key = self.endpoints.insert(endpoint);
+        self.by_id.insert(id, key);
+        self.by_service.entry(service).or_default().push(key);
+        key
+    }
+
+    fn take(&mut self, id: &Name) -> Option<EndpointKey> {
+        let key = self.by_id.remove(id)?;
+        let endpoint = self.endpoints.remove(key)?;
+        if self.removed.len() >= REMOVED_MAX {
+            self.removed.clear();
+        }
+        let last = (endpoint.entry.born_ms, endpoint.entry.sequence);
+        self.removed.insert(id.clone(), last);
+        if let Some(keys) = self.by_service.get_mut(&endpoint.entry.service) {
+            keys.retain(|other| *other != key);
+        }
+        Some(key)
+    }
+
+    /// Returns an endpoint.
+    pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
+        self.endpoints.get(key)
+    }
+
+    /// Returns the key of the endpoint with this id.
+    pub fn find(&self, id: &Name) -> Option<EndpointKey> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Returns the number of endpoints.
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Returns whether no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+
+    /// Returns the endpoints of a service.
+    pub fn of_service(&self, service: &Name) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
+        let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        keys.iter()
+            .filter_map(|key| Some((*key, self.endpoints.get(*key)?)))
+    }
+
+    /// Records the start of a run and returns its key.
+    pub fn begin(
+        &mut self,
+        key: EndpointKey,
+        prompt: Option<&Prompt>,
+        memory_tokens: Option<u64>,
+        now_ms: u64,
+    ) -> RunKey {
+        let mut unread_tokens = 0;
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            if let Some(prompt) = prompt {
+                unread_tokens =
+                    prompt.tokens - endpoint.kept.to_kept_tokens(prompt).min(prompt.tokens);
+                let memory = memory_tokens.unwrap_or(MEMORY_DEFAULT_TOKENS);
+                let capacity = (memory as f64 * CACHE_SHARE) as u64;
+                endpoint.kept.record(prompt, now_ms, capacity);
+            }
+            endpoint.own.runs += 1;
+            endpoint.own.unread_tokens += unread_tokens;
+        }
+        self.runs.insert(Run {
+            endpoint: key,
+            unread_tokens,
+        })
+    }
+
+    /// Records the first byte of an answer, `waited_ms` after the request was sent.
+    pub fn saw_first_byte(&mut self, run: RunKey, waited_ms: u64) {
+        let Some(run) = self.runs.get_mut(run) else {
+            return;
+        };
+        let unread_tokens = std::mem::take(&mut run.unread_tokens);
+        let Some(endpoint) = self.endpoints.get_mut(run.endpoint) else {
+            return;
+        };
+        endpoint.own.unread_tokens -= unread_tokens;
+        let average = &mut endpoint.first_byte_ms;
+        let weight = if *average == 0.0 { 1.0 } else { AVERAGE_WEIGHT };
+        *average += (waited_ms as f64 - *average) * weight;
+    }
+
+    /// Records the load that an endpoint stated.
+    pub fn saw_load(&mut self, key: EndpointKey, load: Load, now_ms: u64) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.load = Some((load, now_ms));
+        }
+    }
+
+    /// Releases a run whose caller left; it says nothing about the endpoint.
+    pub fn release(&mut self, run: RunKey) {
+        let Some(run) = self.runs.remove(run) else {
+            return;
+        };
+        if let Some(endpoint) = self.endpoints.get_mut(run.endpoint) {
+            endpoint.own.runs -= 1;
+            endpoint.own.unread_tokens -= run.unread_tokens;
+        }
+    }
+
+    /// Releases a run and learns from its end; returns whether the endpoint came under suspicion.
+    pub fn end(&mut self, run: RunKey, end: End, now_ms: u64) -> bool {
+        let key = self.runs.get(run).map(|run| run.endpoint);
+        self.release(run);
+        let Some(endpoint) = key.and_then(|key| self.endpoints.get_mut(key)) else {
+            return false;
+        };
+        let failed = match end {
+            End::Failed | End::Lost | End::Stalled => 1.0,
+            _ => 0.0,
+        };
+        match end {
+            End::NotWritten => return false,
+            _ => endpoint.failure_share += (failed - endpoint.failure_share) * AVERAGE_WEIGHT,
+        }
+        let was_suspect = endpoint.suspicion_ms > 0;
+        match end {
+            End::Answered | End::Failed | End::Rejected => endpoint.clear_suspicion(),
+            End::Misdirected => endpoint.is_misdirected = true,
+            End::Unreachable => endpoint.suspect(now_ms),
+            End::Lost | End::Stalled => {
+                endpoint.losses += 1;
+                if was_suspect || endpoint.losses >= LOSSES_SUSPECTED {
+                    endpoint.suspect(now_ms);
+                }
+            }
+            End::NotWritten | End::Expired => {}
+        }
+        !was_suspect && endpoint.suspicion_ms > 0
+    }
+
+    /// Puts an endpoint under suspicion.
+    pub fn suspect(&mut self, key: EndpointKey, now_ms: u64) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.suspect(now_ms);
+        }
+    }
+
+    /// Replaces what another VM says of the load that it puts on endpoints, by the hashes of their ids.
+    pub fn set_peer_demand(&mut self, peer: Name, demand: HashMap<u64, Demand>) {
+        self.peer_demand.insert(peer, demand);
+    }
+
+    /// Forgets the load of a VM that is gone.
+    pub fn drop_peer(&mut self, peer: &Name) {
+        self.peer_demand.remove(peer);
+    }
+
+    /// Returns the load that all VMs together put on an endpoint, as far as known.
+    pub fn to_demand(&self, endpoint: &Endpoint) -> Demand {
+        let mut sum = endpoint.own;
+        for demand in self.peer_demand.values() {
+            let Some(demand) = demand.get(&endpoint.hash) else {
+                continue;
+            };
+            sum.runs += demand.runs;
+            sum.unread_tokens += demand.unread_tokens;
+        }
+        sum
+    }
+
+    /// Returns the load that this VM puts on endpoints, by the hashes of their ids; idle endpoints are left out.
+    pub fn to_own_demands(&self) -> Vec<(u64, Demand)> {
+        let mut demands = Vec::new();
+        for endpoint in self.endpoints.values() {
+            if endpoint.own != Demand::default() {
+                demands.push((endpoint.hash, endpoint.own));
+            }
+        }
+        demands
+    }
+
+    /// Returns the mean time to the first byte over the endpoints of a service, in milliseconds.
+    pub fn to_typical_first_byte_ms(&self, service: &Name) -> f64 {
+        let mut sum = 0.0;
+        let mut count = 0.0;
+        for (_, endpoint) in self.of_service(service) {
+            if endpoint.first_byte_ms > 0.0 {
+                sum += endpoint.first_byte_ms;
+                count += 1.0;
+            }
+        }
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+}
+
+/// Returns a hash of a name that is the same in all processes (FNV-1a, then mixed).
+pub fn to_hash(text: &str) -> u64 {
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    for byte in text.bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    mix(hash)
+}
+
+/// Mixes a number so that similar inputs give unlike outputs (the finalizer of SplitMix64).
+pub fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/crates/core/src/forwarding/event_stream.rs
@@ -0,0 +1,97 @@
+//! Splits a `text/event-stream` body into whole events.
+
+/// Longest event, in bytes; a longer one is passed on in pieces.
+const EVENT_MAX_BYTES: usize = 262_144;
+
+/// Holds back the incomplete last event of a stream and tracks the ids of the events passed on.
+///
+/// # Examples
+///
+/// ```
+/// use waxwing_core::forwarding::event_stream::EventSplitter;
+///
+/// let mut splitter = EventSplitter::new(None);
+/// assert_eq!(splitter.push(b"id: 7\ndata: a\n\nid: 8\nda"), b"id: 7\ndata: a\n\n");
+/// assert_eq!(splitter.last_id(), Some("7"));
+/// ```
+#[derive(Debug)]
+pub struct EventSplitter {
+    pending: Vec<u8>,
+    last_id: Option<String>,
+    events: u64,
+}
+
+impl EventSplitter {
+    /// Creates a splitter; `last_id` is the id from which the caller resumes.
+    pub fn new(last_id: Option<String>) -> Self {
+        Self {
+            pending: Vec::new(),
+            last_id,
+            events: 0,
+        }
+    }
+
+    /// Adds bytes and returns the events that they complete.
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        self.pending.extend_from_slice(bytes);
+        let mut end = 0;
+        while let Some(length) = to_event_length(&self.pending[end..]) {
+            if let Some(id) = to_event_id(&self.pending[end..end + length]) {
+                self.last_id = Some(id);
+            }
+            self.events += 1;
+            end += length;
+        }
+        if end == 0 && self.pending.len() > EVENT_MAX_BYTES {
+            end = self.pending.len();
+        }
+        let rest = self.pending.split_off(end);
+        std::mem::replace(&mut self.pending, rest)
+    }
+
+    /// Returns the bytes after the last whole event, for a body that ended properly.
+    pub fn take_rest(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.pending)
+    }
+
+    /// Drops the incomplete event of a run that broke off.
+    pub fn drop_incomplete(&mut self) {
+        self.pending.clear();
+    }
+
+    /// Returns the id of the last event passed on.
+    pub fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+
+    /// Returns how many events were passed on.
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+}
+
+/// Returns the length of the first event including the blank line that ends it.
+fn to_event_length(bytes: &[u8]) -> Option<usize> {
+    let mut line_start = 0;
+    for (index, byte) in bytes.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let line = &bytes[line_start..index];
+        if (line.is_empty() || line == b"\r") && line_start > 0 {
+            return Some(index + 1);
+        }
+        line_start = index + 1;
+    }
+    None
+}
+
+fn to_event_id(event: &[u8]) -> Option<String> {
+    for line in event.split(|byte| *byte == b'\n') {
+        let Some(value) = line.strip_prefix(b"id:") else {
+            continue;
+        };
+        return Some(String::from_utf8_lossy(value).trim().to_owned());
+    }
+    None
+}
--- /dev/null
+++ b/crates/core/src/forwarding/peers.rs
@@ -0,0 +1,174 @@
+//! The VMs that serve callers, as each tells the others.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use crate::Name;
+use crate::forwarding::endpoints::Demand;
+use crate::state::evidence::Finding;
+
+/// Pause between adverts, in milliseconds.
+pub const ADVERT_INTERVAL_MS: u64 = 300;
+
+/// Silence after which a VM counts as dead: four lost adverts in a row, in milliseconds.
+const SILENCE_MS: u64 = 1_300;
+
+/// Time for which VMs that fell silent are still named if no VM is heard at all, in milliseconds.
+const ISOLATED_MS: u64 = 30_000;
+
+/// Time after which a silent VM no longer shares the repeat budget, in milliseconds.
+const FORGOTTEN_MS: u64 = 60_000;
+
+/// What a VM tells the others.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Advert {
+    /// Name of the VM.
+    pub vm: Name,
+    /// Unix time of the start of its process, in milliseconds.
+    pub incarnation: u64,
+    /// Number of the advert within the incarnation.
+    pub sequence: u64,
+    /// Address for callers.
+    pub front: SocketAddr,
+    /// Address for adverts.
+    pub peer: SocketAddr,
+    /// Data centre that it stands in.
+    pub data_centre: Name,
+    /// Whether it takes new requests.
+    pub is_ready: bool,
+    /// Version of its configuration.
+    pub configuration_version: u64,
+    /// Load that it puts on endpoints, by the hashes of their ids.
+    pub demands: Vec<(u64, Demand)>,
+    /// Contents that crashed endpoints.
+    pub findings: Vec<Finding>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    advert: Option<Advert>,
+    address: SocketAddr,
+    heard_at_ms: Option<u64>,
+}
+
+/// Changes among the other VMs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A VM was heard for the first time or again.
+    Seen(Name),
+    /// A VM fell silent.
+    Lost(Name),
+}
+
+/// The other VMs.
+#[derive(Debug, Default)]
+pub struct Peers {
+    peers: HashMap<Name, Peer>,
+}
+
+impl Peers {
+    /// Creates an empty list.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a VM that was found, so that it gets adverts.
+    pub fn add(&mut self, vm: Name, address: SocketAddr) {
+        let peer = self.peers.entry(vm).or_insert(Peer {
+            advert: None,
+            address,
+            heard_at_ms: None,
+        });
+        if peer.heard_at_ms.is_none() {
+            peer.address = address;
+        }
+    }
+
+    /// Takes in an advert; returns whether it is news, and the change that it makes.
+    ///
+    /// Adverts may overtake each other; one that is older than what is known is ignored.
+    pub fn hear(&mut self, advert: Advert, now_ms: u64) -> (bool, Option<Change>) {
+        self.add(advert.vm.clone(), advert.peer);
+        let Some(peer) = self.peers.get_mut(&advert.vm) else {
+            return (false, None);
+        };
+        let order = (advert.incarnation, advert.sequence);
+        let known = peer.advert.as_ref().map(|a| (a.incarnation, a.sequence));
+        if known.is_some_and(|known| order <= known) {
+            return (false, None);
+        }
+        let was_alive = is_alive(peer, now_ms);
+        peer.address = advert.peer;
+        peer.heard_at_ms = Some(now_ms);
+        let change = (!was_alive).then(|| Change::Seen(advert.vm.clone()));
+        peer.advert = Some(advert);
+        (true, change)
+    }
+
+    /// Returns the VMs that fell silent since `before_ms`.
+    pub fn to_lost(&self, before_ms: u64, now_ms: u64) -> Vec<Change> {
+        let mut lost = Vec::new();
+        for (vm, peer) in &self.peers {
+            if is_alive(peer, before_ms) && !is_alive(peer, now_ms) && peer.heard_at_ms.is_some() {
+                lost.push(Change::Lost(vm.clone()));
+            }
+        }
+        lost
+    }
+
+    /// Returns the addresses that get adverts: all VMs, silent ones in one round of `SILENT_ROUNDS`.
+    pub fn to_recipients(&self, round: u64, now_ms: u64) -> Vec<SocketAddr> {
+        const SILENT_ROUNDS: u64 = 5;
+        let mut recipients = Vec::new();
+        for peer in self.peers.values() {
+            if is_alive(peer, now_ms) || round.is_multiple_of(SILENT_ROUNDS) {
+                recipients.push(peer.address);
+            }
+        }
+        recipients
+    }
+
+    /// Returns the addresses of the VMs that take callers, those in `data_centre` first.
+    ///
+    /// If no VM is heard at all, this VM is more likely cut off than alone, so the ones known before are named.
+    pub fn to_fronts(&self, data_centre: &Name, now_ms: u64) -> Vec<SocketAddr> {
+        let is_isolated = !self.peers.values().any(|peer| is_alive(peer, now_ms));
+        let mut fronts = Vec::new();
+        for peer in self.peers.values() {
+            let Some(advert) = peer.advert.as_ref().filter(|advert| advert.is_ready) else {
+                continue;
+            };
+            let silence_ms = now_ms.saturating_sub(peer.heard_at_ms.unwrap_or(0));
+            if is_alive(peer, now_ms) || (is_isolated && silence_ms < ISOLATED_MS) {
+                fronts.push((advert.data_centre != *data_centre, advert.front));
+            }
+        }
+        fronts.sort_unstable();
+        fronts.into_iter().map(|(_, front)| front).collect()
+    }
+
+    /// Returns the number of VMs that share budgets, this one included.
+    pub fn to_vm_count(&self, now_ms: u64) -> usize {
+        let mut count = 1;
+        for peer in self.peers.values() {
+            let heard = peer.heard_at_ms;
+            if heard.is_none_or(|at_ms| now_ms.saturating_sub(at_ms) < FORGOTTEN_MS) {
+                count += 1;
+            }
+        }
+        count
+    }
+
+    /// Returns the number of VMs that are heard.
+    pub fn to_alive_count(&self, now_ms: u64) -> usize {
+        self.peers
+            .values()
+            .filter(|peer| is_alive(peer, now_ms))
+            .count()
+    }
+}
+
+fn is_alive(peer: &Peer, now_ms: u64) -> bool {
+    let heard = peer.heard_at_ms;
+    heard.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < SILENCE_MS)
+}
--- /dev/null
+++ b/crates/core/src/forwarding/prompt.rs
@@ -0,0 +1,88 @@
+//! Prompts as series of parts, and an estimate of the parts that an engine keeps.
+
+use std::collections::HashMap;
+
+/// A part of a prompt that requests may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Identity of the part.
+    pub id: u64,
+    /// Length, in tokens.
+    pub tokens: u32,
+}
+
+/// A prompt and the size of its answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Parts in order; the last one belongs to the request or its session.
+    pub parts: Vec<Part>,
+    /// Length of the prompt, in tokens.
+    pub tokens: u64,
+    /// Expected length of the answer, in tokens.
+    pub output_tokens: u64,
+}
+
+impl Prompt {
+    /// Returns the deepest part that other requests share.
+    pub fn to_shared_part(&self) -> Option<Part> {
+        let count = self.parts.len();
+        if count < 2 {
+            return None;
+        }
+        self.parts.get(count - 2).copied()
+    }
+
+    /// Returns the tokens of all parts but the last.
+    pub fn to_shared_tokens(&self) -> u64 {
+        let count = self.parts.len().saturating_sub(1);
+        self.parts[..count]
+            .iter()
+            .map(|part| u64::from(part.tokens))
+            .sum()
+    }
+}
+
+/// The parts that an engine probably keeps, judged by what was sent to it.
+#[derive(Clone, Debug, Default)]
+pub struct KeptParts {
+    used_at_ms: HashMap<u64, (u64, u32)>,
+    tokens: u64,
+}
+
+impl KeptParts {
+    /// Returns how many leading tokens of a prompt the engine need not read again.
+    pub fn to_kept_tokens(&self, prompt: &Prompt) -> u64 {
+        let mut tokens = 0;
+        for part in &prompt.parts {
+            if !self.used_at_ms.contains_key(&part.id) {
+                break;
+            }
+            tokens += u64::from(part.tokens);
+        }
+        tokens
+    }
+
+    /// Records that the engine has read a prompt; the least recently used parts beyond `capacity_tokens` yield.
+    pub fn record(&mut self, prompt: &Prompt, now_ms: u64, capacity_tokens: u64) {
+        for part in &prompt.parts {
+            let known = self.used_at_ms.insert(part.id, (now_ms, part.tokens));
+            if known.is_none() {
+                self.tokens += u64::from(part.tokens);
+            }
+        }
+        while self.tokens > capacity_tokens {
+            let oldest = self.used_at_ms.iter().min_by_key(|(_, (at_ms, _))| *at_ms);
+            let Some((id, tokens)) = oldest.map(|(id, (_, tokens))| (*id, *tokens)) else {
+                break;
+            };
+            self.used_at_ms.remove(&id);
+            self.tokens = self.tokens.saturating_sub(u64::from(tokens));
+        }
+    }
+
+    /// Forgets everything, as an engine does when it restarts.
+    pub fn clear(&mut self) {
+        self.used_at_ms.clear();
+        self.tokens = 0;
+    }
+}
--- /dev/null
+++ b/crates/core/src/forwarding/repeat_budget.rs
@@ -0,0 +1,96 @@
+//! The budget of sending requests to further endpoints, shared by all VMs.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use crate::Name;
+
+/// Bounds of the budget, summed over all VMs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Config {
+    /// Repeats for each request of a service within the window.
+    pub ratio: f64,
+    /// Repeats of a service within the window beyond the ratio.
+    pub slack: f64,
+    /// Length of the sliding window, in milliseconds.
+    pub window_ms: u64,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            ratio: 0.2,
+            slack: 50.0,
+            window_ms: 10_000,
+        }
+    }
+}
+
+/// Part of the budget that is given out; the rest covers requests that two VMs count differently.
+const SHARE_USED: f64 = 0.8;
+
+#[derive(Debug, Default)]
+struct Counts {
+    requests: VecDeque<u64>,
+    repeats: VecDeque<u64>,
+}
+
+impl Counts {
+    fn expire(&mut self, before_ms: u64) {
+        for times in [&mut self.requests, &mut self.repeats] {
+            while times.front().is_some_and(|at_ms| *at_ms < before_ms) {
+                times.pop_front();
+            }
+        }
+    }
+}
+
+/// Repeats and requests of each service in the current window.
+///
+/// Each VM spends its share of the slack and the ratio of its own requests, so the sum over all VMs holds without
+/// messages between them.
+#[derive(Debug)]
+pub struct RepeatBudget {
+    config: Config,
+    started_at_ms: u64,
+    services: HashMap<Name, Counts>,
+}
+
+impl RepeatBudget {
+    /// Creates a budget; `now_ms` is the start of the process.
+    pub fn new(config: Config, now_ms: u64) -> Self {
+        Self {
+            config,
+            started_at_ms: now_ms,
+            services: HashMap::new(),
+        }
+    }
+
+    /// Counts the first send of a request.
+    pub fn add_request(&mut self, service: &Name, now_ms: u64) {
+        self.counts(service, now_ms).requests.push_back(now_ms);
+    }
+
+    /// Takes a repeat; returns `false` if the budget does not cover it. `vms` is the number of VMs that share it.
+    pub fn take(&mut self, service: &Name, vms: usize, now_ms: u64) -> bool {
+        let config = self.config;
+        // The process that ran here before may have spent its share within the same window.
+        let is_fresh = now_ms.saturating_sub(self.started_at_ms) < config.window_ms;
+        let slack_share = if is_fresh { 0.5 } else { 1.0 };
+        let slack = config.slack * SHARE_USED * slack_share / vms.max(1) as f64;
+        let counts = self.counts(service, now_ms);
+        let earned = counts.requests.len() as f64 * config.ratio * SHARE_USED;
+        if counts.repeats.len() as f64 + 1.0 > earned + slack {
+            return false;
+        }
+        counts.repeats.push_back(now_ms);
+        true
+    }
+
+    fn counts(&mut self, service: &Name, now_ms: u64) -> &mut Counts {
+        let before_ms = now_ms.saturating_sub(self.config.window_ms);
+        let counts = self.services.entry(service.clone()).or_default();
+        counts.expire(before_ms);
+        counts
+    }
+}
--- /dev/null
+++ b/crates/core/src/forwarding/run.rs
@@ -0,0 +1,162 @@
+//! What the end of a run means for the request.
+
+use crate::forwarding::configuration::Route;
+use crate::forwarding::configuration::RouteKind;
+
+/// Whether an endpoint worked on a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Execution {
+    /// It certainly did not and never will.
+    NotRun,
+    /// It may have, in part or in full.
+    Unknown,
+    /// It did.
+    Ran,
+}
+
+/// How sending a request to an endpoint ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// No connection could be made.
+    Unreachable,
+    /// The kept connection was closed before the request was written.
+    NotWritten,
+    /// The endpoint stated that it did not run the request.
+    Rejected,
+    /// Another endpoint answers at the address; it did not run the request.
+    Misdirected,
+    /// The endpoint answered with a server error of its own.
+    Failed,
+    /// The endpoint answered with any other status.
+    Answered,
+    /// The connection broke or the answer was not one to this request.
+    Lost,
+    /// Nothing arrived for longer than the endpoint should need.
+    Stalled,
+    /// The time limit of the request passed.
+    Expired,
+}
+
+impl End {
+    /// Returns whether the endpoint worked on the request.
+    pub fn to_execution(self) -> Execution {
+        match self {
+            End::Unreachable | End::NotWritten | End::Rejected | End::Misdirected => {
+                Execution::NotRun
+            }
+            End::Failed | End::Answered => Execution::Ran,
+            End::Lost | End::Stalled | End::Expired => Execution::Unknown,
+        }
+    }
+
+    /// Returns the name that logs and counters use.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            End::Unreachable => "unreachable",
+            End::NotWritten => "not_written",
+            End::Rejected => "rejected",
+            End::Misdirected => "misdirected",
+            End::Failed => "failed",
+            End::Answered => "answered",
+            End::Lost => "lost",
+            End::Stalled => "stalled",
+            End::Expired => "expired",
+        }
+    }
+}
+
+/// What is known of a request after one of its runs ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Progress {
+    /// Whether any endpoint worked on the request so far.
+    pub execution: Execution,
+    /// Runs that may have started.
+    pub runs: u32,
+    /// Endpoints that certainly did not run the request.
+    pub rejections: u32,
+    /// Time until the request must be answered, in milliseconds.
+    pub left_ms: u64,
+}
+
+impl Progress {
+    /// Returns the state of a request that was not sent yet.
+    pub fn new(left_ms: u64) -> Self {
+        Self {
+            execution: Execution::NotRun,
+            runs: 0,
+            rejections: 0,
+            left_ms,
+        }
+    }
+
+    /// Adds the end of a run.
+    pub fn add(&mut self, end: End) {
+        let execution = end.to_execution();
+        self.execution = self.execution.max(execution);
+        match execution {
+            Execution::NotRun => self.rejections += 1,
+            Execution::Unknown | Execution::Ran => self.runs += 1,
+        }
+    }
+}
+
+/// What to do after a run ended without an answer to deliver.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Send the request to another endpoint.
+    Repeat,
+    /// Give the final answer now.
+    GiveUp,
+}
+
+/// Endpoints that may refuse a request before it is given up.
+///
+/// Each refusal counts in the repeat budget of the service, so a request must not try a whole pool.
+pub const REJECTIONS_MAX: u32 = 3;
+
+/// Time below which another run is not worth starting, in milliseconds.
+pub const REPEAT_MIN_LEFT_MS: u64 = 20;
+
+/// Decides whether a request is sent to another endpoint.
+///
+/// A request that may not run twice is sent on only while it certainly did not run.
+pub fn to_next(route: &Route, progress: &Progress) -> Next {
+    if progress.left_ms < REPEAT_MIN_LEFT_MS || progress.rejections > REJECTIONS_MAX {
+        return Next::GiveUp;
+    }
+    if progress.execution == Execution::NotRun {
+        return Next::Repeat;
+    }
+    if route.is_repeatable() && progress.runs < route.attempts_max.max(1) {
+        return Next::Repeat;
+    }
+    Next::GiveUp
+}
+
+/// Returns the status of a given-up request.
+///
+/// 503 promises that the request did not run, so it is used only where that is certain.
+pub fn to_status(execution: Execution, is_expired: bool) -> u16 {
+    match (execution, is_expired) {
+        (Execution::NotRun, _) => 503,
+        (_, true) => 504,
+        (_, false) => 502,
+    }
+}
+
+/// Returns the time after which an endpoint that sent nothing yet counts as stalled, in milliseconds.
+///
+/// `None` if the request cannot go elsewhere, so that waiting is all that is left.
+pub fn to_stall_ms(route: &Route, typical_ms: f64) -> Option<u64> {
+    if !route.is_repeatable() || route.attempts_max < 2 {
+        return None;
+    }
+    let objective_ms = route.objective_ms as f64;
+    let stall_ms = match route.kind {
+        RouteKind::Stream => (typical_ms * 4.0).clamp(objective_ms * 0.6, objective_ms * 1.5),
+        RouteKind::Idempotent | RouteKind::NonIdempotent => {
+            (typical_ms * 4.0).clamp(objective_ms * 0.5, objective_ms * 2.0)
+        }
+    };
+    Some(stall_ms as u64)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod document;
 pub mod error;
 pub mod finding;
+pub mod forwarding;
 pub mod state;
 
 mod name;
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -97,6 +97,10 @@
     PreemptLimit "preempt_limit" 502;
     /// The organisation has no retries left.
     RetryBudget "retry_budget" 503;
+    /// No route matches the host and path.
+    UnknownRoute "unknown_route" 404;
+    /// The content crashed endpoints; another one may be sent at once.
+    Crashing "crashing" 503;
     /// The job does not exist.
     UnknownJob "unknown_job" 404;
 }
--- /dev/null
+++ b/crates/gateway/src/body.rs
@@ -0,0 +1,87 @@
+//! Bodies of answers to callers.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use async_executor::Task;
+use flume::r#async::RecvStream;
+use futures::StreamExt;
+use hyper::body::Bytes;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+
+/// A piece of a streamed body; an error breaks the connection off, so that the answer cannot look whole.
+pub type Piece = Result<Bytes, std::io::Error>;
+
+/// Pieces that may wait for a slow caller.
+const PIECES_MAX: usize = 16;
+
+/// Sending end of a streamed body.
+pub type PieceSender = flume::Sender<Piece>;
+
+/// The body of an answer to a caller.
+pub enum Body {
+    /// A body that is at hand.
+    Whole(Option<Bytes>),
+    /// A body that arrives in pieces.
+    Streamed {
+        /// Where the pieces come from.
+        pieces: RecvStream<'static, Piece>,
+        /// The task that sends the pieces; it ends with the body.
+        task: Option<Task<()>>,
+    },
+}
+
+impl Body {
+    /// Creates a body that is at hand.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Some(bytes.into()))
+    }
+
+    /// Creates a body whose pieces are sent by a task that `spawn` starts.
+    pub fn streamed(spawn: impl FnOnce(PieceSender) -> Task<()>) -> Self {
+        let (sender, receiver) = flume::bounded(PIECES_MAX);
+        Self::Streamed {
+            pieces: receiver.into_stream(),
+            task: Some(spawn(sender)),
+        }
+    }
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, std::io::Error>>> {
+        match &mut *self {
+            Body::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Body::Streamed { pieces, task } => {
+                let piece = futures::ready!(pieces.poll_next_unpin(context));
+                if piece.is_none() {
+                    // The sender is done; its task must not be cancelled in its last steps.
+                    if let Some(task) = task.take() {
+                        task.detach();
+                    }
+                }
+                Poll::Ready(piece.map(|piece| piece.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Body::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Body::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Body::Streamed { .. } => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/dialect.rs
@@ -0,0 +1,71 @@
+//! What an adapter tells the gateway about the headers of callers and endpoints.
+
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use waxwing_core::Name;
+use waxwing_core::forwarding::endpoints::Load;
+use waxwing_core::forwarding::prompt::Prompt;
+
+/// What a request says about itself.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Intent {
+    /// Id of the attempt, unique for each try of the caller.
+    pub request_id: Option<String>,
+    /// Time that the caller will wait, in milliseconds.
+    pub time_limit_ms: Option<u64>,
+    /// API key.
+    pub key: Option<String>,
+    /// Prompt, for services with a model.
+    pub prompt: Option<Prompt>,
+    /// Id of the event after which a stream goes on.
+    pub last_event_id: Option<String>,
+}
+
+/// What an endpoint is told beside the caller's own headers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Instructions<'a> {
+    /// Id of the only endpoint that may run the request.
+    pub endpoint_id: &'a Name,
+    /// Time left for the request, in milliseconds.
+    pub time_limit_ms: u64,
+    /// Organisation of the caller.
+    pub organisation: Option<&'a Name>,
+    /// Rank of the request; 0 is the most urgent.
+    pub priority: Option<u8>,
+    /// Id of the event after which a stream goes on.
+    pub last_event_id: Option<&'a str>,
+}
+
+/// What the head of an endpoint's answer says.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Verdict {
+    /// The endpoint states that it did not run the request.
+    pub is_not_run: bool,
+    /// Another endpoint answered.
+    pub is_misdirected: bool,
+    /// The answer carries the endpoint's signature.
+    pub is_signed: bool,
+    /// Id of the request that is answered, if stated.
+    pub request_id: Option<String>,
+    /// Load of the endpoint, if stated.
+    pub load: Option<Load>,
+}
+
+/// Headers of an outside system.
+pub trait Dialect {
+    /// Reads the headers of a caller.
+    ///
+    /// # Errors
+    ///
+    /// Fails with a sentence for the caller if a header cannot be understood.
+    fn to_intent(&self, headers: &HeaderMap) -> Result<Intent, String>;
+
+    /// Removes the headers that only the router may set, and sets them.
+    fn instruct(&self, headers: &mut HeaderMap, instructions: &Instructions<'_>);
+
+    /// Reads the head of an endpoint's answer.
+    fn to_verdict(&self, status: StatusCode, headers: &HeaderMap) -> Verdict;
+
+    /// Sets the id of the request on an answer of the router's own.
+    fn identify(&self, headers: &mut HeaderMap, request_id: &str);
+}
--- /dev/null
+++ b/crates/gateway/src/exchange.rs
@@ -0,0 +1,486 @@
+//! One request of a caller, from its head to its final answer.
+
+use std::rc::Rc;
+
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HOST;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use hyper::header::TRANSFER_ENCODING;
+use hyper::http::request::Parts;
+use waxwing_core::Name;
+use waxwing_core::Reason;
+use waxwing_core::Refusal;
+use waxwing_core::Run;
+use waxwing_core::forwarding::Configuration;
+use waxwing_core::forwarding::EndpointKey;
+use waxwing_core::forwarding::Execution;
+use waxwing_core::forwarding::configuration::Route;
+use waxwing_core::forwarding::placement;
+use waxwing_core::forwarding::run::End;
+use waxwing_core::forwarding::run::Next;
+use waxwing_core::forwarding::run::Progress;
+use waxwing_core::forwarding::run::to_next;
+use waxwing_core::forwarding::run::to_status;
+use waxwing_core::state::evidence::Content;
+
+use crate::body::Body;
+use crate::client::within;
+use crate::dialect::Intent;
+use crate::gateway::Gateway;
+use crate::metric;
+use crate::relay;
+use crate::trace::Trace;
+
+mod send;
+
+pub(crate) use send::RunGuard;
+pub(crate) use send::Sent;
+
+/// Time after which a caller may come back to another VM, in milliseconds.
+const STOPPING_RETRY_AFTER_MS: u64 = 50;
+
+/// Time after which a caller may come back when the VM lacks settings or memory, in milliseconds.
+const UNREADY_RETRY_AFTER_MS: u64 = 500;
+
+/// Time after which a caller may come back when no endpoint took its request, in milliseconds.
+const NO_ENDPOINT_RETRY_AFTER_MS: u64 = 300;
+
+/// Time after which a caller may come back with a content that crashes endpoints, in milliseconds.
+const CRASHING_RETRY_AFTER_MS: u64 = 30_000;
+
+/// Time without a confirmed configuration after which a missing route or key may be a new one, in milliseconds.
+const CONFIGURATION_STALE_MS: u64 = 4_000;
+
+/// Divisor of the memory limit that gives the bytes of request bodies held at once.
+const BODY_MEMORY_SHARE: u64 = 4;
+
+/// A request that was admitted.
+pub(crate) struct Exchange {
+    pub(crate) gateway: Rc<Gateway>,
+    pub(crate) trace: Trace,
+    pub(crate) route: Route,
+    pub(crate) service: Name,
+    pub(crate) organisation: Option<Name>,
+    pub(crate) priority: u8,
+    pub(crate) memory_tokens: Option<u64>,
+    pub(crate) intent: Intent,
+    pub(crate) head: Parts,
+    pub(crate) body: Bytes,
+    pub(crate) content: Content,
+    pub(crate) deadline_ms: u64,
+    pub(crate) tried: Vec<EndpointKey>,
+    pub(crate) progress: Progress,
+    in_progress: InProgress,
+}
+
+/// Counts a request for as long as it lives.
+struct InProgress {
+    gateway: Rc<Gateway>,
+    bytes: usize,
+}
+
+impl InProgress {
+    fn new(gateway: &Rc<Gateway>) -> Self {
+        gateway.in_progress.set(gateway.in_progress.get() + 1);
+        Self {
+            gateway: Rc::clone(gateway),
+            bytes: 0,
+        }
+    }
+
+    fn hold(&mut self, bytes: usize) {
+        self.bytes += bytes;
+        let buffered = &self.gateway.buffered_bytes;
+        buffered.set(buffered.get() + bytes);
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.gateway
+            .in_progress
+            .set(self.gateway.in_progress.get() - 1);
+        let buffered = &self.gateway.buffered_bytes;
+        buffered.set(buffered.get() - self.bytes);
+    }
+}
+
+/// How sending a request to one endpoint ended.
+pub(crate) enum Attempted {
+    /// The answer goes to the caller.
+    Delivered(Response<Body>),
+    /// There is no answer; the response is the endpoint's failure, if it stated one.
+    Ended(End, Option<Response<Body>>),
+}
+
+/// Serves a request of a caller.
+pub(crate) async fn serve(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+    let (head, incoming) = request.into_parts();
+    let mut response = match gateway.dialect.to_intent(&head.headers) {
+        Ok(intent) => answer(&gateway, head, intent, incoming).await,
+        Err(message) => {
+            let refusal = Refusal::not_run(Reason::BadRequest, 0, message);
+            let mut trace = Trace::new(gateway.clock, "", 0);
+            refuse(&gateway, &mut trace, &refusal, true)
+        }
+    };
+    if gateway.is_stopping() {
+        response
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn answer(
+    gateway: &Rc<Gateway>,
+    head: Parts,
+    intent: Intent,
+    incoming: Incoming,
+) -> Response<Body> {
+    let configuration = gateway.configuration();
+    let version = configuration.as_ref().map_or(0, |known| known.version());
+    let request_id = intent.request_id.clone().unwrap_or_default();
+    let mut trace = Trace::new(gateway.clock, &request_id, version);
+    let in_progress = InProgress::new(gateway);
+    let admitted = admit(
+        gateway,
+        configuration.as_deref(),
+        &head,
+        &intent,
+        &mut trace,
+    );
+    let (route, organisation, priority) = match admitted {
+        Ok(admitted) => admitted,
+        Err(refusal) => return refuse(gateway, &mut trace, &refusal, false),
+    };
+    let limits = configuration
+        .as_ref()
+        .map(|known| known.limits())
+        .unwrap_or_default();
+    let limit_ms = intent
+        .time_limit_ms
+        .unwrap_or(route.timeout_ms)
+        .min(route.timeout_ms);
+    let deadline_ms = trace.received_ms() + limit_ms;
+    let body = match read_body(incoming, limits.body_max_bytes, limit_ms).await {
+        Ok(body) => body,
+        Err(refusal) => return refuse(gateway, &mut trace, &refusal, true),
+    };
+    let draw = (gateway.draw() >> 32) as u32;
+    let Some(service) = route.to_service(draw).cloned() else {
+        let message = "the route names no service";
+        let refusal = Refusal::not_run(Reason::NoEndpoint, UNREADY_RETRY_AFTER_MS, message);
+        return refuse(gateway, &mut trace, &refusal, false);
+    };
+    let known = configuration
+        .as_ref()
+        .and_then(|known| known.to_service(&service));
+    let mut exchange = Exchange {
+        gateway: Rc::clone(gateway),
+        trace,
+        memory_tokens: known.and_then(|service| service.memory_tokens),
+        content: to_content(organisation.as_ref(), &head, &body),
+        route,
+        service,
+        organisation,
+        priority,
+        intent,
+        head,
+        body,
+        deadline_ms,
+        tried: Vec::new(),
+        progress: Progress::new(limit_ms),
+        in_progress,
+    };
+    if let Some(refusal) = exchange.check() {
+        return refuse(gateway, &mut exchange.trace, &refusal, false);
+    }
+    exchange.run().await
+}
+
+/// Finds the route and the caller's organisation.
+fn admit(
+    gateway: &Gateway,
+    configuration: Option<&Configuration>,
+    head: &Parts,
+    intent: &Intent,
+    trace: &mut Trace,
+) -> Result<(Route, Option<Name>, u8), Refusal> {
+    let unready =
+        |message: &str| Refusal::not_run(Reason::NoSettings, UNREADY_RETRY_AFTER_MS, message);
+    let configuration = configuration.ok_or_else(|| unready("this VM has no configuration yet"))?;
+    if head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH) {
+        let message = "the request states two lengths; send Content-Length or Transfer-Encoding";
+        return Err(Refusal::not_run(Reason::BadRequest, 0, message));
+    }
+    // A route or key that is missing here may be part of a newer version that did not arrive yet.
+    let is_stale = gateway.to_configuration_age_ms() > CONFIGURATION_STALE_MS;
+    let host = head.headers.get(HOST).and_then(|value| value.to_str().ok());
+    let host = host.or_else(|| head.uri.host()).unwrap_or("");
+    let Some(route) = configuration.to_route(host, head.uri.path()) else {
+        if is_stale {
+            return Err(unready(
+                "the route is not known to this VM, whose configuration is old",
+            ));
+        }
+        let message = format!("no route for host `{host}` and this path");
+        return Err(Refusal::not_run(Reason::UnknownRoute, 0, message));
+    };
+    trace.set_route(&route.name, route.kind);
+    let organisation = intent
+        .key
+        .as_deref()
+        .and_then(|key| configuration.to_organisation(key));
+    if organisation.is_none() && configuration.needs_keys() && !route.is_public {
+        if is_stale {
+            return Err(unready(
+                "the API key is not known to this VM, whose configuration is old",
+            ));
+        }
+        let message = "the API key is missing or unknown";
+        return Err(Refusal::not_run(Reason::Unauthorised, 0, message));
+    }
+    if !gateway.can_take(route.timeout_ms) {
+        let message = "this VM is stopping; use another entry address";
+        return Err(Refusal::not_run(
+            Reason::Stopping,
+            STOPPING_RETRY_AFTER_MS,
+            message,
+        ));
+    }
+    let buffered = gateway.buffered_bytes.get() as u64;
+    if buffered > gateway.settings.limits.memory_mb * 1_000_000 / BODY_MEMORY_SHARE {
+        let message = "this VM holds too many request bodies; use another entry address";
+        return Err(Refusal::not_run(
+            Reason::QueueFull,
+            UNREADY_RETRY_AFTER_MS,
+            message,
+        ));
+    }
+    let priority = organisation.and_then(|organisation| organisation.priority);
+    let name = organisation.map(|organisation| organisation.name.clone());
+    Ok((route.clone(), name, priority.unwrap_or(route.priority)))
+}
+
+async fn read_body(
+    incoming: Incoming,
+    body_max_bytes: usize,
+    limit_ms: u64,
+) -> Result<Bytes, Refusal> {
+    let collected = within(limit_ms, Limited::new(incoming, body_max_bytes).collect()).await;
+    match collected {
+        Some(Ok(body)) => Ok(body.to_bytes()),
+        Some(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            let message = format!("the body exceeds {body_max_bytes} bytes; send a shorter one");
+            Err(Refusal::not_run(Reason::BodyTooLarge, 0, message))
+        }
+        Some(Err(error)) => {
+            let message = format!("the body cannot be read: {error}");
+            Err(Refusal::not_run(Reason::BadRequest, 0, message))
+        }
+        None => {
+            let message = format!("the body did not arrive within {limit_ms} ms");
+            Err(Refusal::not_run(Reason::BadRequest, 0, message))
+        }
+    }
+}
+
+fn to_content(organisation: Option<&Name>, head: &Parts, body: &Bytes) -> Content {
+    let mut hasher = blake3::Hasher::new();
+    let parts = [
+        organisation.map_or(&b""[..], |name| name.as_str().as_bytes()),
+        head.method.as_str().as_bytes(),
+        head.uri
+            .path_and_query()
+            .map_or("", |path| path.as_str())
+            .as_bytes(),
+    ];
+    for part in parts {
+        hasher.update(part);
+        hasher.update(&[0]);
+    }
+    hasher.update(body);
+    *hasher.finalize().as_bytes()
+}
+
+impl Exchange {
+    /// Returns the refusal of a request that must not reach any endpoint.
+    fn check(&mut self) -> Option<Refusal> {
+        self.in_progress.hold(self.body.len());
+        if self.gateway.is_crashing(&self.content) {
+            let message = "endpoints crashed on this content";
+            let refusal = Refusal::not_run(Reason::Crashing, CRASHING_RETRY_AFTER_MS, message);
+            return Some(refusal);
+        }
+        None
+    }
+
+    /// Sends the request to endpoints until there is a final answer.
+    async fn run(mut self) -> Response<Body> {
+        let mut failure = None;
+        let mut last_end = None;
+        loop {
+            let now_ms = self.gateway.clock.now_ms();
+            self.progress.left_ms = self.deadline_ms.saturating_sub(now_ms);
+            if let Some(end) = last_end {
+                if to_next(&self.route, &self.progress) == Next::GiveUp || !self.take_repeat(end) {
+                    return self.give_up(failure, end == End::Expired);
+                }
+            } else if self.progress.left_ms == 0 {
+                return self.give_up(None, true);
+            } else {
+                self.gateway
+                    .budget
+                    .borrow_mut()
+                    .add_request(&self.service, now_ms);
+            }
+            let Some(key) = self.choose() else {
+                return self.give_up(failure, false);
+            };
+            self.tried.push(key);
+            let sent = match self.send(key, None).await {
+                Ok(sent) => sent,
+                Err(end) => {
+                    self.progress.add(end);
+                    last_end = Some(end);
+                    continue;
+                }
+            };
+            let (exchange, attempted) = relay::deliver(self, sent).await;
+            match attempted {
+                Attempted::Delivered(response) => return response,
+                Attempted::Ended(end, response) => {
+                    let Some(exchange) = exchange else {
+                        return internal_error();
+                    };
+                    self = exchange;
+                    self.progress.add(end);
+                    failure = response.or(failure);
+                    last_end = Some(end);
+                }
+            }
+        }
+    }
+
+    /// Takes a repeat out of the budget; `end` is how the run before ended.
+    pub(crate) fn take_repeat(&self, end: End) -> bool {
+        let now_ms = self.gateway.clock.now_ms();
+        let vms = self.gateway.peers.borrow().to_vm_count(now_ms);
+        // An endpoint that was not reached received nothing, so nothing is repeated.
+        let is_free = matches!(end, End::Unreachable | End::NotWritten);
+        if !is_free
+            && !self
+                .gateway
+                .budget
+                .borrow_mut()
+                .take(&self.service, vms, now_ms)
+        {
+            metrics::counter!(metric::REPEATS_REFUSED).increment(1);
+            return false;
+        }
+        metrics::counter!(metric::REPEATS, "after" => end.as_str()).increment(1);
+        true
+    }
+
+    pub(crate) fn choose(&self) -> Option<EndpointKey> {
+        let request = placement::Request {
+            service: &self.service,
+            prompt: self.intent.prompt.as_ref(),
+            is_repeatable: self.route.is_repeatable(),
+            data_centre: &self.gateway.data_centre,
+            tried: &self.tried,
+            draw: self.gateway.draw(),
+        };
+        let endpoints = self.gateway.endpoints.borrow();
+        let now_ms = self.gateway.clock.now_ms();
+        placement::choose(&self.gateway.placement, &endpoints, &request, now_ms)
+    }
+
+    /// Gives the final answer of a request without a usable one.
+    fn give_up(mut self, failure: Option<Response<Body>>, is_expired: bool) -> Response<Body> {
+        let execution = self.progress.execution;
+        if let Some(response) = failure {
+            self.trace
+                .finish("endpoint_failed", response.status().as_u16(), execution);
+            return response;
+        }
+        let status = to_status(execution, is_expired);
+        let reason = match (execution, is_expired) {
+            (Execution::NotRun, false) => Reason::NoEndpoint,
+            (Execution::NotRun, true) => Reason::DeadlineUnreachable,
+            (_, true) => Reason::DeadlinePassed,
+            (_, false) => Reason::EndpointFailed,
+        };
+        let refusal = match execution {
+            Execution::NotRun => {
+                let message = "no endpoint took the request";
+                Refusal::not_run(reason, NO_ENDPOINT_RETRY_AFTER_MS, message)
+            }
+            Execution::Unknown | Execution::Ran => {
+                Refusal::unknown(reason, 0, "the endpoint gave no usable answer")
+            }
+        };
+        let mut response = to_response(&self.gateway, self.trace.request_id(), &refusal);
+        *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+        metrics::counter!(metric::REFUSALS, "reason" => reason.as_str()).increment(1);
+        self.trace.finish(reason.as_str(), status, execution);
+        response
+    }
+}
+
+/// Answers a request that reached no endpoint.
+fn refuse(gateway: &Gateway, trace: &mut Trace, refusal: &Refusal, closes: bool) -> Response<Body> {
+    let mut response = to_response(gateway, trace.request_id(), refusal);
+    if closes {
+        // What is left of the request's body must not be read as another request.
+        response
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    metrics::counter!(metric::REFUSALS, "reason" => refusal.reason.as_str()).increment(1);
+    let status = response.status().as_u16();
+    trace.finish(refusal.reason.as_str(), status, Execution::NotRun);
+    response
+}
+
+fn to_response(gateway: &Gateway, request_id: &str, refusal: &Refusal) -> Response<Body> {
+    let run = match refusal.run {
+        Run::NotRun => "not_run",
+        Run::Unknown => "unknown",
+    };
+    let text = serde_json::json!({
+        "error": {"code": refusal.reason.as_str(), "message": refusal.message, "run": run}
+    });
+    let mut response = Response::new(Body::whole(text.to_string()));
+    let status = StatusCode::from_u16(refusal.reason.to_status());
+    *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if refusal.retry_after_ms > 0 {
+        let seconds = format!("{:.3}", refusal.retry_after_ms as f64 / 1_000.0);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            headers.insert(RETRY_AFTER, value);
+        }
+    }
+    if !request_id.is_empty() {
+        gateway.dialect.identify(headers, request_id);
+    }
+    response
+}
+
+fn internal_error() -> Response<Body> {
+    let mut response = Response::new(Body::whole(""));
+    *response.status_mut() = StatusCode::BAD_GATEWAY;
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/exchange/send.rs
@@ -0,0 +1,307 @@
+//! Sends a request to one endpoint, up to the head of its answer.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use waxwing_core::Name;
+use waxwing_core::forwarding::EndpointKey;
+use waxwing_core::forwarding::endpoints::RunKey;
+use waxwing_core::forwarding::run::End;
+use waxwing_core::forwarding::run::to_stall_ms;
+use waxwing_core::state::evidence::Content;
+
+use crate::client::Connection;
+use crate::client::within;
+use crate::dialect::Instructions;
+use crate::dialect::Verdict;
+use crate::exchange::Exchange;
+use crate::gateway::Gateway;
+use crate::headers;
+use crate::metric;
+
+/// Time for a connection to an endpoint to be made, in milliseconds; a lost packet takes a second to be sent again.
+const CONNECT_MS: u64 = 250;
+
+/// Time after the time limit in which the endpoint's own answer to it can arrive, in milliseconds.
+const LIMIT_SLACK_MS: u64 = 60;
+
+/// Time after which an endpoint that broke a connection is asked whether it lives, in milliseconds.
+const CRASH_CHECK_MS: u64 = 100;
+
+/// A run at an endpoint; released when it is dropped.
+pub(crate) struct RunGuard {
+    gateway: Rc<Gateway>,
+    address: SocketAddr,
+    pub(crate) endpoint: EndpointKey,
+    pub(crate) endpoint_id: Name,
+    pub(crate) began_ms: u64,
+    key: Option<RunKey>,
+}
+
+impl RunGuard {
+    pub(crate) fn end(&mut self, end: End) {
+        let Some(key) = self.key.take() else {
+            return;
+        };
+        metrics::counter!(metric::RUN_ENDS, "end" => end.as_str()).increment(1);
+        let now_ms = self.gateway.clock.now_ms();
+        let became_suspect = self.gateway.endpoints.borrow_mut().end(key, end, now_ms);
+        if became_suspect {
+            self.gateway.drop_idle(self.endpoint);
+            log::warn!(
+                event = "endpoint_suspected", endpoint = self.endpoint_id.as_str(), end = end.as_str();
+                "requests avoid the endpoint for a while"
+            );
+        }
+    }
+
+    pub(crate) fn saw_first_byte(&self) {
+        let waited_ms = self.gateway.clock.now_ms() - self.began_ms;
+        if let Some(key) = self.key {
+            self.gateway
+                .endpoints
+                .borrow_mut()
+                .saw_first_byte(key, waited_ms);
+        }
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        if let Some(key) = self.key.take() {
+            self.gateway.endpoints.borrow_mut().release(key);
+        }
+    }
+}
+
+/// The head of an endpoint's answer, and what its rest arrives on.
+pub(crate) struct Sent {
+    pub(crate) run: RunGuard,
+    pub(crate) connection: Connection,
+    pub(crate) response: Response<Incoming>,
+    pub(crate) verdict: Verdict,
+}
+
+impl Exchange {
+    /// Sends the request to an endpoint and waits for the head of its answer.
+    ///
+    /// `last_event_id` is set if a stream goes on after a broken run.
+    pub(crate) async fn send(
+        &mut self,
+        key: EndpointKey,
+        last_event_id: Option<&str>,
+    ) -> Result<Sent, End> {
+        let now_ms = self.gateway.clock.now_ms();
+        let prompt = self.intent.prompt.as_ref();
+        let (address, endpoint_id, run_key) = {
+            let mut endpoints = self.gateway.endpoints.borrow_mut();
+            let Some(endpoint) = endpoints.get(key) else {
+                return Err(End::Unreachable);
+            };
+            let address = endpoint.entry.address;
+            let endpoint_id = endpoint.entry.id.clone();
+            let run = endpoints.begin(key, prompt, self.memory_tokens, now_ms);
+            (address, endpoint_id, run)
+        };
+        let mut run = RunGuard {
+            gateway: Rc::clone(&self.gateway),
+            address,
+            endpoint: key,
+            endpoint_id,
+            began_ms: now_ms,
+            key: Some(run_key),
+        };
+        let answered = self.exchange_heads(&run, last_event_id).await;
+        let (connection, response) = match answered {
+            Ok(answered) => answered,
+            Err(end) => {
+                self.note_end(&mut run, end, "");
+                return Err(end);
+            }
+        };
+        let verdict = self
+            .gateway
+            .dialect
+            .to_verdict(response.status(), response.headers());
+        if let Some(load) = verdict.load {
+            let now_ms = self.gateway.clock.now_ms();
+            self.gateway
+                .endpoints
+                .borrow_mut()
+                .saw_load(key, load, now_ms);
+        }
+        let sent = Sent {
+            run,
+            connection,
+            response,
+            verdict,
+        };
+        self.check_verdict(sent)
+    }
+
+    /// Tells an answer to this request from refusals and from answers that belong elsewhere.
+    fn check_verdict(&mut self, mut sent: Sent) -> Result<Sent, End> {
+        let verdict = &sent.verdict;
+        let status = sent.response.status();
+        let is_other = match (&verdict.request_id, &self.intent.request_id) {
+            (Some(answered), Some(asked)) => answered != asked,
+            _ => false,
+        };
+        let end = if is_other {
+            Some((End::Lost, "(answer to another request)"))
+        } else if verdict.is_misdirected {
+            Some((End::Misdirected, ""))
+        } else if verdict.is_not_run && (status.is_server_error() || status.as_u16() == 429) {
+            Some((End::Rejected, ""))
+        } else if status.is_success() && !verdict.is_signed {
+            Some((End::Lost, "(unsigned)"))
+        } else {
+            None
+        };
+        match end {
+            Some((end, detail)) => {
+                self.note_end(&mut sent.run, end, detail);
+                Err(end)
+            }
+            None => Ok(sent),
+        }
+    }
+
+    /// Records the end of a run in the trace and in what is known of the endpoint.
+    pub(crate) fn note_end(&mut self, run: &mut RunGuard, end: End, detail: &str) {
+        self.trace
+            .add_run(run.endpoint_id.as_str(), run.began_ms, end, detail);
+        run.end(end);
+        if end == End::Lost {
+            note_break(&self.gateway, run, self.content);
+        }
+    }
+
+    /// Returns whether the route allows another run.
+    pub(crate) fn can_repeat(&self) -> bool {
+        self.progress.runs + 1 < self.route.attempts_max
+    }
+
+    async fn exchange_heads(
+        &self,
+        run: &RunGuard,
+        last_event_id: Option<&str>,
+    ) -> Result<(Connection, Response<Incoming>), End> {
+        let gateway = &self.gateway;
+        // On a kept connection a reset leaves open whether the request ran, which only some requests can bear.
+        let kept = match self.route.is_repeatable() {
+            true => gateway.take_idle(run.endpoint),
+            false => None,
+        };
+        if let Some(connection) = kept {
+            match self.exchange_on(connection, run, last_event_id).await {
+                Err(End::NotWritten) => {}
+                outcome => return outcome,
+            }
+        }
+        let limit_ms = CONNECT_MS.min(self.to_left_ms());
+        let opened = Connection::open(gateway.executor, run.address, limit_ms).await;
+        let outcome = if opened.is_ok() { "made" } else { "failed" };
+        metrics::counter!(metric::CONNECTS, "outcome" => outcome).increment(1);
+        let connection = opened.map_err(|_| End::Unreachable)?;
+        self.exchange_on(connection, run, last_event_id).await
+    }
+
+    async fn exchange_on(
+        &self,
+        mut connection: Connection,
+        run: &RunGuard,
+        last_event_id: Option<&str>,
+    ) -> Result<(Connection, Response<Incoming>), End> {
+        let left_ms = self.to_left_ms();
+        if left_ms == 0 {
+            return Err(End::NotWritten);
+        }
+        let request = self.to_request(run, left_ms, last_event_id);
+        let typical_ms = self
+            .gateway
+            .endpoints
+            .borrow()
+            .to_typical_first_byte_ms(&self.service);
+        let stall_ms = to_stall_ms(&self.route, typical_ms).filter(|_| self.can_repeat());
+        let limit_ms = stall_ms.unwrap_or(u64::MAX).min(left_ms + LIMIT_SLACK_MS);
+        let sending = connection.sender.try_send_request(request);
+        match within(limit_ms, sending).await {
+            Some(Ok(response)) => Ok((connection, response)),
+            // The request comes back only if nothing of it was written.
+            Some(Err(mut error)) => match error.take_message() {
+                Some(_) => Err(End::NotWritten),
+                None => Err(End::Lost),
+            },
+            None if self.to_left_ms() == 0 => Err(End::Expired),
+            None => Err(End::Stalled),
+        }
+    }
+
+    fn to_request(
+        &self,
+        run: &RunGuard,
+        left_ms: u64,
+        last_event_id: Option<&str>,
+    ) -> Request<Full<hyper::body::Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        let mut headers = self.head.headers.clone();
+        headers::strip_hop_by_hop(&mut headers);
+        let instructions = Instructions {
+            endpoint_id: &run.endpoint_id,
+            time_limit_ms: left_ms,
+            organisation: self.organisation.as_ref(),
+            priority: self.intent.prompt.is_some().then_some(self.priority),
+            last_event_id,
+        };
+        self.gateway.dialect.instruct(&mut headers, &instructions);
+        *request.headers_mut() = headers;
+        request
+    }
+
+    pub(crate) fn to_left_ms(&self) -> u64 {
+        self.deadline_ms.saturating_sub(self.gateway.clock.now_ms())
+    }
+}
+
+/// Finds out whether an endpoint that broke a connection has crashed, and blames the content if so.
+fn note_break(gateway: &Rc<Gateway>, run: &RunGuard, content: Content) {
+    let gateway = Rc::clone(gateway);
+    let (key, address) = (run.endpoint, run.address);
+    let endpoint_id = run.endpoint_id.clone();
+    let executor = gateway.executor;
+    let check = async move {
+        Timer::after(Duration::from_millis(CRASH_CHECK_MS)).await;
+        if Connection::open(executor, address, CONNECT_MS)
+            .await
+            .is_ok()
+        {
+            return;
+        }
+        let now_ms = gateway.clock.now_ms();
+        let born_ms = {
+            let mut endpoints = gateway.endpoints.borrow_mut();
+            endpoints.suspect(key, now_ms);
+            endpoints
+                .get(key)
+                .and_then(|endpoint| endpoint.entry.born_ms)
+        };
+        gateway.drop_idle(key);
+        log::warn!(event = "endpoint_crashed", endpoint = endpoint_id.as_str(); "refuses connections after a reset");
+        let incarnation = format!("{}@{}", endpoint_id.as_str(), born_ms.unwrap_or(0));
+        let incarnation = Name::from(incarnation);
+        gateway
+            .evidence
+            .borrow_mut()
+            .record(content, &incarnation, now_ms);
+    };
+    executor.spawn(check).detach();
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,423 @@
+//! The state that the tasks of a process share, and the duties that it starts.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use hyper::Response;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use waxwing_core::Name;
+use waxwing_core::forwarding::Configuration;
+use waxwing_core::forwarding::EndpointKey;
+use waxwing_core::forwarding::Endpoints;
+use waxwing_core::forwarding::endpoints::Change;
+use waxwing_core::forwarding::endpoints::Entry;
+use waxwing_core::forwarding::peers::Peers;
+use waxwing_core::forwarding::placement;
+use waxwing_core::forwarding::repeat_budget;
+use waxwing_core::forwarding::repeat_budget::RepeatBudget;
+use waxwing_core::state::evidence::Content;
+use waxwing_core::state::evidence::Evidence;
+
+use crate::adverts;
+use crate::body::Body;
+use crate::client::Connection;
+use crate::clock::Clock;
+use crate::clock::to_unix_ms;
+use crate::dialect::Dialect;
+use crate::error::Result;
+use crate::exchange;
+use crate::metric;
+use crate::server;
+use crate::settings::Settings;
+use crate::signals::Signals;
+
+/// Time for which crashes of endpoints are held against a content, in milliseconds.
+const EVIDENCE_LIFETIME_MS: u64 = 120_000;
+
+/// Contents that are remembered as suspects.
+const EVIDENCE_MAX: usize = 1_024;
+
+/// Crashed endpoints after which a content is refused.
+const CRASHES_MAX: usize = 3;
+
+/// Time after SIGTERM in which callers may still hold this VM's address, in milliseconds.
+const LINGER_MS: u64 = 4_500;
+
+/// Time after SIGTERM in which every request is still taken, in milliseconds.
+const STOP_ACCEPT_MS: u64 = 2_500;
+
+/// Time kept between the last answer and SIGKILL, in milliseconds.
+const STOP_RESERVE_MS: u64 = 500;
+
+/// Time between looks at whether a stop may end, in milliseconds.
+const STOP_CHECK_MS: u64 = 100;
+
+/// Time between removals of what is due, in milliseconds.
+const TICK_MS: u64 = 500;
+
+/// Descriptors kept free for files and calls of the process itself.
+const DESCRIPTORS_RESERVED: u64 = 250;
+
+/// Kept connections to one endpoint.
+const IDLE_PER_ENDPOINT_MAX: usize = 8;
+
+/// The state that all tasks of a process share.
+pub struct Gateway {
+    pub(crate) executor: &'static LocalExecutor<'static>,
+    pub(crate) clock: Clock,
+    pub(crate) settings: Settings,
+    pub(crate) vm: Name,
+    pub(crate) data_centre: Name,
+    pub(crate) incarnation: u64,
+    pub(crate) dialect: Box<dyn Dialect>,
+    pub(crate) placement: placement::Config,
+    pub(crate) endpoints: RefCell<Endpoints>,
+    pub(crate) budget: RefCell<RepeatBudget>,
+    pub(crate) peers: RefCell<Peers>,
+    pub(crate) evidence: RefCell<Evidence>,
+    pub(crate) in_progress: Cell<u32>,
+    pub(crate) buffered_bytes: Cell<usize>,
+    idle: RefCell<HashMap<EndpointKey, Vec<Connection>>>,
+    configuration: RefCell<Option<Rc<Configuration>>>,
+    confirmed_at_ms: Cell<u64>,
+    has_endpoint_list: Cell<bool>,
+    idle_timeout_ms: Rc<Cell<u64>>,
+    random: RefCell<ChaCha8Rng>,
+    stopping_since_ms: Cell<Option<u64>>,
+}
+
+impl Gateway {
+    /// Creates the state of a process; the executor lives as long as the process.
+    pub fn new(
+        executor: &'static LocalExecutor<'static>,
+        settings: Settings,
+        dialect: Box<dyn Dialect>,
+    ) -> Rc<Self> {
+        let clock = Clock::new();
+        let budget = repeat_budget::Config {
+            ratio: settings.repeats.ratio,
+            slack: settings.repeats.slack,
+            window_ms: settings.repeats.window_s * 1_000,
+        };
+        Rc::new(Self {
+            executor,
+            clock,
+            vm: Name::from(settings.vm.name.as_str()),
+            data_centre: Name::from(settings.vm.data_centre.as_str()),
+            incarnation: to_unix_ms(),
+            dialect,
+            placement: placement::Config::default(),
+            endpoints: RefCell::new(Endpoints::new()),
+            budget: RefCell::new(RepeatBudget::new(budget, clock.now_ms())),
+            peers: RefCell::new(Peers::new()),
+            evidence: RefCell::new(Evidence::new(EVIDENCE_LIFETIME_MS, EVIDENCE_MAX)),
+            in_progress: Cell::new(0),
+            buffered_bytes: Cell::new(0),
+            idle: RefCell::new(HashMap::new()),
+            configuration: RefCell::new(None),
+            confirmed_at_ms: Cell::new(0),
+            has_endpoint_list: Cell::new(false),
+            idle_timeout_ms: Rc::new(Cell::new(15_000)),
+            random: RefCell::new(ChaCha8Rng::from_os_rng()),
+            stopping_since_ms: Cell::new(None),
+            settings,
+        })
+    }
+
+    /// Returns the executor that carries all tasks.
+    pub fn executor(&self) -> &'static LocalExecutor<'static> {
+        self.executor
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Returns a random number.
+    pub fn draw(&self) -> u64 {
+        self.random.borrow_mut().random()
+    }
+
+    /// Puts a configuration in force if it is newer than the present one; returns whether it was.
+    pub fn set_configuration(&self, configuration: Configuration, source: &str) -> bool {
+        let version = configuration.version();
+        let known = self.configuration().map(|known| known.version());
+        if known.is_some_and(|known| version <= known) {
+            return false;
+        }
+        log::info!(
+            event = "configuration_in_force", version = version, before = known.unwrap_or(0), source = source;
+            "configuration taken"
+        );
+        metrics::gauge!(metric::CONFIGURATION_VERSION).set(version as f64);
+        self.idle_timeout_ms
+            .set(configuration.limits().idle_timeout_ms.max(1_000));
+        *self.configuration.borrow_mut() = Some(Rc::new(configuration));
+        true
+    }
+
+    /// Records that the configuration in force was the newest a moment ago.
+    pub fn confirm_configuration(&self) {
+        self.confirmed_at_ms.set(self.clock.now_ms());
+    }
+
+    /// Returns the configuration in force.
+    pub fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Returns the time since the configuration was known to be the newest, in milliseconds.
+    pub(crate) fn to_configuration_age_ms(&self) -> u64 {
+        self.clock.now_ms() - self.confirmed_at_ms.get().min(self.clock.now_ms())
+    }
+
+    /// Adds or updates an endpoint.
+    pub fn update_endpoint(&self, entry: Entry) {
+        let id = entry.id.clone();
+        let change = self.endpoints.borrow_mut().update(entry);
+        self.apply(change, &id);
+    }
+
+    /// Removes an endpoint.
+    pub fn remove_endpoint(&self, id: &Name) {
+        let change = self.endpoints.borrow_mut().remove(id, self.clock.now_ms());
+        self.apply(change, id);
+    }
+
+    /// Stops the use of an endpoint whose entry cannot be understood.
+    pub fn disable_endpoint(&self, id: &Name) {
+        let change = self.endpoints.borrow_mut().disable(id);
+        self.apply(change, id);
+    }
+
+    /// Removes the endpoints that a complete list does not contain.
+    pub fn retain_endpoints(&self, listed: &[Name]) {
+        self.has_endpoint_list.set(true);
+        let changes = self
+            .endpoints
+            .borrow_mut()
+            .retain(listed, self.clock.now_ms());
+        for change in changes {
+            self.apply(Some(change), &Name::from("unlisted"));
+        }
+    }
+
+    /// Records whether the list of endpoints can be read.
+    pub fn set_endpoint_source(&self, is_readable: bool) {
+        let mut endpoints = self.endpoints.borrow_mut();
+        if is_readable {
+            endpoints.regain_source(self.clock.now_ms());
+        } else {
+            endpoints.lose_source();
+        }
+    }
+
+    fn apply(&self, change: Option<Change>, id: &Name) {
+        let Some(change) = change else {
+            return;
+        };
+        let (kind, gone) = match change {
+            Change::Added(_) => ("added", None),
+            Change::Restarted { old, .. } => ("restarted", Some(old)),
+            Change::Draining(key) => ("draining", Some(key)),
+            Change::Removed(key) => ("removed", Some(key)),
+        };
+        if let Some(key) = gone {
+            self.idle.borrow_mut().remove(&key);
+        }
+        let count = self.endpoints.borrow().len();
+        log::info!(event = "endpoint_changed", endpoint = id.as_str(), change = kind, known = count; "endpoint {kind}");
+        metrics::counter!(metric::ENDPOINT_CHANGES, "change" => kind).increment(1);
+        metrics::gauge!(metric::ENDPOINTS).set(count as f64);
+    }
+
+    /// Adds a VM that was found, so that it gets adverts.
+    pub fn add_peer(&self, vm: Name, address: SocketAddr) {
+        if vm != self.vm {
+            self.peers.borrow_mut().add(vm, address);
+        }
+    }
+
+    /// Returns the address of this VM for adverts of others.
+    pub fn to_peer_address(&self) -> SocketAddr {
+        self.settings.listen.peers
+    }
+
+    /// Returns the addresses for callers of a data centre, the nearest first.
+    pub fn to_fronts(&self, data_centre: &str) -> Vec<SocketAddr> {
+        let data_centre = Name::from(data_centre);
+        let peers = self.peers.borrow();
+        let mut fronts = peers.to_fronts(&data_centre, self.clock.now_ms());
+        if self.is_ready() {
+            let place = if data_centre == self.data_centre {
+                0
+            } else {
+                fronts.len()
+            };
+            fronts.insert(place, self.settings.listen.front);
+        }
+        fronts
+    }
+
+    /// Returns whether this VM takes callers.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.has_endpoint_list.get() && self.configuration.borrow().is_some()
+    }
+
+    /// Returns whether the VM was asked to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping_since_ms.get().is_some()
+    }
+
+    /// Returns whether a request that may take `duration_ms` can still be taken.
+    pub(crate) fn can_take(&self, duration_ms: u64) -> bool {
+        let Some(since_ms) = self.stopping_since_ms.get() else {
+            return true;
+        };
+        let elapsed_ms = self.clock.now_ms() - since_ms;
+        let end_ms = self.settings.stop.grace_s * 1_000 - STOP_RESERVE_MS;
+        elapsed_ms < STOP_ACCEPT_MS.min(end_ms) || elapsed_ms + duration_ms < end_ms
+    }
+
+    /// Returns whether a content has crashed too many endpoints.
+    pub(crate) fn is_crashing(&self, content: &Content) -> bool {
+        self.evidence.borrow().to_loss_count(content) >= CRASHES_MAX
+    }
+
+    /// Takes a kept connection to an endpoint that the endpoint will not close right now.
+    pub(crate) fn take_idle(&self, key: EndpointKey) -> Option<Connection> {
+        let now_ms = self.clock.now_ms();
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&key)?;
+        connections.retain(|connection| !connection.is_closed());
+        let index = connections.iter().rposition(|connection| {
+            connection.is_ready()
+                && now_ms - connection.idle_since_ms < connection.to_idle_limit_ms()
+        })?;
+        Some(connections.swap_remove(index))
+    }
+
+    /// Keeps a connection for later requests.
+    pub(crate) fn keep_idle(&self, key: EndpointKey, mut connection: Connection) {
+        let is_usable = self
+            .endpoints
+            .borrow()
+            .get(key)
+            .is_some_and(|e| e.is_usable());
+        if !is_usable || connection.is_closed() {
+            return;
+        }
+        connection.idle_since_ms = self.clock.now_ms();
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.entry(key).or_default();
+        if connections.len() >= IDLE_PER_ENDPOINT_MAX {
+            connections.remove(0);
+        }
+        connections.push(connection);
+    }
+
+    /// Closes the kept connections to an endpoint.
+    pub(crate) fn drop_idle(&self, key: EndpointKey) {
+        self.idle.borrow_mut().remove(&key);
+    }
+
+    /// Starts serving callers, telling other VMs, and stopping on SIGTERM.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be bound or signals cannot be received.
+    pub async fn run(self: Rc<Self>) -> Result<()> {
+        let listener = server::listen("callers", self.settings.listen.front)?;
+        let metrics_listener = server::listen("metrics", self.settings.listen.metrics)?;
+        let socket = adverts::bind(self.settings.listen.peers)?;
+        let stop = Signals::of_stop()?;
+        let reload = Signals::of_reload()?;
+        let executor = self.executor;
+
+        let gateway = Rc::clone(&self);
+        let handler = Rc::new(move |request| exchange::serve(Rc::clone(&gateway), request));
+        let limits = server::Limits {
+            connections_max: self.to_connections_max(),
+            head_max_bytes: 65_536,
+            idle_ms: Rc::clone(&self.idle_timeout_ms),
+        };
+        executor
+            .spawn(server::accept(executor, listener, limits.clone(), handler))
+            .detach();
+        if let Some(recorder) = metric::install() {
+            let handler = Rc::new(move |_| {
+                let text = recorder.render();
+                async move { Response::new(Body::whole(text)) }
+            });
+            executor
+                .spawn(server::accept(executor, metrics_listener, limits, handler))
+                .detach();
+        }
+        executor
+            .spawn(adverts::run(Rc::clone(&self), socket))
+            .detach();
+        executor.spawn(tick(Rc::clone(&self))).detach();
+        executor.spawn(note_reloads(reload)).detach();
+        log::info!(event = "started", incarnation = self.incarnation; "serving callers");
+        stop.next().await;
+        self.stop().await;
+        Ok(())
+    }
+
+    fn to_connections_max(&self) -> usize {
+        let free = self
+            .settings
+            .limits
+            .descriptors
+            .saturating_sub(DESCRIPTORS_RESERVED);
+        // Each request needs a connection of its own to an endpoint.
+        usize::try_from(free / 2).unwrap_or(usize::MAX).max(16)
+    }
+
+    /// Leaves the directory and finishes the requests in progress.
+    async fn stop(&self) {
+        let since_ms = self.clock.now_ms();
+        self.stopping_since_ms.set(Some(since_ms));
+        let in_progress = self.in_progress.get();
+        log::info!(event = "stopping", in_progress = in_progress; "leaving the directory");
+        let limit_ms = self.settings.stop.grace_s * 1_000 - STOP_RESERVE_MS;
+        loop {
+            Timer::after(Duration::from_millis(STOP_CHECK_MS)).await;
+            let elapsed_ms = self.clock.now_ms() - since_ms;
+            let is_done = elapsed_ms >= LINGER_MS && self.in_progress.get() == 0;
+            if is_done || elapsed_ms >= limit_ms {
+                break;
+            }
+        }
+        let in_progress = self.in_progress.get();
+        log::info!(event = "stopped", in_progress = in_progress; "stopped");
+    }
+}
+
+async fn tick(gateway: Rc<Gateway>) {
+    loop {
+        Timer::after(Duration::from_millis(TICK_MS)).await;
+        let changes = gateway.endpoints.borrow_mut().tick(gateway.clock.now_ms());
+        for change in changes {
+            gateway.apply(Some(change), &Name::from("lapsed"));
+        }
+        gateway.evidence.borrow_mut().expire(gateway.clock.now_ms());
+    }
+}
+
+/// Settings of a VM change only with its role; a process that is told to reload them goes on with what it has.
+async fn note_reloads(reload: Signals) {
+    loop {
+        reload.next().await;
+        log::info!(event = "reload"; "settings take effect at the next start");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,29 @@
+//! Forwards HTTP requests by route to endpoints, and tells callers which VMs to use.
+//!
+//! One executor thread carries everything: connections of callers, calls to endpoints and messages between VMs. The
+//! decisions are made by [`waxwing_core::forwarding`]; this package does the input and output around them. What the
+//! outside systems call things is known to an adapter only, which implements [`Dialect`].
+
+pub mod body;
+pub mod client;
+pub mod clock;
+pub mod dialect;
+pub mod error;
+pub mod logging;
+pub mod metric;
+pub mod server;
+pub mod settings;
+pub mod signals;
+
+mod adverts;
+mod exchange;
+mod gateway;
+mod headers;
+mod relay;
+mod trace;
+
+pub use dialect::Dialect;
+pub use error::Error;
+pub use error::Result;
+pub use gateway::Gateway;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/gateway/src/metric.rs
@@ -0,0 +1,46 @@
+//! Names of the metrics, and the recorder that renders them.
+
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+/// Counter of requests by route kind and outcome.
+pub const REQUESTS: &str = "waxwing_gateway_requests_total";
+/// Counter of refusals by reason.
+pub const REFUSALS: &str = "waxwing_gateway_refusals_total";
+/// Counter of repeats by the end of the run before.
+pub const REPEATS: &str = "waxwing_gateway_repeats_total";
+/// Counter of repeats that the budget did not cover.
+pub const REPEATS_REFUSED: &str = "waxwing_gateway_repeats_refused_total";
+/// Counter of ends of runs by kind.
+pub const RUN_ENDS: &str = "waxwing_gateway_run_ends_total";
+/// Histogram of the time to the first byte, in seconds, by route kind.
+pub const FIRST_BYTE: &str = "waxwing_gateway_first_byte_seconds";
+/// Histogram of the time to the whole answer, in seconds, by route kind.
+pub const TOTAL: &str = "waxwing_gateway_total_seconds";
+/// Counter of connections made to endpoints by outcome.
+pub const CONNECTS: &str = "waxwing_gateway_connects_total";
+/// Counter of callers' connections closed since too many were open.
+pub const CONNECTIONS_REFUSED: &str = "waxwing_gateway_connections_refused_total";
+/// Counter of endpoint changes by kind.
+pub const ENDPOINT_CHANGES: &str = "waxwing_gateway_endpoint_changes_total";
+/// Gauge of endpoints known.
+pub const ENDPOINTS: &str = "waxwing_gateway_endpoints";
+/// Gauge of the version of the configuration in force.
+pub const CONFIGURATION_VERSION: &str = "waxwing_gateway_configuration_version";
+/// Gauge of other VMs heard.
+pub const PEERS: &str = "waxwing_gateway_peers";
+/// Counter of adverts by outcome: `sent`, `send_failed`, `news`, `old` or `undecodable`.
+pub const ADVERTS: &str = "waxwing_gateway_adverts_total";
+/// Counter of calls to the log service by call and outcome.
+pub const LOG_CALLS: &str = "waxwing_gateway_log_calls_total";
+/// Counter of log records by topic and outcome.
+pub const LOG_RECORDS: &str = "waxwing_gateway_log_records_total";
+/// Counter of log lines left out.
+pub const LINES_DROPPED: &str = "waxwing_gateway_log_lines_dropped_total";
+
+/// Installs the recorder of this process and returns the handle that renders it.
+///
+/// Returns `None` if a recorder is installed already, as in a process that runs several daemons.
+pub fn install() -> Option<PrometheusHandle> {
+    PrometheusBuilder::new().install_recorder().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,320 @@
+//! Passes an endpoint's answer on to the caller.
+
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Bytes;
+use hyper::body::Incoming;
+use hyper::http::response::Parts;
+use waxwing_core::forwarding::Execution;
+use waxwing_core::forwarding::configuration::RouteKind;
+use waxwing_core::forwarding::event_stream::EventSplitter;
+use waxwing_core::forwarding::run::End;
+use waxwing_core::forwarding::run::Next;
+use waxwing_core::forwarding::run::to_next;
+use waxwing_core::forwarding::run::to_stall_ms;
+
+use crate::body::Body;
+use crate::body::PieceSender;
+use crate::client::Connection;
+use crate::client::within;
+use crate::exchange::Attempted;
+use crate::exchange::Exchange;
+use crate::exchange::RunGuard;
+use crate::exchange::Sent;
+use crate::headers;
+
+/// Answers up to this size are read whole before the first byte goes to the caller, in bytes, so that a broken one
+/// can still be replaced.
+const WHOLE_MAX_BYTES: usize = 65_536;
+
+/// Shortest silence in a stream after which another endpoint goes on with it, in milliseconds.
+const SILENCE_MIN_MS: u64 = 700;
+
+/// Silence in a stream after which another endpoint goes on with it, in multiples of the gap target.
+const SILENCE_GAPS: u64 = 3;
+
+/// The rest of an endpoint's answer.
+struct Source {
+    run: RunGuard,
+    connection: Connection,
+    body: Incoming,
+    /// Whether the endpoint closes the connection after the answer.
+    closes: bool,
+    has_events: bool,
+}
+
+impl Source {
+    /// Splits an answer into its head, without hop-by-hop headers, and its rest.
+    fn new(sent: Sent) -> (Parts, Self) {
+        let Sent {
+            run,
+            mut connection,
+            response,
+            ..
+        } = sent;
+        let (mut head, body) = response.into_parts();
+        let closes = headers::is_close(&head.headers);
+        if let Some(seconds) = headers::to_keep_alive_s(&head.headers) {
+            connection.set_idle_limit(seconds);
+        }
+        headers::strip_hop_by_hop(&mut head.headers);
+        let source = Self {
+            run,
+            connection,
+            body,
+            closes,
+            has_events: false,
+        };
+        (head, source)
+    }
+
+    /// Ends the run well and keeps the connection for later requests.
+    fn finish(mut self, exchange: &mut Exchange, end: End) {
+        exchange.note_end(&mut self.run, end, "");
+        if !self.closes {
+            exchange
+                .gateway
+                .keep_idle(self.run.endpoint, self.connection);
+        }
+    }
+}
+
+/// Why a run stopped before its answer was complete.
+enum Broken {
+    /// The caller does not read any more.
+    CallerGone,
+    /// The run ended.
+    Run(End),
+}
+
+/// Passes an answer on; returns the exchange again if there is nothing to deliver.
+pub(crate) async fn deliver(exchange: Exchange, sent: Sent) -> (Option<Exchange>, Attempted) {
+    let status = sent.response.status();
+    if exchange.route.kind == RouteKind::Stream && status.is_success() {
+        return (None, Attempted::Delivered(stream(exchange, sent)));
+    }
+    deliver_whole(exchange, sent).await
+}
+
+/// Reads an answer whole and passes it on; a long one is passed on while it arrives.
+async fn deliver_whole(mut exchange: Exchange, sent: Sent) -> (Option<Exchange>, Attempted) {
+    let (head, mut source) = Source::new(sent);
+    source.run.saw_first_byte();
+    exchange.trace.saw_first_byte();
+    let mut bytes = Vec::new();
+    let left_ms = exchange.to_left_ms();
+    let end = match within(left_ms, read_whole(&mut source.body, &mut bytes)).await {
+        None => Some(End::Expired),
+        Some(Err(_)) => Some(End::Lost),
+        Some(Ok(())) => None,
+    };
+    if let Some(end) = end {
+        exchange.note_end(&mut source.run, end, "(in body)");
+        return (Some(exchange), Attempted::Ended(end, None));
+    }
+    if !hyper::body::Body::is_end_stream(&source.body) && bytes.len() >= WHOLE_MAX_BYTES {
+        let executor = exchange.gateway.executor;
+        let body = Body::streamed(|pieces| {
+            executor.spawn(pump_long(exchange, source, Bytes::from(bytes), pieces))
+        });
+        return (None, Attempted::Delivered(Response::from_parts(head, body)));
+    }
+    let response = Response::from_parts(head, Body::whole(bytes));
+    let status = response.status();
+    if status.is_server_error() {
+        source.finish(&mut exchange, End::Failed);
+        return (
+            Some(exchange),
+            Attempted::Ended(End::Failed, Some(response)),
+        );
+    }
+    source.finish(&mut exchange, End::Answered);
+    exchange
+        .trace
+        .finish("answered", status.as_u16(), Execution::Ran);
+    (None, Attempted::Delivered(response))
+}
+
+/// Reads a body to its end, or until it exceeds `WHOLE_MAX_BYTES`.
+async fn read_whole(body: &mut Incoming, bytes: &mut Vec<u8>) -> hyper::Result<()> {
+    while bytes.len() < WHOLE_MAX_BYTES {
+        let Some(frame) = body.frame().await else {
+            return Ok(());
+        };
+        if let Ok(data) = frame?.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+    Ok(())
+}
+
+async fn pump_long(mut exchange: Exchange, mut source: Source, first: Bytes, pieces: PieceSender) {
+    let mut next = Some(first);
+    loop {
+        if let Some(data) = next.take()
+            && pieces.send_async(Ok(data)).await.is_err()
+        {
+            return;
+        }
+        let left_ms = exchange.to_left_ms();
+        let end = match within(left_ms, source.body.frame()).await {
+            Some(Some(Ok(frame))) => {
+                next = frame.into_data().ok();
+                continue;
+            }
+            Some(None) => break,
+            Some(Some(Err(_))) => End::Lost,
+            None => End::Expired,
+        };
+        exchange.note_end(&mut source.run, end, "(in body)");
+        cut(&mut exchange, &pieces).await;
+        return;
+    }
+    source.finish(&mut exchange, End::Answered);
+    exchange.trace.finish("answered", 200, Execution::Ran);
+}
+
+/// Starts to pass a stream of events on.
+fn stream(exchange: Exchange, sent: Sent) -> Response<Body> {
+    let (head, source) = Source::new(sent);
+    let executor = exchange.gateway.executor;
+    let body = Body::streamed(|pieces| executor.spawn(pump_events(exchange, source, pieces)));
+    Response::from_parts(head, body)
+}
+
+/// Passes events on until the stream is complete; a broken run goes on at another endpoint where the route allows it.
+async fn pump_events(mut exchange: Exchange, mut source: Source, pieces: PieceSender) {
+    let mut splitter = EventSplitter::new(exchange.intent.last_event_id.clone());
+    loop {
+        match relay_events(&mut exchange, &mut source, &mut splitter, &pieces).await {
+            Ok(()) => break,
+            Err(Broken::CallerGone) => return,
+            Err(Broken::Run(end)) => {
+                exchange.note_end(&mut source.run, end, "(in stream)");
+                splitter.drop_incomplete();
+                let Some(next) = resume(&mut exchange, end, &splitter).await else {
+                    cut(&mut exchange, &pieces).await;
+                    return;
+                };
+                source = next;
+            }
+        }
+    }
+    source.finish(&mut exchange, End::Answered);
+    exchange.trace.finish("answered", 200, Execution::Ran);
+}
+
+/// Breaks an answer off, so that it cannot look whole.
+async fn cut(exchange: &mut Exchange, pieces: &PieceSender) {
+    let error = std::io::Error::other("the answer broke off");
+    // A caller that left has nothing to be told.
+    let _ = pieces.send_async(Err(error)).await;
+    exchange.trace.finish("stream_cut", 200, Execution::Unknown);
+}
+
+/// Passes the events of one run on.
+async fn relay_events(
+    exchange: &mut Exchange,
+    source: &mut Source,
+    splitter: &mut EventSplitter,
+    pieces: &PieceSender,
+) -> Result<(), Broken> {
+    loop {
+        let left_ms = exchange.to_left_ms();
+        let limit_ms = to_silence_ms(exchange, source)
+            .unwrap_or(u64::MAX)
+            .min(left_ms);
+        let events = match within(limit_ms, source.body.frame()).await {
+            Some(Some(Ok(frame))) => match frame.into_data() {
+                Ok(data) => splitter.push(&data),
+                Err(_) => continue,
+            },
+            Some(None) => {
+                let rest = splitter.take_rest();
+                if !rest.is_empty() {
+                    send_piece(exchange, pieces, rest).await?;
+                }
+                return Ok(());
+            }
+            Some(Some(Err(_))) => return Err(Broken::Run(End::Lost)),
+            None if exchange.to_left_ms() == 0 => return Err(Broken::Run(End::Expired)),
+            None => return Err(Broken::Run(End::Stalled)),
+        };
+        if events.is_empty() {
+            continue;
+        }
+        if !source.has_events {
+            source.has_events = true;
+            source.run.saw_first_byte();
+            exchange.trace.saw_first_byte();
+        }
+        send_piece(exchange, pieces, events).await?;
+    }
+}
+
+async fn send_piece(
+    exchange: &Exchange,
+    pieces: &PieceSender,
+    bytes: Vec<u8>,
+) -> Result<(), Broken> {
+    let sent = within(
+        exchange.to_left_ms(),
+        pieces.send_async(Ok(Bytes::from(bytes))),
+    )
+    .await;
+    match sent {
+        Some(Ok(())) => Ok(()),
+        Some(Err(_)) => Err(Broken::CallerGone),
+        None => Err(Broken::Run(End::Expired)),
+    }
+}
+
+/// Returns the silence after which a run counts as stalled, in milliseconds; `None` if nothing can replace it.
+fn to_silence_ms(exchange: &Exchange, source: &Source) -> Option<u64> {
+    if !exchange.route.is_repeatable() || !exchange.can_repeat() {
+        return None;
+    }
+    if source.has_events {
+        let gap_ms = exchange
+            .route
+            .gap_target_ms
+            .unwrap_or(exchange.route.objective_ms);
+        return Some((gap_ms * SILENCE_GAPS).max(SILENCE_MIN_MS));
+    }
+    let endpoints = exchange.gateway.endpoints.borrow();
+    to_stall_ms(
+        &exchange.route,
+        endpoints.to_typical_first_byte_ms(&exchange.service),
+    )
+}
+
+/// Continues a stream at another endpoint after the last event that the caller got.
+async fn resume(exchange: &mut Exchange, end: End, splitter: &EventSplitter) -> Option<Source> {
+    let mut end = end;
+    loop {
+        exchange.progress.add(end);
+        exchange.progress.left_ms = exchange.to_left_ms();
+        if to_next(&exchange.route, &exchange.progress) == Next::GiveUp {
+            return None;
+        }
+        if !exchange.take_repeat(end) {
+            return None;
+        }
+        let key = exchange.choose()?;
+        exchange.tried.push(key);
+        let sent = match exchange.send(key, splitter.last_id()).await {
+            Ok(sent) => sent,
+            Err(next) => {
+                end = next;
+                continue;
+            }
+        };
+        let status = sent.response.status();
+        let (_, mut source) = Source::new(sent);
+        if status.is_success() {
+            return Some(source);
+        }
+        exchange.note_end(&mut source.run, End::Failed, "(resumed)");
+        end = End::Failed;
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,158 @@
+//! Accepts connections and serves requests on them.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use async_io::Timer;
+use futures::future::Either;
+use futures::future::select;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol_hyper::rt::FuturesIo;
+use socket2::Domain;
+use socket2::SockRef;
+use socket2::Socket;
+use socket2::Type;
+
+use crate::body::Body;
+use crate::clock::Clock;
+use crate::error::Error;
+use crate::error::Result;
+
+/// Pause after a failed accept, for example when no descriptor is free, in milliseconds.
+const ACCEPT_PAUSE_MS: u64 = 50;
+
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 1_024;
+
+/// Time for which sent data may stay unacknowledged before a caller counts as gone, in milliseconds.
+const UNACKNOWLEDGED_MAX_MS: u64 = 10_000;
+
+/// Bounds on the connections of one listener.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Connections open at once; further ones are closed at once.
+    pub connections_max: usize,
+    /// Longest request head, in bytes.
+    pub head_max_bytes: usize,
+    /// Time after which an idle connection is closed, in milliseconds.
+    pub idle_ms: Rc<Cell<u64>>,
+}
+
+/// Binds a listening socket.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub fn listen(duty: &'static str, address: SocketAddr) -> Result<Async<TcpListener>> {
+    let bind = || {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(BACKLOG)?;
+        Async::new(TcpListener::from(socket))
+    };
+    bind().map_err(|source| Error::Listen {
+        duty,
+        address,
+        source,
+    })
+}
+
+/// Accepts connections for as long as the process runs.
+pub async fn accept<H, F>(
+    executor: &'static LocalExecutor<'static>,
+    listener: Async<TcpListener>,
+    limits: Limits,
+    handler: Rc<H>,
+) where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<Body>> + 'static,
+{
+    let open = Rc::new(Cell::new(0));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(event = "accept_failed"; "a connection cannot be accepted: {error}");
+                Timer::after(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+                continue;
+            }
+        };
+        if open.get() >= limits.connections_max {
+            metrics::counter!(crate::metric::CONNECTIONS_REFUSED).increment(1);
+            continue;
+        }
+        open.set(open.get() + 1);
+        let open = Rc::clone(&open);
+        let handler = Rc::clone(&handler);
+        let limits = limits.clone();
+        let connection = async move {
+            serve(stream, limits, handler).await;
+            open.set(open.get() - 1);
+        };
+        executor.spawn(connection).detach();
+    }
+}
+
+/// Serves one connection; closes it after a time without requests.
+async fn serve<H, F>(stream: Async<TcpStream>, limits: Limits, handler: Rc<H>)
+where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<Body>> + 'static,
+{
+    let socket = SockRef::from(stream.get_ref());
+    // Without this, an event waits for the acknowledgement of the one before it.
+    let _ = socket.set_tcp_nodelay(true);
+    let _ = socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKNOWLEDGED_MAX_MS)));
+    let clock = Clock::new();
+    let in_progress = Rc::new(Cell::new(0_u32));
+    let used_at_ms = Rc::new(Cell::new(clock.now_ms()));
+    let service = service_fn(|request| {
+        in_progress.set(in_progress.get() + 1);
+        let answer = handler(request);
+        let in_progress = Rc::clone(&in_progress);
+        let used_at_ms = Rc::clone(&used_at_ms);
+        async move {
+            let response = answer.await;
+            in_progress.set(in_progress.get() - 1);
+            used_at_ms.set(clock.now_ms());
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .header_read_timeout(None)
+        .max_buf_size(limits.head_max_bytes.max(8_192))
+        .serve_connection(FuturesIo::new(stream), service);
+    futures::pin_mut!(connection);
+    loop {
+        let idle_ms = limits.idle_ms.get();
+        let timer = Timer::after(Duration::from_millis(idle_ms));
+        futures::pin_mut!(timer);
+        match select(connection.as_mut(), timer).await {
+            Either::Left((result, _)) => {
+                if let Err(error) = result {
+                    log::debug!(event = "caller_connection_ended"; "{error}");
+                }
+                return;
+            }
+            Either::Right(_) => {
+                let is_idle = clock.now_ms() - used_at_ms.get() >= idle_ms;
+                if in_progress.get() == 0 && is_idle {
+                    // An answer that is still being sent is finished first.
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,179 @@
+//! Settings of a VM that forwards by route, in TOML.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+
+use crate::error::Error;
+use crate::error::Result;
+
+/// All settings of a process.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    /// This VM.
+    pub vm: Vm,
+    /// Where it listens.
+    pub listen: Listen,
+    /// What it may use.
+    pub limits: Limits,
+    /// The budget of repeats.
+    pub repeats: Repeats,
+    /// Planned stops.
+    pub stop: Stop,
+    /// The directory of entry addresses.
+    pub directory: Directory,
+    /// The log service.
+    pub log_service: LogService,
+    /// Log lines.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// This VM.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Vm {
+    /// Its name.
+    pub name: String,
+    /// Data centre that it stands in.
+    pub data_centre: String,
+}
+
+/// Listening addresses.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Listen {
+    /// For callers.
+    pub front: SocketAddr,
+    /// For readiness checks.
+    pub readiness: SocketAddr,
+    /// For callers that ask which address to use.
+    pub directory: SocketAddr,
+    /// For adverts of other VMs (UDP).
+    pub peers: SocketAddr,
+    /// For metrics, in the text format of Prometheus.
+    pub metrics: SocketAddr,
+}
+
+/// Bounds on resources.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Limits {
+    /// Memory of the process, in megabytes.
+    pub memory_mb: u64,
+    /// Descriptors of the process.
+    pub descriptors: u64,
+}
+
+/// The budget of repeats, summed over all VMs.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Repeats {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats beyond the ratio.
+    pub slack: f64,
+    /// Length of the window, in seconds.
+    pub window_s: u64,
+}
+
+/// Planned stops.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Stop {
+    /// Time between SIGTERM and SIGKILL, in seconds.
+    pub grace_s: u64,
+}
+
+/// The directory of entry addresses.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Directory {
+    /// Longest time for which an answer counts, in seconds.
+    pub ttl_max_s: u64,
+}
+
+/// The log service.
+#[derive(Clone, Debug, Deserialize)]
+pub struct LogService {
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// Log lines.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+pub struct Log {
+    /// Least severe level that is written: `error`, `warn`, `info` or `debug`.
+    pub level: String,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self {
+            level: "info".to_owned(),
+        }
+    }
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read, or with all findings if it is invalid.
+    pub fn read(path: &str) -> Result<Self> {
+        let text = std::fs::read_to_string(path).map_err(|source| Error::ReadSettings {
+            path: path.to_owned(),
+            source,
+        })?;
+        Self::parse(path, &text)
+    }
+
+    /// Checks settings; `path` names them in errors.
+    ///
+    /// # Errors
+    ///
+    /// Fails with all findings if the settings are invalid.
+    pub fn parse(path: &str, text: &str) -> Result<Self> {
+        let invalid = |findings: String| Error::Settings {
+            path: path.to_owned(),
+            findings,
+        };
+        let settings: Self = toml::from_str(text).map_err(|error| invalid(error.to_string()))?;
+        let findings = settings.check();
+        if findings.is_empty() {
+            return Ok(settings);
+        }
+        Err(invalid(findings.join("\n")))
+    }
+
+    fn check(&self) -> Vec<String> {
+        let mut findings = Vec::new();
+        if self.vm.name.is_empty() {
+            findings.push("vm.name is empty; give the VM a name".to_owned());
+        }
+        if self.limits.memory_mb < 32 {
+            findings.push("limits.memory_mb is below 32; the daemon needs that much".to_owned());
+        }
+        if self.limits.descriptors < 300 {
+            findings.push("limits.descriptors is below 300; the daemon needs that many".to_owned());
+        }
+        if !self.repeats.ratio.is_finite() || self.repeats.ratio < 0.0 {
+            findings.push("repeats.ratio is negative; use a share such as 0.2".to_owned());
+        }
+        if !self.repeats.slack.is_finite() || self.repeats.slack < 0.0 {
+            findings.push("repeats.slack is negative; use a number of requests".to_owned());
+        }
+        if self.repeats.window_s == 0 {
+            findings.push("repeats.window_s is 0; use a number of seconds".to_owned());
+        }
+        if self.stop.grace_s < 2 {
+            findings.push("stop.grace_s is below 2; requests could not finish".to_owned());
+        }
+        if self.directory.ttl_max_s == 0 {
+            findings.push("directory.ttl_max_s is 0; use a number of seconds".to_owned());
+        }
+        if self.log.level.parse::<log::LevelFilter>().is_err() {
+            let level = &self.log.level;
+            findings.push(format!(
+                "log.level `{level}` is unknown; use error, warn, info or debug"
+            ));
+        }
+        findings
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/trace.rs
@@ -0,0 +1,119 @@
+//! The timeline of a request, written as one log line at its end.
+
+use std::fmt::Write;
+
+use waxwing_core::Name;
+use waxwing_core::forwarding::configuration::RouteKind;
+use waxwing_core::forwarding::run::End;
+use waxwing_core::forwarding::run::Execution;
+
+use crate::clock::Clock;
+use crate::metric;
+
+/// What happened to a request so far.
+pub(crate) struct Trace {
+    clock: Clock,
+    received_ms: u64,
+    request_id: String,
+    route: Option<Name>,
+    kind: &'static str,
+    configuration_version: u64,
+    runs: String,
+    first_byte_ms: Option<u64>,
+    is_finished: bool,
+}
+
+impl Trace {
+    pub(crate) fn new(clock: Clock, request_id: &str, configuration_version: u64) -> Self {
+        Self {
+            clock,
+            received_ms: clock.now_ms(),
+            request_id: request_id.to_owned(),
+            route: None,
+            kind: "none",
+            configuration_version,
+            runs: String::new(),
+            first_byte_ms: None,
+            is_finished: false,
+        }
+    }
+
+    pub(crate) fn set_route(&mut self, name: &Name, kind: RouteKind) {
+        self.route = Some(name.clone());
+        self.kind = match kind {
+            RouteKind::Idempotent => "idempotent",
+            RouteKind::NonIdempotent => "non_idempotent",
+            RouteKind::Stream => "stream",
+        };
+    }
+
+    pub(crate) fn request_id(&self) -> &str {
+        &self.request_id
+    }
+
+    pub(crate) fn received_ms(&self) -> u64 {
+        self.received_ms
+    }
+
+    pub(crate) fn to_elapsed_ms(&self) -> u64 {
+        self.clock.now_ms() - self.received_ms
+    }
+
+    /// Adds a run: endpoint, time of its start, its end and the time of its end, in milliseconds since the receipt.
+    pub(crate) fn add_run(&mut self, endpoint: &str, began_ms: u64, end: End, detail: &str) {
+        let began_ms = began_ms - self.received_ms;
+        let ended_ms = self.to_elapsed_ms();
+        let end = end.as_str();
+        // Writing to a string cannot fail.
+        let _ = write!(self.runs, "{endpoint}:{end}@{began_ms}-{ended_ms}{detail} ");
+    }
+
+    pub(crate) fn saw_first_byte(&mut self) {
+        if self.first_byte_ms.is_some() {
+            return;
+        }
+        let elapsed_ms = self.to_elapsed_ms();
+        self.first_byte_ms = Some(elapsed_ms);
+        let seconds = elapsed_ms as f64 / 1_000.0;
+        metrics::histogram!(metric::FIRST_BYTE, "kind" => self.kind).record(seconds);
+    }
+
+    /// Writes the line of a request that got its final answer.
+    pub(crate) fn finish(&mut self, outcome: &'static str, status: u16, execution: Execution) {
+        self.is_finished = true;
+        self.write(outcome, status, execution);
+    }
+
+    fn write(&self, outcome: &'static str, status: u16, execution: Execution) {
+        let total_ms = self.to_elapsed_ms();
+        let seconds = total_ms as f64 / 1_000.0;
+        metrics::histogram!(metric::TOTAL, "kind" => self.kind).record(seconds);
+        metrics::counter!(metric::REQUESTS, "kind" => self.kind, "outcome" => outcome).increment(1);
+        let execution = match execution {
+            Execution::NotRun => "not_run",
+            Execution::Unknown => "unknown",
+            Execution::Ran => "ran",
+        };
+        log::info!(
+            event = "request_end",
+            request = self.request_id.as_str(),
+            route = self.route.as_ref().map_or("", Name::as_str),
+            outcome = outcome,
+            status = status,
+            execution = execution,
+            total_ms = total_ms,
+            first_byte_ms = self.first_byte_ms.unwrap_or(0),
+            configuration = self.configuration_version,
+            runs = self.runs.trim_end();
+            "request ended"
+        );
+    }
+}
+
+impl Drop for Trace {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            self.write("caller_gone", 0, Execution::Unknown);
+        }
+    }
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -14,6 +14,8 @@
 Usage:
   waxwingrouter run FILE     run the daemon with the settings of this VM
   waxwingrouter check FILE   check the settings of this VM and exit
+  waxwingrouter platform     run as a router by route on the users' platform, with the settings file that
+                             the variable WAXWINGROUTER_SETTINGS names
   waxwingrouter demo         run a daemon, a stand-in platform and a stand-in engine on loopback
   waxwingrouter --help       print this help
 
@@ -23,6 +25,7 @@
 enum Command {
     Run(String),
     Check(String),
+    Platform,
     Demo,
     Help,
 }
@@ -51,6 +54,7 @@
             Ok(config) => to_exit_code(daemon::run(config)),
             Err(code) => code,
         },
+        Command::Platform => run_on_platform(),
         Command::Demo => to_exit_code(demo::run()),
     }
 }
@@ -69,6 +73,7 @@
     match words.as_slice() {
         ["run", file] => Ok(Command::Run((*file).to_owned())),
         ["check", file] => Ok(Command::Check((*file).to_owned())),
+        ["platform"] => Ok(Command::Platform),
         ["demo"] => Ok(Command::Demo),
         [] => Err("a command is missing".into()),
         _ => Err(format!("unknown command `{}`", words.join(" ")).into()),
@@ -82,6 +87,28 @@
     })
 }
 
+fn run_on_platform() -> ExitCode {
+    let variable = waxwing_platform::SETTINGS_VARIABLE;
+    let Ok(path) = std::env::var(variable) else {
+        eprintln!("waxwingrouter: the variable {variable} is not set; it names the settings file");
+        return ExitCode::from(2);
+    };
+    let settings = match waxwing_gateway::Settings::read(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("waxwingrouter: {error}");
+            return ExitCode::from(3);
+        }
+    };
+    match waxwing_platform::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("waxwingrouter: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn to_exit_code(result: Result<(), daemon::Error>) -> ExitCode {
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,5 +1,6 @@
 //! Wire types of waxwingrouter: HTTP bodies, platform messages, log records and peer messages.
 
+pub mod advert;
 pub mod caller;
 pub mod chat;
 pub mod claim;
