Hold back only removals that were recorded while the list could not be read

Ruled out: the pause between reads (0.7 s). Change: the grace covers the first news after the return only, in which lapses stand. Test: endpoint_list, removal_after_return (failed before).

--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -118,6 +118,7 @@
     /// Share of runs that ended with a failure, as a moving average.
     pub failure_share: f64,
     own: Demand,
+    heard_at_ms: u64,
     load: Option<(Load, u64)>,
     is_misdirected: bool,
     losses: u32,
@@ -193,7 +194,7 @@
     peer_demand: HashMap<Name, HashMap<u64, Demand>>,
     removals_due_ms: HashMap<Name, u64>,
     removed: HashMap<Name, (Option<u64>, u64)>,
-    regained_at_ms: Option<u64>,
+    backlog_since_ms: Option<u64>,
     is_source_lost: bool,
 }
 
@@ -239,7 +240,7 @@
         starts_draining.then_some(Change::Draining(key))
     }
 
-    /// Removes an entry; shortly after the source returned, the removal waits until [`Endpoints::tick`].
+    /// Removes an entry; a removal that was recorded while the source was away waits until [`Endpoints::tick`].
     pub fn remove(&mut self, id: &Name, now_ms: u64) -> Option<Change> {
         if let Some(due_ms) = self.to_grace_end(now_ms) {
             if self.by_id.contains_key(id) {
@@ -278,14 +279,19 @@
         self.is_source_lost = true;
     }
 
-    /// Records that the source of the list can be read again.
+    /// Records that the source of the list can be read again; what it recorded meanwhile follows.
     pub fn regain_source(&mut self, now_ms: u64) {
         if self.is_source_lost {
             self.is_source_lost = false;
-            self.regained_at_ms = Some(now_ms);
+            self.backlog_since_ms = Some(now_ms);
         }
     }
 
+    /// Records that all that was recorded while the source was away has been taken in; later removals are current.
+    pub fn finish_backlog(&mut self) {
+        self.backlog_since_ms = None;
+    }
+
     /// Carries out the removals that are due.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Change> {
         let mut due = Vec::new();
@@ -303,7 +309,7 @@
     }
 
     fn to_grace_end(&self, now_ms: u64) -> Option<u64> {
-        let due_ms = self.regained_at_ms? + LAPSE_GRACE_MS;
+        let due_ms = self.backlog_since_ms? + LAPSE_GRACE_MS;
         (now_ms < due_ms).then_some(due_ms)
     }
 
@@ -317,6 +323,7 @@
             first_byte_ms: 0.0,
             failure_share: 0.0,
             own: Demand::default(),
+            heard_at_ms: 0,
             load: None,
             is_misdirected: false,
             losses: 0,
@@ -411,6 +418,20 @@
         *average += (waited_ms as f64 - *average) * weight;
     }
 
+    /// Records that bytes of an answer arrived from an endpoint.
+    pub fn hear(&mut self, key: EndpointKey, now_ms: u64) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.heard_at_ms = now_ms;
+        }
+    }
+
+    /// Returns whether any answer arrived from an endpoint since a time.
+    pub fn is_heard_since(&self, key: EndpointKey, since_ms: u64) -> bool {
+        self.endpoints
+            .get(key)
+            .is_some_and(|endpoint| endpoint.heard_at_ms > since_ms)
+    }
+
     /// Records the load that an endpoint stated.
     pub fn saw_load(&mut self, key: EndpointKey, load: Load, now_ms: u64) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
--- /dev/null
+++ b/crates/core/tests/endpoint_list.rs
@@ -0,0 +1,124 @@
+//! The list of endpoints: removals around an absence of its source, late entries, restarts, suspicion.
+
+use waxwing_core::Name;
+use waxwing_core::forwarding::Endpoints;
+use waxwing_core::forwarding::endpoints::Change;
+use waxwing_core::forwarding::endpoints::Entry;
+use waxwing_core::forwarding::endpoints::LAPSE_GRACE_MS;
+use waxwing_core::forwarding::endpoints::Trust;
+use waxwing_core::forwarding::run::End;
+
+fn entry(id: &str, born_ms: u64, sequence: u64) -> Entry {
+    Entry {
+        id: Name::from(id),
+        service: Name::from("pool"),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        data_centre: Name::from("a"),
+        slots: 4,
+        is_draining: false,
+        cold_ms: 0,
+        born_ms: Some(born_ms),
+        sequence,
+    }
+}
+
+fn list(ids: &[&str]) -> Endpoints {
+    let mut endpoints = Endpoints::new();
+    for id in ids {
+        endpoints.update(entry(id, 1, 1));
+    }
+    endpoints
+}
+
+/// A lapse that the source recorded while it was away must not remove a living endpoint at once.
+#[test]
+fn lapse_waits() {
+    let mut endpoints = list(&["e"]);
+    endpoints.lose_source();
+    endpoints.regain_source(1_000);
+    assert_eq!(endpoints.remove(&Name::from("e"), 1_000), None);
+    assert!(endpoints.tick(1_000 + LAPSE_GRACE_MS - 1).is_empty());
+    endpoints.update(entry("e", 1, 2));
+    assert!(endpoints.tick(1_000 + LAPSE_GRACE_MS).is_empty());
+    assert_eq!(endpoints.len(), 1);
+}
+
+/// An endpoint that does not come back within the grace is gone.
+#[test]
+fn lapse_ends() {
+    let mut endpoints = list(&["e"]);
+    endpoints.lose_source();
+    endpoints.regain_source(1_000);
+    endpoints.remove(&Name::from("e"), 1_000);
+    endpoints.finish_backlog();
+    let changes = endpoints.tick(1_000 + LAPSE_GRACE_MS);
+    assert!(matches!(changes[..], [Change::Removed(_)]));
+    assert!(endpoints.is_empty());
+}
+
+/// A removal that is recorded after the source returned is current: a leaving endpoint must get no more requests.
+#[test]
+fn removal_after_return() {
+    let mut endpoints = list(&["e"]);
+    endpoints.lose_source();
+    endpoints.regain_source(1_000);
+    endpoints.finish_backlog();
+    let change = endpoints.remove(&Name::from("e"), 1_100);
+    assert!(matches!(change, Some(Change::Removed(_))));
+}
+
+/// A record that arrives after a later one, or after the removal, must not bring an old state back.
+#[test]
+fn late_entry() {
+    let mut endpoints = list(&["e"]);
+    let mut draining = entry("e", 1, 5);
+    draining.is_draining = true;
+    endpoints.update(draining);
+    assert_eq!(endpoints.update(entry("e", 1, 4)), None);
+    let key = endpoints.find(&Name::from("e")).unwrap();
+    assert!(!endpoints.get(key).unwrap().is_usable());
+    endpoints.remove(&Name::from("e"), 0);
+    assert_eq!(endpoints.update(entry("e", 1, 5)), None);
+    assert!(endpoints.is_empty());
+}
+
+/// A new incarnation under the same id counts its entries anew and holds nothing of before.
+#[test]
+fn restarted_endpoint() {
+    let mut endpoints = list(&["e"]);
+    endpoints.update(entry("e", 1, 50));
+    let old = endpoints.find(&Name::from("e")).unwrap();
+    let change = endpoints.update(entry("e", 2, 1));
+    let new = endpoints.find(&Name::from("e")).unwrap();
+    assert_eq!(change, Some(Change::Restarted { old, new }));
+    assert!(endpoints.get(old).is_none());
+}
+
+/// An entry that cannot be understood names no endpoint to use; the next good one does again.
+#[test]
+fn disabled_entry() {
+    let mut endpoints = list(&["e"]);
+    let key = endpoints.find(&Name::from("e")).unwrap();
+    assert_eq!(
+        endpoints.disable(&Name::from("e")),
+        Some(Change::Draining(key))
+    );
+    assert!(!endpoints.get(key).unwrap().is_usable());
+    endpoints.update(entry("e", 1, 2));
+    assert!(endpoints.get(key).unwrap().is_usable());
+}
+
+/// An unreachable endpoint is left alone for a while, then tried by one request, and trusted again after an answer.
+#[test]
+fn suspicion_and_trial() {
+    let mut endpoints = list(&["e"]);
+    let key = endpoints.find(&Name::from("e")).unwrap();
+    let run = endpoints.begin(key, None, None, 0);
+    assert!(endpoints.end(run, End::Unreachable, 0));
+    assert_eq!(endpoints.get(key).unwrap().to_trust(100), Trust::Suspect);
+    assert_eq!(endpoints.get(key).unwrap().to_trust(600), Trust::Trial);
+    let run = endpoints.begin(key, None, None, 600);
+    assert_eq!(endpoints.get(key).unwrap().to_trust(600), Trust::Suspect);
+    endpoints.end(run, End::Answered, 700);
+    assert_eq!(endpoints.get(key).unwrap().to_trust(700), Trust::Full);
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -221,6 +221,11 @@
         }
     }
 
+    /// Records that what the list recorded while it could not be read has been taken in.
+    pub fn finish_endpoint_backlog(&self) {
+        self.endpoints.borrow_mut().finish_backlog();
+    }
+
     fn apply(&self, change: Option<Change>, id: &Name) {
         let Some(change) = change else {
             return;
