Take removals as current if only this VM was cut off; abandon runs only when replaceable

Test: endpoint_list, removal_while_cut_off.

Change: patience grows with what is usual, is shorter for endpoints that nothing is heard from, and a run is abandoned only if another may follow.

--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -198,6 +198,9 @@
     is_source_lost: bool,
 }
 
+/// Records of one endpoint that a source which was away cannot hold: one from before and one from after its return.
+const RECORDS_ALIVE: usize = 3;
+
 /// Time after the return of the list's source in which missing endpoints are expected back, in milliseconds.
 ///
 /// Entries may lapse while the source is away, although their endpoints live.
@@ -280,9 +283,11 @@
     }
 
     /// Records that the source of the list can be read again; what it recorded meanwhile follows.
-    pub fn regain_source(&mut self, now_ms: u64) {
-        if self.is_source_lost {
-            self.is_source_lost = false;
+    ///
+    /// `records_max` is the most records of one endpoint in what follows. Endpoints write at a steady pace, so several
+    /// records of one show that the source lived on and only this VM was cut off; its removals are current then.
+    pub fn regain_source(&mut self, records_max: usize, now_ms: u64) {
+        if std::mem::take(&mut self.is_source_lost) && records_max < RECORDS_ALIVE {
             self.backlog_since_ms = Some(now_ms);
         }
     }
--- a/crates/core/src/forwarding/repeat_budget.rs
+++ b/crates/core/src/forwarding/repeat_budget.rs
@@ -73,6 +73,15 @@
 
     /// Takes a repeat; returns `false` if the budget does not cover it. `vms` is the number of VMs that share it.
     pub fn take(&mut self, service: &Name, vms: usize, now_ms: u64) -> bool {
+        if !self.covers(service, vms, now_ms) {
+            return false;
+        }
+        self.counts(service, now_ms).repeats.push_back(now_ms);
+        true
+    }
+
+    /// Returns whether the budget covers a repeat.
+    pub fn covers(&mut self, service: &Name, vms: usize, now_ms: u64) -> bool {
         let config = self.config;
         // The process that ran here before may have spent its share within the same window.
         let is_fresh = now_ms.saturating_sub(self.started_at_ms) < config.window_ms;
@@ -80,11 +89,7 @@
         let slack = config.slack * SHARE_USED * slack_share / vms.max(1) as f64;
         let counts = self.counts(service, now_ms);
         let earned = counts.requests.len() as f64 * config.ratio * SHARE_USED;
-        if counts.repeats.len() as f64 + 1.0 > earned + slack {
-            return false;
-        }
-        counts.repeats.push_back(now_ms);
-        true
+        counts.repeats.len() as f64 + 1.0 <= earned + slack
     }
 
     fn counts(&mut self, service: &Name, now_ms: u64) -> &mut Counts {
--- a/crates/core/src/forwarding/run.rs
+++ b/crates/core/src/forwarding/run.rs
@@ -1,7 +1,6 @@
 //! What the end of a run means for the request.
 
 use crate::forwarding::configuration::Route;
-use crate::forwarding::configuration::RouteKind;
 
 /// Whether an endpoint worked on a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -144,19 +143,70 @@
     }
 }
 
-/// Returns the time after which an endpoint that sent nothing yet counts as stalled, in milliseconds.
-///
-/// `None` if the request cannot go elsewhere, so that waiting is all that is left.
-pub fn to_stall_ms(route: &Route, typical_ms: f64) -> Option<u64> {
-    if !route.is_repeatable() || route.attempts_max < 2 {
-        return None;
+/// How long a run may stay silent before another endpoint should take over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Patience {
+    /// If nothing else was heard from the endpoint either, in milliseconds.
+    pub silent_ms: u64,
+    /// If the endpoint answers others meanwhile, in milliseconds.
+    pub heard_ms: u64,
+}
+
+impl Patience {
+    /// Returns the patience before the first byte; `typical_ms` is what the service usually takes.
+    ///
+    /// Under load everything is slow, and sending requests elsewhere would add to it, so the patience grows with what
+    /// is usual at present.
+    pub fn before_first_byte(route: &Route, typical_ms: f64) -> Self {
+        let objective_ms = route.objective_ms as f64;
+        Self {
+            silent_ms: (typical_ms * 2.0).max(objective_ms * 0.4) as u64,
+            heard_ms: (typical_ms * 4.0).max(objective_ms * 0.8) as u64,
+        }
     }
-    let objective_ms = route.objective_ms as f64;
-    let stall_ms = match route.kind {
-        RouteKind::Stream => (typical_ms * 4.0).clamp(objective_ms * 0.6, objective_ms * 1.5),
-        RouteKind::Idempotent | RouteKind::NonIdempotent => {
-            (typical_ms * 4.0).clamp(objective_ms * 0.5, objective_ms * 2.0)
+
+    /// Returns the patience between two events of a stream.
+    pub fn between_events(route: &Route) -> Self {
+        let gap_ms = route.gap_target_ms.unwrap_or(route.objective_ms);
+        Self {
+            silent_ms: (gap_ms * SILENT_GAPS).max(SILENT_MIN_MS),
+            heard_ms: (gap_ms * HEARD_GAPS).max(HEARD_MIN_MS),
+        }
+    }
+
+    /// Returns the next silence at which to look again, in milliseconds.
+    pub fn to_next_look_ms(&self, silence_ms: u64) -> u64 {
+        if silence_ms < self.silent_ms {
+            return self.silent_ms;
         }
-    };
-    Some(stall_ms as u64)
+        if silence_ms < self.heard_ms {
+            return self.heard_ms;
+        }
+        silence_ms + LOOK_AGAIN_MS
+    }
+
+    /// Returns whether a silence is too long.
+    pub fn is_over(&self, silence_ms: u64, is_heard: bool) -> bool {
+        silence_ms
+            >= if is_heard {
+                self.heard_ms
+            } else {
+                self.silent_ms
+            }
+    }
 }
+
+/// Silence of a stream, in multiples of its gap target, after which a silent endpoint counts as stalled.
+const SILENT_GAPS: u64 = 3;
+
+/// Shortest such silence, in milliseconds.
+const SILENT_MIN_MS: u64 = 700;
+
+/// Silence of a stream, in multiples of its gap target, after which an endpoint that serves others counts as stalled.
+const HEARD_GAPS: u64 = 6;
+
+/// Shortest such silence, in milliseconds.
+const HEARD_MIN_MS: u64 = 1_500;
+
+/// Pause between looks at a run that nothing can replace for now, in milliseconds.
+const LOOK_AGAIN_MS: u64 = 200;
--- a/crates/core/tests/endpoint_list.rs
+++ b/crates/core/tests/endpoint_list.rs
@@ -35,7 +35,7 @@
 fn lapse_waits() {
     let mut endpoints = list(&["e"]);
     endpoints.lose_source();
-    endpoints.regain_source(1_000);
+    endpoints.regain_source(1, 1_000);
     assert_eq!(endpoints.remove(&Name::from("e"), 1_000), None);
     assert!(endpoints.tick(1_000 + LAPSE_GRACE_MS - 1).is_empty());
     endpoints.update(entry("e", 1, 2));
@@ -48,7 +48,7 @@
 fn lapse_ends() {
     let mut endpoints = list(&["e"]);
     endpoints.lose_source();
-    endpoints.regain_source(1_000);
+    endpoints.regain_source(1, 1_000);
     endpoints.remove(&Name::from("e"), 1_000);
     endpoints.finish_backlog();
     let changes = endpoints.tick(1_000 + LAPSE_GRACE_MS);
@@ -61,12 +61,22 @@
 fn removal_after_return() {
     let mut endpoints = list(&["e"]);
     endpoints.lose_source();
-    endpoints.regain_source(1_000);
+    endpoints.regain_source(1, 1_000);
     endpoints.finish_backlog();
     let change = endpoints.remove(&Name::from("e"), 1_100);
     assert!(matches!(change, Some(Change::Removed(_))));
 }
 
+/// If endpoints went on writing while this VM was cut off, the source lived and its removals are current.
+#[test]
+fn removal_while_cut_off() {
+    let mut endpoints = list(&["e"]);
+    endpoints.lose_source();
+    endpoints.regain_source(3, 1_000);
+    let change = endpoints.remove(&Name::from("e"), 1_000);
+    assert!(matches!(change, Some(Change::Removed(_))));
+}
+
 /// A record that arrives after a later one, or after the removal, must not bring an old state back.
 #[test]
 fn late_entry() {
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -13,7 +13,7 @@
 use waxwing_core::forwarding::EndpointKey;
 use waxwing_core::forwarding::endpoints::RunKey;
 use waxwing_core::forwarding::run::End;
-use waxwing_core::forwarding::run::to_stall_ms;
+use waxwing_core::forwarding::run::Patience;
 use waxwing_core::state::evidence::Content;
 
 use crate::client::Connection;
@@ -184,8 +184,16 @@
     }
 
     /// Returns whether the route allows another run.
-    pub(crate) fn can_repeat(&self) -> bool {
-        self.progress.runs + 1 < self.route.attempts_max
+    fn can_repeat(&self) -> bool {
+        self.route.is_repeatable() && self.progress.runs + 1 < self.route.attempts_max
+    }
+
+    /// Returns whether the present run could be replaced by one at another endpoint.
+    fn can_go_elsewhere(&self) -> bool {
+        let now_ms = self.gateway.clock.now_ms();
+        let vms = self.gateway.peers.borrow().to_vm_count(now_ms);
+        let mut budget = self.gateway.budget.borrow_mut();
+        self.can_repeat() && budget.covers(&self.service, vms, now_ms) && self.choose().is_some()
     }
 
     async fn exchange_heads(
@@ -224,23 +232,56 @@
             return Err(End::NotWritten);
         }
         let request = self.to_request(run, left_ms, last_event_id);
-        let typical_ms = self
-            .gateway
-            .endpoints
-            .borrow()
-            .to_typical_first_byte_ms(&self.service);
-        let stall_ms = to_stall_ms(&self.route, typical_ms).filter(|_| self.can_repeat());
-        let limit_ms = stall_ms.unwrap_or(u64::MAX).min(left_ms + LIMIT_SLACK_MS);
+        let typical_ms = self.to_typical_first_byte_ms();
+        let patience = Patience::before_first_byte(&self.route, typical_ms);
         let sending = connection.sender.try_send_request(request);
-        match within(limit_ms, sending).await {
-            Some(Ok(response)) => Ok((connection, response)),
+        match self.watch(run, patience, sending).await? {
+            Ok(response) => Ok((connection, response)),
             // The request comes back only if nothing of it was written.
-            Some(Err(mut error)) => match error.take_message() {
+            Err(mut error) => match error.take_message() {
                 Some(_) => Err(End::NotWritten),
                 None => Err(End::Lost),
             },
-            None if self.to_left_ms() == 0 => Err(End::Expired),
-            None => Err(End::Stalled),
+        }
+    }
+
+    pub(crate) fn to_typical_first_byte_ms(&self) -> f64 {
+        let endpoints = self.gateway.endpoints.borrow();
+        endpoints.to_typical_first_byte_ms(&self.service)
+    }
+
+    /// Waits for something from a run, until the time limit or until another endpoint should take over.
+    pub(crate) async fn watch<F: Future>(
+        &self,
+        run: &RunGuard,
+        patience: Patience,
+        future: F,
+    ) -> Result<F::Output, End> {
+        futures::pin_mut!(future);
+        let clock = self.gateway.clock;
+        let since_ms = clock.now_ms();
+        loop {
+            let silence_ms = clock.now_ms() - since_ms;
+            let mut limit_ms = self.to_left_ms() + LIMIT_SLACK_MS;
+            if self.can_repeat() {
+                limit_ms = limit_ms.min(patience.to_next_look_ms(silence_ms) - silence_ms);
+            }
+            if let Some(output) = within(limit_ms, future.as_mut()).await {
+                let mut endpoints = self.gateway.endpoints.borrow_mut();
+                endpoints.hear(run.endpoint, clock.now_ms());
+                return Ok(output);
+            }
+            if self.to_left_ms() == 0 {
+                return Err(End::Expired);
+            }
+            let is_heard = {
+                let endpoints = self.gateway.endpoints.borrow();
+                endpoints.is_heard_since(run.endpoint, since_ms)
+            };
+            let is_over = patience.is_over(clock.now_ms() - since_ms, is_heard);
+            if is_over && self.can_go_elsewhere() {
+                return Err(End::Stalled);
+            }
         }
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -61,7 +61,7 @@
 const STOP_CHECK_MS: u64 = 100;
 
 /// Time between removals of what is due, in milliseconds.
-const TICK_MS: u64 = 500;
+const TICK_MS: u64 = 200;
 
 /// Descriptors kept free for files and calls of the process itself.
 const DESCRIPTORS_RESERVED: u64 = 250;
@@ -211,14 +211,18 @@
         }
     }
 
-    /// Records whether the list of endpoints can be read.
-    pub fn set_endpoint_source(&self, is_readable: bool) {
-        let mut endpoints = self.endpoints.borrow_mut();
-        if is_readable {
-            endpoints.regain_source(self.clock.now_ms());
-        } else {
-            endpoints.lose_source();
-        }
+    /// Records that the list of endpoints cannot be read.
+    pub fn lose_endpoint_source(&self) {
+        self.endpoints.borrow_mut().lose_source();
+    }
+
+    /// Records that the list of endpoints can be read again; `records_max` is the most records of one endpoint in
+    /// what follows.
+    pub fn regain_endpoint_source(&self, records_max: usize) {
+        let now_ms = self.clock.now_ms();
+        self.endpoints
+            .borrow_mut()
+            .regain_source(records_max, now_ms);
     }
 
     /// Records that what the list recorded while it could not be read has been taken in.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,8 +10,8 @@
 use waxwing_core::forwarding::event_stream::EventSplitter;
 use waxwing_core::forwarding::run::End;
 use waxwing_core::forwarding::run::Next;
+use waxwing_core::forwarding::run::Patience;
 use waxwing_core::forwarding::run::to_next;
-use waxwing_core::forwarding::run::to_stall_ms;
 
 use crate::body::Body;
 use crate::body::PieceSender;
@@ -27,12 +27,6 @@
 /// can still be replaced.
 const WHOLE_MAX_BYTES: usize = 65_536;
 
-/// Shortest silence in a stream after which another endpoint goes on with it, in milliseconds.
-const SILENCE_MIN_MS: u64 = 700;
-
-/// Silence in a stream after which another endpoint goes on with it, in multiples of the gap target.
-const SILENCE_GAPS: u64 = 3;
-
 /// The rest of an endpoint's answer.
 struct Source {
     run: RunGuard,
@@ -220,25 +214,22 @@
     pieces: &PieceSender,
 ) -> Result<(), Broken> {
     loop {
-        let left_ms = exchange.to_left_ms();
-        let limit_ms = to_silence_ms(exchange, source)
-            .unwrap_or(u64::MAX)
-            .min(left_ms);
-        let events = match within(limit_ms, source.body.frame()).await {
-            Some(Some(Ok(frame))) => match frame.into_data() {
+        let patience = to_patience(exchange, source);
+        let frame = source.body.frame();
+        let events = match exchange.watch(&source.run, patience, frame).await {
+            Ok(Some(Ok(frame))) => match frame.into_data() {
                 Ok(data) => splitter.push(&data),
                 Err(_) => continue,
             },
-            Some(None) => {
+            Ok(None) => {
                 let rest = splitter.take_rest();
                 if !rest.is_empty() {
                     send_piece(exchange, pieces, rest).await?;
                 }
                 return Ok(());
             }
-            Some(Some(Err(_))) => return Err(Broken::Run(End::Lost)),
-            None if exchange.to_left_ms() == 0 => return Err(Broken::Run(End::Expired)),
-            None => return Err(Broken::Run(End::Stalled)),
+            Ok(Some(Err(_))) => return Err(Broken::Run(End::Lost)),
+            Err(end) => return Err(Broken::Run(end)),
         };
         if events.is_empty() {
             continue;
@@ -269,23 +260,12 @@
     }
 }
 
-/// Returns the silence after which a run counts as stalled, in milliseconds; `None` if nothing can replace it.
-fn to_silence_ms(exchange: &Exchange, source: &Source) -> Option<u64> {
-    if !exchange.route.is_repeatable() || !exchange.can_repeat() {
-        return None;
-    }
+/// Returns how long a run may stay silent before another endpoint goes on with the stream.
+fn to_patience(exchange: &Exchange, source: &Source) -> Patience {
     if source.has_events {
-        let gap_ms = exchange
-            .route
-            .gap_target_ms
-            .unwrap_or(exchange.route.objective_ms);
-        return Some((gap_ms * SILENCE_GAPS).max(SILENCE_MIN_MS));
+        return Patience::between_events(&exchange.route);
     }
-    let endpoints = exchange.gateway.endpoints.borrow();
-    to_stall_ms(
-        &exchange.route,
-        endpoints.to_typical_first_byte_ms(&exchange.service),
-    )
+    Patience::before_first_byte(&exchange.route, exchange.to_typical_first_byte_ms())
 }
 
 /// Continues a stream at another endpoint after the last event that the caller got.
