--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -24,8 +24,14 @@
     pub long_prompt_tokens: u64,
     /// Share of the engines that interactive streams get.
     pub short_share: f64,
-    /// Cost of an engine that is set aside for the other kind of prompt, in milliseconds.
-    pub lane_cost_ms: f64,
+    /// Cost of an interactive engine for a long prompt, in milliseconds.
+    pub long_prompt_cost_ms: f64,
+    /// Cost of an engine with long prompts for an interactive stream, in milliseconds.
+    pub short_prompt_cost_ms: f64,
+    /// How much more a shared part costs that is read again although another engine keeps it.
+    ///
+    /// Reading it again takes time from all requests there and displaces parts that others use.
+    pub reread_factor: f64,
     /// Cost of a failure share of 1, in milliseconds.
     pub failure_cost_ms: f64,
 }
@@ -38,7 +44,9 @@
             remote_cost_ms: 6.0,
             long_prompt_tokens: 4_096,
             short_share: 0.34,
-            lane_cost_ms: 250.0,
+            long_prompt_cost_ms: 2_000.0,
+            short_prompt_cost_ms: 300.0,
+            reread_factor: 3.0,
             failure_cost_ms: 400.0,
         }
     }
@@ -174,22 +182,30 @@
     fn to_cost_ms(&self, config: &Config, endpoint: &Endpoint, prompt: &Prompt) -> f64 {
         let is_long = prompt.tokens > config.long_prompt_tokens;
         let mut cost_ms = 0.0;
-        if let Some(first) = self.first_long_hash
-            && is_long != (endpoint.hash >= first)
-        {
-            cost_ms += config.lane_cost_ms;
+        if let Some(first) = self.first_long_hash {
+            cost_ms += match (is_long, endpoint.hash >= first) {
+                (true, false) => config.long_prompt_cost_ms,
+                (false, true) => config.short_prompt_cost_ms,
+                _ => 0.0,
+            };
+        }
+        if !is_long {
+            return cost_ms;
         }
-        let Some(shared) = prompt.to_shared_part().filter(|_| is_long) else {
+        let Some(shared) = prompt.to_shared_part() else {
             return cost_ms;
         };
-        // Other VMs send prompts with this part to the same engine, so it probably keeps the part.
+        let shared_tokens = prompt.to_shared_tokens();
+        let unread = shared_tokens.saturating_sub(endpoint.kept.to_kept_tokens(prompt));
+        let unread_ms = unread as f64 / config.read_tokens_per_ms;
+        // All VMs send prompts with this part to the same engine, so it probably keeps the part.
         let home = self
             .preferred
             .iter()
             .max_by_key(|hash| mix(**hash ^ mix(shared.id)));
-        if home == Some(&endpoint.hash) && endpoint.kept.to_kept_tokens(prompt) == 0 {
-            cost_ms -= prompt.to_shared_tokens() as f64 / config.read_tokens_per_ms;
+        match home == Some(&endpoint.hash) {
+            true => cost_ms - unread_ms,
+            false => cost_ms + unread_ms * (config.reread_factor - 1.0),
         }
-        cost_ms
     }
 }
