Let patience with a run grow with the prompt tokens that its endpoint has to read

Cause: with digests alone at 2 a second, 4 of 77 were abandoned after 1.0 s and read again elsewhere, since only the usual time to the first byte counted; a prompt of 50,000 tokens alone reads for 1.6 s.

--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -516,6 +516,12 @@
         sum
     }
 
+    /// Returns the prompt tokens that an endpoint has still to read, as far as known.
+    pub fn to_unread_tokens(&self, key: EndpointKey) -> u64 {
+        let endpoint = self.endpoints.get(key);
+        endpoint.map_or(0, |endpoint| self.to_demand(endpoint).unread_tokens)
+    }
+
     /// Returns the load that this VM puts on endpoints, by the hashes of their ids; idle endpoints are left out.
     pub fn to_own_demands(&self) -> Vec<(u64, Demand)> {
         let mut demands = Vec::new();
--- a/crates/core/src/forwarding/run.rs
+++ b/crates/core/src/forwarding/run.rs
@@ -153,15 +153,18 @@
 }
 
 impl Patience {
-    /// Returns the patience before the first byte; `typical_ms` is what the service usually takes.
+    /// Returns the patience before the first byte; `typical_ms` is what the service usually takes, and `reading_ms` the
+    /// time for which the endpoint reads the prompts sent to it, this one included.
     ///
     /// Under load everything is slow, and sending requests elsewhere would add to it, so the patience grows with what
     /// is usual at present.
-    pub fn before_first_byte(route: &Route, typical_ms: f64) -> Self {
+    pub fn before_first_byte(route: &Route, typical_ms: f64, reading_ms: f64) -> Self {
         let objective_ms = route.objective_ms as f64;
+        let silent_ms = (typical_ms * 2.0).max(objective_ms * 0.4) + reading_ms * 2.0;
+        let heard_ms = (typical_ms * 4.0).max(objective_ms * 0.8) + reading_ms * 4.0;
         Self {
-            silent_ms: (typical_ms * 2.0).max(objective_ms * 0.4) as u64,
-            heard_ms: (typical_ms * 4.0).max(objective_ms * 0.8) as u64,
+            silent_ms: silent_ms as u64,
+            heard_ms: heard_ms as u64,
         }
     }
 
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -232,8 +232,7 @@
             return Err(End::NotWritten);
         }
         let request = self.to_request(run, left_ms, last_event_id);
-        let typical_ms = self.to_typical_first_byte_ms();
-        let patience = Patience::before_first_byte(&self.route, typical_ms);
+        let patience = self.to_first_patience(run);
         let sending = connection.sender.try_send_request(request);
         match self.watch(run, patience, sending).await? {
             Ok(response) => Ok((connection, response)),
@@ -245,9 +244,13 @@
         }
     }
 
-    pub(crate) fn to_typical_first_byte_ms(&self) -> f64 {
+    /// Returns how long a run may stay silent before its first byte.
+    pub(crate) fn to_first_patience(&self, run: &RunGuard) -> Patience {
         let endpoints = self.gateway.endpoints.borrow();
-        endpoints.to_typical_first_byte_ms(&self.service)
+        let typical_ms = endpoints.to_typical_first_byte_ms(&self.service);
+        let unread_tokens = endpoints.to_unread_tokens(run.endpoint) as f64;
+        let reading_ms = unread_tokens / self.gateway.placement.read_tokens_per_ms;
+        Patience::before_first_byte(&self.route, typical_ms, reading_ms)
     }
 
     /// Waits for something from a run, until the time limit or until another endpoint should take over.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -265,7 +265,7 @@
     if source.has_events {
         return Patience::between_events(&exchange.route);
     }
-    Patience::before_first_byte(&exchange.route, exchange.to_typical_first_byte_ms())
+    exchange.to_first_patience(&source.run)
 }
 
 /// Continues a stream at another endpoint after the last event that the caller got.
