--- a/crates/core/src/forwarding/configuration.rs
+++ b/crates/core/src/forwarding/configuration.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use crate::Name;
+use crate::forwarding::placement::Lane;
 
 /// What may be repeated on a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -138,6 +139,7 @@
     services: HashMap<Name, Service>,
     organisations: Vec<Organisation>,
     keys: HashMap<String, usize>,
+    gap_targets_ms: HashMap<Name, Vec<u64>>,
 }
 
 impl Configuration {
@@ -150,6 +152,7 @@
         organisations: Option<Vec<Organisation>>,
     ) -> Self {
         let mut by_host: HashMap<String, Vec<Route>> = HashMap::new();
+        let gap_targets_ms = to_gap_targets_ms(&routes);
         for route in routes {
             by_host
                 .entry(to_host_key(&route.host))
@@ -176,6 +179,7 @@
             services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
             organisations,
             keys,
+            gap_targets_ms,
         }
     }
 
@@ -207,12 +211,43 @@
         self.keys.get(key).map(|index| &self.organisations[*index])
     }
 
+    /// Returns the rank of a route's gap target among those of the routes to a service.
+    pub fn to_lane(&self, service: &Name, route: &Route) -> Lane {
+        let targets = self
+            .gap_targets_ms
+            .get(service)
+            .map_or(&[][..], Vec::as_slice);
+        let target_ms = route.gap_target_ms.unwrap_or(u64::MAX);
+        let index = targets.partition_point(|other| *other < target_ms);
+        Lane {
+            index: index.min(targets.len().saturating_sub(1)),
+            count: targets.len(),
+        }
+    }
+
     /// Returns a service by its name.
     pub fn to_service(&self, name: &Name) -> Option<&Service> {
         self.services.get(name)
     }
 }
 
+/// Returns the distinct gap targets of the routes to each service, in ascending order.
+fn to_gap_targets_ms(routes: &[Route]) -> HashMap<Name, Vec<u64>> {
+    let mut by_service: HashMap<Name, Vec<u64>> = HashMap::new();
+    for route in routes {
+        let Some(gap_ms) = route.gap_target_ms else {
+            continue;
+        };
+        for target in &route.targets {
+            let targets = by_service.entry(target.service.clone()).or_default();
+            if let Err(place) = targets.binary_search(&gap_ms) {
+                targets.insert(place, gap_ms);
+            }
+        }
+    }
+    by_service
+}
+
 /// Returns a host in lower case and without its port.
 fn to_host_key(host: &str) -> String {
     let name = host.rsplit_once(':').map_or(host, |(name, port)| {
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -20,18 +20,18 @@
     pub run_cost_ms: f64,
     /// Cost of an endpoint in another data centre, in milliseconds.
     pub remote_cost_ms: f64,
-    /// Prompts of more tokens are kept away from the engines of interactive streams.
-    pub long_prompt_tokens: u64,
-    /// Share of the engines that interactive streams get.
-    pub short_share: f64,
-    /// Cost of an interactive engine for a long prompt, in milliseconds.
-    pub long_prompt_cost_ms: f64,
-    /// Cost of an engine with long prompts for an interactive stream, in milliseconds.
-    pub short_prompt_cost_ms: f64,
+    /// Shares of the engines for up to three lanes, the one of the shortest gap targets first.
+    pub lane_shares: [f64; 3],
+    /// Cost of an engine in a lane of shorter gap targets, in milliseconds.
+    pub tighter_lane_cost_ms: f64,
+    /// Cost of an engine in a lane of longer gap targets, in milliseconds for each lane between.
+    pub looser_lane_cost_ms: f64,
     /// How much more a shared part costs that is read again although another engine keeps it.
     ///
     /// Reading it again takes time from all requests there and displaces parts that others use.
     pub reread_factor: f64,
+    /// Shared prompts of fewer tokens are not worth a certain engine.
+    pub shared_min_tokens: u64,
     /// Cost of a failure share of 1, in milliseconds.
     pub failure_cost_ms: f64,
 }
@@ -42,11 +42,11 @@
             read_tokens_per_ms: 45.0,
             run_cost_ms: 2.0,
             remote_cost_ms: 6.0,
-            long_prompt_tokens: 4_096,
-            short_share: 0.34,
-            long_prompt_cost_ms: 2_000.0,
-            short_prompt_cost_ms: 300.0,
+            lane_shares: [0.34, 0.22, 0.44],
+            tighter_lane_cost_ms: 2_000.0,
+            looser_lane_cost_ms: 300.0,
             reread_factor: 3.0,
+            shared_min_tokens: 1_024,
             failure_cost_ms: 400.0,
         }
     }
@@ -59,6 +59,8 @@
     pub service: &'a Name,
     /// Its prompt, for services with a model.
     pub prompt: Option<&'a Prompt>,
+    /// Rank of its gap target among those of the service.
+    pub lane: Lane,
     /// Whether it may run more than once, so that it can try an endpoint that failed lately.
     pub is_repeatable: bool,
     /// Data centre of the VM.
@@ -69,6 +71,15 @@
     pub draw: u64,
 }
 
+/// Rank of a route's gap target among those of the routes to a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Lane {
+    /// Rank; 0 is the shortest target.
+    pub index: usize,
+    /// Number of ranks.
+    pub count: usize,
+}
+
 /// Returns the endpoint with the least expected delay, or `None` if there is none to use.
 ///
 /// Endpoints under suspicion are used only if no other is left.
@@ -80,7 +91,7 @@
 ) -> Option<EndpointKey> {
     let lanes = request
         .prompt
-        .map(|_| Lanes::new(config, endpoints, request.service));
+        .map(|_| Lanes::new(config, endpoints, request));
     let mut best: Option<((u8, f64), EndpointKey)> = None;
     for (key, endpoint) in endpoints.of_service(request.service) {
         if !endpoint.is_usable() || request.tried.contains(&key) {
@@ -89,7 +100,7 @@
         let rank = to_rank(endpoint.to_trust(now_ms), request);
         let mut cost_ms = to_cost_ms(config, endpoints, endpoint, request, now_ms);
         if let (Some(lanes), Some(prompt)) = (&lanes, request.prompt) {
-            cost_ms += lanes.to_cost_ms(config, endpoint, prompt);
+            cost_ms += lanes.to_cost_ms(config, endpoint, request.lane, prompt);
         }
         // A millionth of a millisecond decides between equals only.
         cost_ms += (mix(request.draw ^ endpoint.hash) % 1_000) as f64 * 1e-6;
@@ -149,58 +160,67 @@
     cost_ms + (endpoint.failure_share - 0.2).max(0.0) * config.failure_cost_ms
 }
 
-/// The division of a service's engines between interactive streams and long prompts.
+/// The division of a service's engines between streams with unlike gap targets.
 ///
-/// It follows from the ids alone, so all VMs that know the same engines divide them alike.
+/// Reading a long prompt delays the tokens of the streams beside it, so streams that bear only short pauses get
+/// engines of their own. The division follows from the ids alone: all VMs that know the same engines divide them alike.
 struct Lanes {
-    first_long_hash: Option<u64>,
-    preferred: Vec<u64>,
+    /// Hashes of the engines in ascending order.
+    hashes: Vec<u64>,
+    /// Index of the first engine after each lane.
+    ends: Vec<usize>,
 }
 
 impl Lanes {
-    fn new(config: &Config, endpoints: &Endpoints, service: &Name) -> Self {
+    fn new(config: &Config, endpoints: &Endpoints, request: &Request<'_>) -> Self {
         let mut hashes = Vec::new();
-        for (_, endpoint) in endpoints.of_service(service) {
+        for (_, endpoint) in endpoints.of_service(request.service) {
             if endpoint.is_usable() {
                 hashes.push(endpoint.hash);
             }
         }
         hashes.sort_unstable();
-        let short = (hashes.len() as f64 * config.short_share).round() as usize;
-        if short == 0 || short >= hashes.len() {
-            return Self {
-                first_long_hash: None,
-                preferred: hashes,
-            };
-        }
-        Self {
-            first_long_hash: Some(hashes[short]),
-            preferred: hashes[short..].to_vec(),
+        let count = request.lane.count.clamp(1, config.lane_shares.len());
+        let count = if hashes.len() < count { 1 } else { count };
+        let shares = &config.lane_shares[..count];
+        let total: f64 = shares.iter().sum();
+        let mut ends = Vec::new();
+        let mut share = 0.0;
+        for (index, lane_share) in shares.iter().enumerate() {
+            share += lane_share;
+            let end = (hashes.len() as f64 * share / total).round() as usize;
+            // Each lane has an engine at least.
+            ends.push(end.clamp(index + 1, hashes.len() - (count - 1 - index)));
         }
+        Self { hashes, ends }
+    }
+
+    fn to_lane(&self, hash: u64) -> usize {
+        let index = self.hashes.partition_point(|other| *other < hash);
+        self.ends.iter().position(|end| index < *end).unwrap_or(0)
     }
 
-    fn to_cost_ms(&self, config: &Config, endpoint: &Endpoint, prompt: &Prompt) -> f64 {
-        let is_long = prompt.tokens > config.long_prompt_tokens;
+    fn to_cost_ms(&self, config: &Config, endpoint: &Endpoint, lane: Lane, prompt: &Prompt) -> f64 {
+        let own = lane.index.min(self.ends.len() - 1);
+        let lane = self.to_lane(endpoint.hash);
         let mut cost_ms = 0.0;
-        if let Some(first) = self.first_long_hash {
-            cost_ms += match (is_long, endpoint.hash >= first) {
-                (true, false) => config.long_prompt_cost_ms,
-                (false, true) => config.short_prompt_cost_ms,
-                _ => 0.0,
-            };
-        }
-        if !is_long {
-            return cost_ms;
+        if lane < own {
+            cost_ms += config.tighter_lane_cost_ms;
         }
+        cost_ms += lane.saturating_sub(own) as f64 * config.looser_lane_cost_ms;
+        let shared_tokens = prompt.to_shared_tokens();
         let Some(shared) = prompt.to_shared_part() else {
             return cost_ms;
         };
-        let shared_tokens = prompt.to_shared_tokens();
+        if shared_tokens < config.shared_min_tokens {
+            return cost_ms;
+        }
         let unread = shared_tokens.saturating_sub(endpoint.kept.to_kept_tokens(prompt));
         let unread_ms = unread as f64 / config.read_tokens_per_ms;
         // All VMs send prompts with this part to the same engine, so it probably keeps the part.
-        let home = self
-            .preferred
+        let start = if own == 0 { 0 } else { self.ends[own - 1] };
+        let preferred = &self.hashes[start..self.ends[own]];
+        let home = preferred
             .iter()
             .max_by_key(|hash| mix(**hash ^ mix(shared.id)));
         match home == Some(&endpoint.hash) {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -73,6 +73,7 @@
     pub(crate) organisation: Option<Name>,
     pub(crate) priority: u8,
     pub(crate) memory_tokens: Option<u64>,
+    pub(crate) lane: placement::Lane,
     pub(crate) intent: Intent,
     pub(crate) head: Parts,
     pub(crate) body: Bytes,
@@ -183,12 +184,16 @@
         let refusal = Refusal::not_run(Reason::NoEndpoint, UNREADY_RETRY_AFTER_MS, message);
         return refuse(gateway, &mut trace, &refusal, false);
     };
+    let lane = configuration
+        .as_ref()
+        .map(|known| known.to_lane(&service, &route));
     let known = configuration
         .as_ref()
         .and_then(|known| known.to_service(&service));
     let mut exchange = Exchange {
         gateway: Rc::clone(gateway),
         trace,
+        lane: lane.unwrap_or_default(),
         memory_tokens: known.and_then(|service| service.memory_tokens),
         content: to_content(organisation.as_ref(), &head, &body),
         route,
@@ -397,6 +402,7 @@
         let request = placement::Request {
             service: &self.service,
             prompt: self.intent.prompt.as_ref(),
+            lane: self.lane,
             is_repeatable: self.route.is_repeatable(),
             data_centre: &self.gateway.data_centre,
             tried: &self.tried,
