--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -114,7 +114,7 @@
             data_centre: Name::from(settings.vm.data_centre.as_str()),
             incarnation: to_unix_ms(),
             dialect,
-            placement: placement::Config::default(),
+            placement: placement::Config::from(&settings.placement),
             endpoints: RefCell::new(Endpoints::new()),
             budget: RefCell::new(RepeatBudget::new(budget, clock.now_ms())),
             peers: RefCell::new(Peers::new()),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::Deserialize;
+use waxwing_core::forwarding::placement;
 
 use crate::error::Error;
 use crate::error::Result;
@@ -24,6 +25,9 @@
     pub directory: Directory,
     /// The log service.
     pub log_service: LogService,
+    /// Choice of endpoints.
+    #[serde(default)]
+    pub placement: Placement,
     /// Log lines.
     #[serde(default)]
     pub log: Log,
@@ -94,6 +98,56 @@
     pub address: SocketAddr,
 }
 
+/// Choice of endpoints.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+pub struct Placement {
+    /// Prompt tokens that an engine reads in a millisecond.
+    pub read_tokens_per_ms: f64,
+    /// Delay that one running request adds to others, in milliseconds.
+    pub run_cost_ms: f64,
+    /// Cost of an endpoint in another data centre, in milliseconds.
+    pub remote_cost_ms: f64,
+    /// Shares of the engines for lanes of ascending gap targets.
+    pub lane_shares: [f64; 3],
+    /// Cost of an engine in a lane of shorter gap targets, in milliseconds.
+    pub tighter_lane_cost_ms: f64,
+    /// Cost of an engine in a lane of longer gap targets, in milliseconds for each lane between.
+    pub looser_lane_cost_ms: f64,
+    /// How much more a shared part costs that is read again.
+    pub reread_factor: f64,
+}
+
+impl Default for Placement {
+    fn default() -> Self {
+        let usual = placement::Config::default();
+        Self {
+            read_tokens_per_ms: usual.read_tokens_per_ms,
+            run_cost_ms: usual.run_cost_ms,
+            remote_cost_ms: usual.remote_cost_ms,
+            lane_shares: usual.lane_shares,
+            tighter_lane_cost_ms: usual.tighter_lane_cost_ms,
+            looser_lane_cost_ms: usual.looser_lane_cost_ms,
+            reread_factor: usual.reread_factor,
+        }
+    }
+}
+
+impl From<&Placement> for placement::Config {
+    fn from(settings: &Placement) -> Self {
+        Self {
+            read_tokens_per_ms: settings.read_tokens_per_ms,
+            run_cost_ms: settings.run_cost_ms,
+            remote_cost_ms: settings.remote_cost_ms,
+            lane_shares: settings.lane_shares,
+            tighter_lane_cost_ms: settings.tighter_lane_cost_ms,
+            looser_lane_cost_ms: settings.looser_lane_cost_ms,
+            reread_factor: settings.reread_factor,
+            ..Self::default()
+        }
+    }
+}
+
 /// Log lines.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default)]
@@ -168,6 +222,19 @@
         if self.directory.ttl_max_s == 0 {
             findings.push("directory.ttl_max_s is 0; use a number of seconds".to_owned());
         }
+        let placement = &self.placement;
+        let costs = [
+            ("read_tokens_per_ms", placement.read_tokens_per_ms),
+            ("reread_factor", placement.reread_factor),
+            ("lane_shares[0]", placement.lane_shares[0]),
+            ("lane_shares[1]", placement.lane_shares[1]),
+            ("lane_shares[2]", placement.lane_shares[2]),
+        ];
+        for (name, value) in costs {
+            if !value.is_finite() || value <= 0.0 {
+                findings.push(format!("placement.{name} is {value}; use a number above 0"));
+            }
+        }
         if self.log.level.parse::<log::LevelFilter>().is_err() {
             let level = &self.log.level;
             findings.push(format!(
