--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -42,10 +42,10 @@
             read_tokens_per_ms: 45.0,
             run_cost_ms: 2.0,
             remote_cost_ms: 6.0,
-            lane_shares: [0.34, 0.22, 0.44],
+            lane_shares: [0.34, 0.14, 0.52],
             tighter_lane_cost_ms: 2_000.0,
             looser_lane_cost_ms: 300.0,
-            reread_factor: 3.0,
+            reread_factor: 8.0,
             shared_min_tokens: 1_024,
             failure_cost_ms: 400.0,
         }
