--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -30,6 +30,8 @@
     ///
     /// Reading it again takes time from all requests there and displaces parts that others use.
     pub reread_factor: f64,
+    /// The same for the engine that comes second in the order of a part.
+    pub second_home_factor: f64,
     /// Shared prompts of fewer tokens are not worth a certain engine.
     pub shared_min_tokens: u64,
     /// Cost of a failure share of 1, in milliseconds.
@@ -46,6 +48,7 @@
             tighter_lane_cost_ms: 2_000.0,
             looser_lane_cost_ms: 300.0,
             reread_factor: 8.0,
+            second_home_factor: 4.0,
             shared_min_tokens: 1_024,
             failure_cost_ms: 400.0,
         }
@@ -217,15 +220,31 @@
         }
         let unread = shared_tokens.saturating_sub(endpoint.kept.to_kept_tokens(prompt));
         let unread_ms = unread as f64 / config.read_tokens_per_ms;
-        // All VMs send prompts with this part to the same engine, so it probably keeps the part.
+        // All VMs rank the engines alike for this part, so the first one probably keeps it, and the second one does if
+        // the first was overloaded.
         let start = if own == 0 { 0 } else { self.ends[own - 1] };
-        let preferred = &self.hashes[start..self.ends[own]];
-        let home = preferred
-            .iter()
-            .max_by_key(|hash| mix(**hash ^ mix(shared.id)));
-        match home == Some(&endpoint.hash) {
-            true => cost_ms - unread_ms,
-            false => cost_ms + unread_ms * (config.reread_factor - 1.0),
+        let rank = to_rank_among(
+            &self.hashes[start..self.ends[own]],
+            endpoint.hash,
+            shared.id,
+        );
+        match rank {
+            0 => cost_ms - unread_ms,
+            1 => cost_ms + unread_ms * (config.second_home_factor - 1.0),
+            _ => cost_ms + unread_ms * (config.reread_factor - 1.0),
         }
     }
 }
+
+/// Returns how many of the engines come before one in the rendezvous order of a part.
+fn to_rank_among(hashes: &[u64], hash: u64, part_id: u64) -> usize {
+    if hashes.binary_search(&hash).is_err() {
+        return hashes.len();
+    }
+    let part = mix(part_id);
+    let own = mix(hash ^ part);
+    hashes
+        .iter()
+        .filter(|other| mix(**other ^ part) > own)
+        .count()
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -96,6 +96,10 @@
 pub struct LogService {
     /// Its address.
     pub address: SocketAddr,
+    /// Time within which an endpoint that is leaving must get no more requests, in milliseconds.
+    pub drain_max_ms: u64,
+    /// Time for which a connection that fell silent may go unnoticed, in milliseconds.
+    pub silence_max_ms: u64,
 }
 
 /// Choice of endpoints.
@@ -116,6 +120,8 @@
     pub looser_lane_cost_ms: f64,
     /// How much more a shared part costs that is read again.
     pub reread_factor: f64,
+    /// The same for the engine that comes second in the order of a part.
+    pub second_home_factor: f64,
 }
 
 impl Default for Placement {
@@ -129,6 +135,7 @@
             tighter_lane_cost_ms: usual.tighter_lane_cost_ms,
             looser_lane_cost_ms: usual.looser_lane_cost_ms,
             reread_factor: usual.reread_factor,
+            second_home_factor: usual.second_home_factor,
         }
     }
 }
@@ -143,6 +150,7 @@
             tighter_lane_cost_ms: settings.tighter_lane_cost_ms,
             looser_lane_cost_ms: settings.looser_lane_cost_ms,
             reread_factor: settings.reread_factor,
+            second_home_factor: settings.second_home_factor,
             ..Self::default()
         }
     }
@@ -219,6 +227,14 @@
         if self.stop.grace_s < 2 {
             findings.push("stop.grace_s is below 2; requests could not finish".to_owned());
         }
+        if self.log_service.drain_max_ms < 500 {
+            findings
+                .push("log_service.drain_max_ms is below 500; reads would be too many".to_owned());
+        }
+        if self.log_service.silence_max_ms < 1_500 {
+            findings
+                .push("log_service.silence_max_ms is below 1500; a read takes longer".to_owned());
+        }
         if self.directory.ttl_max_s == 0 {
             findings.push("directory.ttl_max_s is 0; use a number of seconds".to_owned());
         }
@@ -226,6 +242,7 @@
         let costs = [
             ("read_tokens_per_ms", placement.read_tokens_per_ms),
             ("reread_factor", placement.reread_factor),
+            ("second_home_factor", placement.second_home_factor),
             ("lane_shares[0]", placement.lane_shares[0]),
             ("lane_shares[1]", placement.lane_shares[1]),
             ("lane_shares[2]", placement.lane_shares[2]),
