--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,7 +10,6 @@
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
-use hyper::header::CONTENT_LENGTH;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HOST;
 use hyper::header::HeaderValue;
@@ -127,6 +126,9 @@
 /// Serves a request of a caller.
 pub(crate) async fn serve(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
     let (head, incoming) = request.into_parts();
+    // A chunked request may state a second length, which the HTTP library drops (RFC 9112, section 6.1). What follows
+    // on the connection could be a request that another reader takes for a part of the body.
+    let closes = head.headers.contains_key(TRANSFER_ENCODING);
     let mut response = match gateway.dialect.to_intent(&head.headers) {
         Ok(intent) => answer(&gateway, head, intent, incoming).await,
         Err(message) => {
@@ -135,7 +137,7 @@
             refuse(&gateway, &mut trace, &refusal, true)
         }
     };
-    if gateway.is_stopping() {
+    if closes || gateway.is_stopping() {
         response
             .headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
@@ -225,10 +227,6 @@
     let unready =
         |message: &str| Refusal::not_run(Reason::NoSettings, UNREADY_RETRY_AFTER_MS, message);
     let configuration = configuration.ok_or_else(|| unready("this VM has no configuration yet"))?;
-    if head.headers.contains_key(TRANSFER_ENCODING) && head.headers.contains_key(CONTENT_LENGTH) {
-        let message = "the request states two lengths; send Content-Length or Transfer-Encoding";
-        return Err(Refusal::not_run(Reason::BadRequest, 0, message));
-    }
     // A route or key that is missing here may be part of a newer version that did not arrive yet.
     let is_stale = gateway.to_configuration_age_ms() > CONFIGURATION_STALE_MS;
     let host = head.headers.get(HOST).and_then(|value| value.to_str().ok());
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -14,8 +14,11 @@
 Usage:
   waxwingrouter run FILE     run the daemon with the settings of this VM
   waxwingrouter check FILE   check the settings of this VM and exit
-  waxwingrouter platform     run as a router by route on the users' platform, with the settings file that
-                             the variable WAXWINGROUTER_SETTINGS names
+  waxwingrouter platform [FILE]
+                             run as a router by route on the users' platform; without FILE, the settings
+                             are those that the variable WAXWINGROUTER_SETTINGS names
+  waxwingrouter platform check FILE
+                             check the settings of a router by route and exit
   waxwingrouter demo         run a daemon, a stand-in platform and a stand-in engine on loopback
   waxwingrouter --help       print this help
 
@@ -25,7 +28,8 @@
 enum Command {
     Run(String),
     Check(String),
-    Platform,
+    Platform(Option<String>),
+    PlatformCheck(String),
     Demo,
     Help,
 }
@@ -54,7 +58,14 @@
             Ok(config) => to_exit_code(daemon::run(config)),
             Err(code) => code,
         },
-        Command::Platform => run_on_platform(),
+        Command::Platform(file) => run_on_platform(file),
+        Command::PlatformCheck(file) => match to_platform_settings(&file) {
+            Ok(_) => {
+                println!("{file}: no findings");
+                ExitCode::SUCCESS
+            }
+            Err(code) => code,
+        },
         Command::Demo => to_exit_code(demo::run()),
     }
 }
@@ -73,7 +84,9 @@
     match words.as_slice() {
         ["run", file] => Ok(Command::Run((*file).to_owned())),
         ["check", file] => Ok(Command::Check((*file).to_owned())),
-        ["platform"] => Ok(Command::Platform),
+        ["platform"] => Ok(Command::Platform(None)),
+        ["platform", "check", file] => Ok(Command::PlatformCheck((*file).to_owned())),
+        ["platform", file] => Ok(Command::Platform(Some((*file).to_owned()))),
         ["demo"] => Ok(Command::Demo),
         [] => Err("a command is missing".into()),
         _ => Err(format!("unknown command `{}`", words.join(" ")).into()),
@@ -87,18 +100,22 @@
     })
 }
 
-fn run_on_platform() -> ExitCode {
+fn to_platform_settings(file: &str) -> Result<waxwing_gateway::Settings, ExitCode> {
+    waxwing_gateway::Settings::read(file).map_err(|error| {
+        eprintln!("waxwingrouter: {error}");
+        ExitCode::from(3)
+    })
+}
+
+fn run_on_platform(file: Option<String>) -> ExitCode {
     let variable = waxwing_platform::SETTINGS_VARIABLE;
-    let Ok(path) = std::env::var(variable) else {
-        eprintln!("waxwingrouter: the variable {variable} is not set; it names the settings file");
+    let Some(path) = file.or_else(|| std::env::var(variable).ok()) else {
+        eprintln!("waxwingrouter: name a settings file, or set the variable {variable}");
         return ExitCode::from(2);
     };
-    let settings = match waxwing_gateway::Settings::read(&path) {
+    let settings = match to_platform_settings(&path) {
         Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("waxwingrouter: {error}");
-            return ExitCode::from(3);
-        }
+        Err(code) => return code,
     };
     match waxwing_platform::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
