--- a/crates/core/src/forwarding/peers.rs
+++ b/crates/core/src/forwarding/peers.rs
@@ -14,7 +14,7 @@
 const SILENCE_MS: u64 = 1_300;
 
 /// Time for which VMs that fell silent are still named if no VM is heard at all, in milliseconds.
-const ISOLATED_MS: u64 = 30_000;
+const ISOLATED_MS: u64 = 3_000;
 
 /// Time after which a silent VM no longer shares the repeat budget, in milliseconds.
 const FORGOTTEN_MS: u64 = 60_000;
--- /dev/null
+++ b/crates/core/tests/event_splitter.rs
@@ -0,0 +1,59 @@
+//! Events are passed on whole, in order and once, however their bytes arrive.
+
+use proptest::prelude::*;
+use waxwing_core::forwarding::event_stream::EventSplitter;
+
+/// An event that broke off must not reach the caller.
+#[test]
+fn broken_event() {
+    let mut splitter = EventSplitter::new(Some("4".to_owned()));
+    assert_eq!(splitter.last_id(), Some("4"));
+    assert_eq!(
+        splitter.push(b"id: 5\ndata: a\n\nid: 6\nda"),
+        b"id: 5\ndata: a\n\n"
+    );
+    splitter.drop_incomplete();
+    assert_eq!(splitter.last_id(), Some("5"));
+    assert_eq!(
+        splitter.push(b"id: 6\r\ndata: b\r\n\r\n"),
+        b"id: 6\r\ndata: b\r\n\r\n"
+    );
+    assert_eq!(splitter.last_id(), Some("6"));
+    assert_eq!(splitter.events(), 2);
+}
+
+/// Bytes without an end of an event must not be kept without bound.
+#[test]
+fn endless_event() {
+    let mut splitter = EventSplitter::new(None);
+    let mut passed = 0;
+    for _ in 0..100 {
+        passed += splitter.push(&[b'x'; 10_000]).len();
+    }
+    assert!(passed > 700_000);
+}
+
+proptest! {
+    /// The pieces add up to the stream, and each piece ends with a whole event.
+    #[test]
+    fn any_split(events in 1_usize..20, cuts in prop::collection::vec(1_usize..40, 1..80)) {
+        let mut text = String::new();
+        for number in 0..events {
+            text.push_str(&format!("id: {number}\ndata: token {number}\n\n"));
+        }
+        let mut splitter = EventSplitter::new(None);
+        let mut rest = text.as_bytes();
+        let mut passed = Vec::new();
+        let mut cuts = cuts.iter().cycle();
+        while !rest.is_empty() {
+            let length = (*cuts.next().unwrap()).min(rest.len());
+            let piece = splitter.push(&rest[..length]);
+            prop_assert!(piece.is_empty() || piece.ends_with(b"\n\n"));
+            passed.extend(piece);
+            rest = &rest[length..];
+        }
+        prop_assert_eq!(passed, text.as_bytes());
+        let last = (events - 1).to_string();
+        prop_assert_eq!(splitter.last_id(), Some(last.as_str()));
+    }
+}
--- /dev/null
+++ b/crates/core/tests/prompt_placement.rs
@@ -0,0 +1,207 @@
+//! Choice of engines: shared parts stay at their engine, streams with short gap targets keep engines of their own.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use waxwing_core::Name;
+use waxwing_core::forwarding::EndpointKey;
+use waxwing_core::forwarding::Endpoints;
+use waxwing_core::forwarding::endpoints::Demand;
+use waxwing_core::forwarding::endpoints::Entry;
+use waxwing_core::forwarding::placement;
+use waxwing_core::forwarding::placement::Lane;
+use waxwing_core::forwarding::prompt::Part;
+use waxwing_core::forwarding::prompt::Prompt;
+use waxwing_core::forwarding::run::End;
+
+const LONG: Lane = Lane { index: 2, count: 3 };
+const SHORT: Lane = Lane { index: 0, count: 3 };
+
+/// A VM with nine engines.
+struct Vm {
+    endpoints: Endpoints,
+    service: Name,
+    data_centre: Name,
+}
+
+impl Vm {
+    fn new() -> Self {
+        let mut endpoints = Endpoints::new();
+        for number in 0..9 {
+            endpoints.update(Entry {
+                id: Name::from(format!("engine-{number}")),
+                service: Name::from("pool"),
+                address: format!("127.0.0.1:{}", 9_000 + number).parse().unwrap(),
+                data_centre: Name::from("a"),
+                slots: 64,
+                is_draining: false,
+                cold_ms: 0,
+                born_ms: Some(1),
+                sequence: 1,
+            });
+        }
+        Self {
+            endpoints,
+            service: Name::from("pool"),
+            data_centre: Name::from("a"),
+        }
+    }
+
+    fn choose(&self, prompt: &Prompt, lane: Lane, tried: &[EndpointKey]) -> EndpointKey {
+        let request = placement::Request {
+            service: &self.service,
+            prompt: Some(prompt),
+            lane,
+            is_repeatable: true,
+            data_centre: &self.data_centre,
+            tried,
+            draw: 7,
+        };
+        placement::choose(
+            &placement::Config::default(),
+            &self.endpoints,
+            &request,
+            1_000,
+        )
+        .unwrap()
+    }
+
+    fn to_id(&self, key: EndpointKey) -> Name {
+        self.endpoints.get(key).unwrap().entry.id.clone()
+    }
+}
+
+fn digest(shared: u64, own: u64) -> Prompt {
+    let parts = vec![
+        Part {
+            id: shared,
+            tokens: 13_300,
+        },
+        Part {
+            id: 1_000_000 + own,
+            tokens: 3_700,
+        },
+    ];
+    Prompt {
+        parts,
+        tokens: 17_000,
+        output_tokens: 120,
+    }
+}
+
+fn question(own: u64) -> Prompt {
+    let parts = vec![
+        Part { id: 1, tokens: 350 },
+        Part {
+            id: 2_000_000 + own,
+            tokens: 1_100,
+        },
+    ];
+    Prompt {
+        parts,
+        tokens: 1_450,
+        output_tokens: 170,
+    }
+}
+
+/// VMs that know the same engines must send a shared part to the same one, or each engine reads it.
+#[test]
+fn same_home() {
+    let (first, second) = (Vm::new(), Vm::new());
+    for part in 0..40 {
+        let prompt = digest(part, part);
+        let chosen = first.to_id(first.choose(&prompt, LONG, &[]));
+        assert_eq!(chosen, second.to_id(second.choose(&prompt, LONG, &[])));
+    }
+}
+
+/// Long prompts delay the tokens of the streams beside them, so the two kinds must not share engines.
+#[test]
+fn separate_lanes() {
+    let mut vm = Vm::new();
+    let mut long = HashSet::new();
+    let mut short = HashSet::new();
+    for number in 0..60 {
+        let key = vm.choose(&digest(number, number), LONG, &[]);
+        long.insert(vm.to_id(key));
+        let question = question(number);
+        let key = vm.choose(&question, SHORT, &[]);
+        let run = vm.endpoints.begin(key, Some(&question), None, 1_000);
+        vm.endpoints.saw_first_byte(run, 50);
+        short.insert(vm.to_id(key));
+    }
+    assert!(long.len() >= 4);
+    assert_eq!(short.len(), 3);
+    assert!(long.is_disjoint(&short));
+}
+
+/// Replays a burst of digests about 40 documents, one each 60 ms over nine engines: with homes, each document is read
+/// by few engines; the baseline, the least loaded engine, reads it nearly everywhere.
+#[test]
+fn burst_of_digests() {
+    let mut vm = Vm::new();
+    let mut readers: HashMap<u64, HashSet<Name>> = HashMap::new();
+    let mut baseline: HashMap<u64, HashSet<u64>> = HashMap::new();
+    let mut running = Vec::new();
+    for number in 0..400_u64 {
+        let now_ms = 1_000 + number * 60;
+        let prompt = digest(number * 7 % 40, number);
+        let key = vm.choose(&prompt, LONG, &[]);
+        let run = vm.endpoints.begin(key, Some(&prompt), None, now_ms);
+        readers
+            .entry(number * 7 % 40)
+            .or_default()
+            .insert(vm.to_id(key));
+        baseline
+            .entry(number * 7 % 40)
+            .or_default()
+            .insert(number % 9);
+        running.push((now_ms + 900, run));
+        while let Some((end_ms, run)) = running.first().copied() {
+            if end_ms > now_ms {
+                break;
+            }
+            vm.endpoints.saw_first_byte(run, 900);
+            vm.endpoints.end(run, End::Answered, now_ms);
+            running.remove(0);
+        }
+    }
+    let reads: usize = readers.values().map(HashSet::len).sum();
+    let reads_of_baseline: usize = baseline.values().map(HashSet::len).sum();
+    assert!(reads <= 80, "{reads} first reads of 40 documents");
+    assert!(
+        reads * 4 <= reads_of_baseline,
+        "{reads} against {reads_of_baseline}"
+    );
+}
+
+/// A home that has far more to read than the others must be passed over, also when other VMs caused it.
+#[test]
+fn overloaded_home() {
+    let mut vm = Vm::new();
+    let prompt = digest(3, 3);
+    let home = vm.choose(&prompt, LONG, &[]);
+    let hash = vm.endpoints.get(home).unwrap().hash;
+    let demand = Demand {
+        runs: 20,
+        unread_tokens: 400_000,
+    };
+    vm.endpoints
+        .set_peer_demand(Name::from("vm-2"), HashMap::from([(hash, demand)]));
+    assert_ne!(vm.choose(&prompt, LONG, &[]), home);
+    vm.endpoints.drop_peer(&Name::from("vm-2"));
+    assert_eq!(vm.choose(&prompt, LONG, &[]), home);
+}
+
+/// A request must not go twice to an endpoint that it was sent to.
+#[test]
+fn tried_endpoints() {
+    let vm = Vm::new();
+    let prompt = digest(3, 3);
+    let mut tried = Vec::new();
+    for _ in 0..9 {
+        let key = vm.choose(&prompt, LONG, &tried);
+        assert!(!tried.contains(&key));
+        tried.push(key);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/repeat_budget.rs
@@ -0,0 +1,73 @@
+//! The budget of repeats: the sum over all VMs holds in every window.
+
+use proptest::prelude::*;
+use waxwing_core::Name;
+use waxwing_core::forwarding::repeat_budget::Config;
+use waxwing_core::forwarding::repeat_budget::RepeatBudget;
+
+const CONFIG: Config = Config {
+    ratio: 0.2,
+    slack: 54.0,
+    window_ms: 10_000,
+};
+
+/// Repeats beyond the share of a VM must be refused, and the share must come back as the window slides.
+#[test]
+fn sliding_window() {
+    let service = Name::from("pool");
+    let mut budget = RepeatBudget::new(CONFIG, 0);
+    let mut taken = 0;
+    while budget.take(&service, 4, 20_000) {
+        taken += 1;
+    }
+    assert_eq!(
+        taken, 10,
+        "a quarter of the part of the slack that is given out"
+    );
+    assert!(!budget.take(&service, 4, 29_999));
+    assert!(budget.take(&service, 4, 30_001));
+}
+
+/// A process that has just started does not know what its predecessor spent.
+#[test]
+fn fresh_process() {
+    let service = Name::from("pool");
+    let mut budget = RepeatBudget::new(CONFIG, 20_000);
+    let mut taken = 0;
+    while budget.take(&service, 4, 20_000) {
+        taken += 1;
+    }
+    assert_eq!(taken, 5);
+}
+
+/// Services have budgets of their own.
+#[test]
+fn separate_services() {
+    let mut budget = RepeatBudget::new(CONFIG, 0);
+    while budget.take(&Name::from("a"), 1, 20_000) {}
+    assert!(budget.take(&Name::from("b"), 1, 20_000));
+}
+
+proptest! {
+    /// Whatever the arrivals, the repeats of all VMs in any window stay within the bound.
+    #[test]
+    fn total_bound(vms in 1_usize..8, steps in prop::collection::vec((0_usize..8, 0_u64..200, any::<bool>()), 1..400)) {
+        let service = Name::from("pool");
+        let mut budgets: Vec<RepeatBudget> = (0..vms).map(|_| RepeatBudget::new(CONFIG, 0)).collect();
+        let mut now_ms = 100_000;
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        for (vm, pause_ms, is_request) in steps {
+            now_ms += pause_ms;
+            let budget = &mut budgets[vm % vms];
+            if is_request {
+                budget.add_request(&service, now_ms);
+                requests.push(now_ms);
+            } else if budget.take(&service, vms, now_ms) {
+                repeats.push(now_ms);
+            }
+            let since_ms = now_ms - CONFIG.window_ms;
+            let count = |times: &[u64]| times.iter().filter(|at_ms| **at_ms >= since_ms).count() as f64;
+            prop_assert!(count(&repeats) <= count(&requests) * CONFIG.ratio + CONFIG.slack);
+        }
+    }
+}
--- a/crates/router/src/claims/worker.rs
+++ b/crates/router/src/claims/worker.rs
@@ -25,13 +25,13 @@
 use waxwing_core::state::settings::Class;
 use waxwing_core::state::settings::OnLogOutage;
 use waxwing_core::state::settings::Settings;
+use waxwing_gateway::clock::to_unix_ms;
 use waxwing_wire::claim::ClaimRequest;
 use waxwing_wire::claim::ClaimVerdict;
 use waxwing_wire::claim::Grant;
 
 use crate::shared::Shared;
 use crate::shared::View;
-use crate::shared::wall_clock_ms;
 use crate::transport::log_client::LogClient;
 
 use super::Message;
@@ -258,7 +258,7 @@
     fn now(&self) -> Now {
         Now {
             now_ms: self.shared.now_ms(),
-            wall_ms: wall_clock_ms(),
+            wall_ms: to_unix_ms(),
         }
     }
 
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -9,13 +9,13 @@
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::iterator::Signals;
+use waxwing_gateway::logging;
 
 use crate::claims;
 use crate::config::Config;
 use crate::evidence;
 use crate::explain;
 use crate::jobs;
-use crate::logging;
 use crate::members;
 use crate::metric;
 use crate::operator;
@@ -102,7 +102,8 @@
 ///
 /// Fails if an address cannot be bound or a thread cannot be started.
 pub fn start(config: Config) -> Result<Arc<Shared>> {
-    logging::install(config.vm.name.as_str(), log::LevelFilter::Info);
+    let vm = config.vm.name.as_str();
+    logging::install(vm, log::LevelFilter::Info, logging::Output::Stderr);
     let metrics = metric::install();
     let listener = bind("vm.caller_address", &config.vm.caller_address)?;
     let peer_listener = bind("vm.peer_address", &config.vm.peer_address)?;
--- a/crates/router/src/jobs/reader.rs
+++ b/crates/router/src/jobs/reader.rs
@@ -8,6 +8,7 @@
 use waxwing_core::state::jobs::JobResult;
 use waxwing_core::state::jobs::Stamp;
 use waxwing_core::state::jobs::Submission;
+use waxwing_gateway::clock::to_unix_ms;
 use waxwing_wire::job_record::JobRecord;
 use waxwing_wire::job_record::STREAM;
 use waxwing_wire::platform::Page;
@@ -15,7 +16,6 @@
 
 use crate::jobs::Jobs;
 use crate::jobs::appender::Message;
-use crate::shared;
 use crate::shared::Shared;
 use crate::transport::log_client::Error;
 use crate::transport::log_client::LogClient;
@@ -63,7 +63,7 @@
                 Err(error) => log::error!("record skipped: {error}"),
             }
         }
-        let kept_from_ms = shared::wall_clock_ms().saturating_sub(page.retention_ms);
+        let kept_from_ms = to_unix_ms().saturating_sub(page.retention_ms);
         state.jobs.forget(kept_from_ms);
         drop(state);
         self.changed.notify_all();
--- a/crates/router/src/jobs/runner.rs
+++ b/crates/router/src/jobs/runner.rs
@@ -13,6 +13,7 @@
 use waxwing_core::state::jobs::JobResult;
 use waxwing_core::state::jobs::Submission;
 use waxwing_core::state::jobs::Work;
+use waxwing_gateway::clock::to_unix_ms;
 use waxwing_wire::caller::ErrorBody;
 
 use crate::jobs;
@@ -23,7 +24,6 @@
 use crate::request::answer::Answerer;
 use crate::request::answer::Head;
 use crate::request::run;
-use crate::shared;
 use crate::shared::Shared;
 
 /// Longest time before a change of membership or a due retry is seen, in milliseconds.
@@ -58,7 +58,7 @@
         }
     }
     let own = &shared.config.vm.name;
-    let now_ms = shared::wall_clock_ms();
+    let now_ms = to_unix_ms();
     let mut state = shared.jobs.lock();
     let retention_ms = state.retention_ms;
     state
@@ -119,7 +119,7 @@
 }
 
 fn fail(shared: &Shared, id: Uuid, wait_ms: u64) {
-    let now_ms = shared::wall_clock_ms();
+    let now_ms = to_unix_ms();
     shared.jobs.lock().jobs.fail(now_ms, id, wait_ms);
 }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -8,7 +8,6 @@
 pub mod evidence;
 pub mod explain;
 pub mod jobs;
-pub mod logging;
 pub mod members;
 pub mod metric;
 pub mod operator;
--- a/crates/router/src/request/run.rs
+++ b/crates/router/src/request/run.rs
@@ -15,6 +15,7 @@
 use waxwing_core::TicketId;
 use waxwing_core::coordination::scheduler::End;
 use waxwing_core::coordination::scheduler::Input;
+use waxwing_gateway::clock::to_unix_ms;
 
 use crate::metric;
 use crate::request::admit::Job;
@@ -26,7 +27,6 @@
 use crate::request::trace::Trace;
 use crate::scheduling::Order;
 use crate::shared::Shared;
-use crate::shared::wall_clock_ms;
 
 /// Longest wait before the request looks for a departed caller, in milliseconds.
 const POLL_MS: u64 = 20;
@@ -89,7 +89,7 @@
         vm: shared.config.vm.name.clone(),
         organisation: job.organisation.clone(),
         class: job.class.clone(),
-        received_ms: wall_clock_ms().saturating_sub(since_receipt_ms),
+        received_ms: to_unix_ms().saturating_sub(since_receipt_ms),
         steps: Vec::new(),
     });
 }
--- a/crates/router/src/settings_sync/clock.rs
+++ b/crates/router/src/settings_sync/clock.rs
@@ -1,6 +1,6 @@
 //! Estimate of the log's clock, by which the age of a snapshot is measured.
 
-use crate::shared::wall_clock_ms;
+use waxwing_gateway::clock::to_unix_ms;
 
 /// Estimate of the log's clock.
 ///
@@ -25,7 +25,7 @@
 
     /// Returns the age of a record in milliseconds; `now_ms` is the monotonic time.
     pub(super) fn to_age_ms(self, record_ms: u64, now_ms: u64) -> u64 {
-        let log_ms = self.to_log_ms(now_ms).unwrap_or_else(wall_clock_ms);
+        let log_ms = self.to_log_ms(now_ms).unwrap_or_else(to_unix_ms);
         log_ms.saturating_sub(record_ms)
     }
 
--- a/crates/router/src/shared.rs
+++ b/crates/router/src/shared.rs
@@ -10,8 +10,6 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use flume::Receiver;
 use flume::Sender;
@@ -309,9 +307,3 @@
         self.started.elapsed().as_millis() as u64
     }
 }
-
-/// Returns the wall-clock time in milliseconds since the epoch.
-pub fn wall_clock_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |duration| duration.as_millis() as u64)
-}
