--- a/crates/core/src/forwarding/prompt.rs
+++ b/crates/core/src/forwarding/prompt.rs
@@ -42,10 +42,17 @@
     }
 }
 
+/// When a part was last used, and its length.
+#[derive(Clone, Copy, Debug)]
+struct Use {
+    at_ms: u64,
+    tokens: u32,
+}
+
 /// The parts that an engine probably keeps, judged by what was sent to it.
 #[derive(Clone, Debug, Default)]
 pub struct KeptParts {
-    used_at_ms: HashMap<u64, (u64, u32)>,
+    uses: HashMap<u64, Use>,
     tokens: u64,
 }
 
@@ -54,7 +61,7 @@
     pub fn to_kept_tokens(&self, prompt: &Prompt) -> u64 {
         let mut tokens = 0;
         for part in &prompt.parts {
-            if !self.used_at_ms.contains_key(&part.id) {
+            if !self.uses.contains_key(&part.id) {
                 break;
             }
             tokens += u64::from(part.tokens);
@@ -65,24 +72,21 @@
     /// Records that the engine has read a prompt; the least recently used parts beyond `capacity_tokens` yield.
     pub fn record(&mut self, prompt: &Prompt, now_ms: u64, capacity_tokens: u64) {
         for part in &prompt.parts {
-            let known = self.used_at_ms.insert(part.id, (now_ms, part.tokens));
-            if known.is_none() {
+            let last = Use {
+                at_ms: now_ms,
+                tokens: part.tokens,
+            };
+            if self.uses.insert(part.id, last).is_none() {
                 self.tokens += u64::from(part.tokens);
             }
         }
         while self.tokens > capacity_tokens {
-            let oldest = self.used_at_ms.iter().min_by_key(|(_, (at_ms, _))| *at_ms);
-            let Some((id, tokens)) = oldest.map(|(id, (_, tokens))| (*id, *tokens)) else {
+            let oldest = self.uses.iter().min_by_key(|(_, last)| last.at_ms);
+            let Some((id, tokens)) = oldest.map(|(id, last)| (*id, last.tokens)) else {
                 break;
             };
-            self.used_at_ms.remove(&id);
+            self.uses.remove(&id);
             self.tokens = self.tokens.saturating_sub(u64::from(tokens));
         }
     }
-
-    /// Forgets everything, as an engine does when it restarts.
-    pub fn clear(&mut self) {
-        self.used_at_ms.clear();
-        self.tokens = 0;
-    }
 }
--- a/crates/core/src/forwarding/run.rs
+++ b/crates/core/src/forwarding/run.rs
@@ -162,7 +162,11 @@
         let objective_ms = route.objective_ms as f64;
         // Before the first answer nothing is known of what is usual.
         let is_unknown = typical_ms <= 0.0;
-        let typical_ms = if is_unknown { objective_ms * 0.4 } else { typical_ms };
+        let typical_ms = if is_unknown {
+            objective_ms * 0.4
+        } else {
+            typical_ms
+        };
         let silent_ms = (typical_ms * 3.0).max(objective_ms * 0.5) + reading_ms * 2.0;
         let heard_ms = (typical_ms * 4.0).max(objective_ms * 0.8) + reading_ms * 4.0;
         Self {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -115,12 +115,19 @@
     }
 }
 
-/// How sending a request to one endpoint ended.
-pub(crate) enum Attempted {
-    /// The answer goes to the caller.
+/// What became of an endpoint's answer.
+pub(crate) enum Delivery {
+    /// It goes to the caller.
     Delivered(Response<Body>),
-    /// There is no answer; the response is the endpoint's failure, if it stated one.
-    Ended(End, Option<Response<Body>>),
+    /// It cannot be used, and the request may go on.
+    Unusable {
+        /// The request.
+        exchange: Box<Exchange>,
+        /// How the run ended.
+        end: End,
+        /// The endpoint's failure, for the caller if nothing better follows.
+        failure: Option<Response<Body>>,
+    },
 }
 
 /// Serves a request of a caller.
@@ -360,16 +367,16 @@
                     continue;
                 }
             };
-            let (exchange, attempted) = relay::deliver(self, sent).await;
-            match attempted {
-                Attempted::Delivered(response) => return response,
-                Attempted::Ended(end, response) => {
-                    let Some(exchange) = exchange else {
-                        return internal_error();
-                    };
-                    self = exchange;
+            match relay::deliver(self, sent).await {
+                Delivery::Delivered(response) => return response,
+                Delivery::Unusable {
+                    exchange,
+                    end,
+                    failure: newer,
+                } => {
+                    self = *exchange;
                     self.progress.add(end);
-                    failure = response.or(failure);
+                    failure = newer.or(failure);
                     last_end = Some(end);
                 }
             }
@@ -482,9 +489,3 @@
     }
     response
 }
-
-fn internal_error() -> Response<Body> {
-    let mut response = Response::new(Body::whole(""));
-    *response.status_mut() = StatusCode::BAD_GATEWAY;
-    response
-}
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 use waxwing_core::Name;
 use waxwing_core::forwarding::EndpointKey;
+use waxwing_core::forwarding::endpoints::Load;
 use waxwing_core::forwarding::endpoints::RunKey;
 use waxwing_core::forwarding::run::End;
 use waxwing_core::forwarding::run::Patience;
@@ -41,6 +42,8 @@
     pub(crate) endpoint: EndpointKey,
     pub(crate) endpoint_id: Name,
     pub(crate) began_ms: u64,
+    /// Load that the endpoint stated in its answer.
+    load: Option<Load>,
     key: Option<RunKey>,
 }
 
@@ -115,6 +118,7 @@
             endpoint: key,
             endpoint_id,
             began_ms: now_ms,
+            load: None,
             key: Some(run_key),
         };
         let answered = self.exchange_heads(&run, last_event_id).await;
@@ -129,6 +133,7 @@
             .gateway
             .dialect
             .to_verdict(response.status(), response.headers());
+        run.load = verdict.load;
         if let Some(load) = verdict.load {
             let now_ms = self.gateway.clock.now_ms();
             self.gateway
@@ -175,8 +180,10 @@
 
     /// Records the end of a run in the trace and in what is known of the endpoint.
     pub(crate) fn note_end(&mut self, run: &mut RunGuard, end: End, detail: &str) {
+        let load = run.load.map_or(String::new(), to_text);
+        let detail = format!("{load}{detail}");
         self.trace
-            .add_run(run.endpoint_id.as_str(), run.began_ms, end, detail);
+            .add_run(run.endpoint_id.as_str(), run.began_ms, end, &detail);
         run.end(end);
         if end == End::Lost {
             note_break(&self.gateway, run, self.content);
@@ -316,6 +323,14 @@
     }
 }
 
+/// Returns a load for the timeline: running, waiting and slowness.
+fn to_text(load: Load) -> String {
+    format!(
+        "[{}+{},{}%]",
+        load.running, load.waiting, load.slowness_percent
+    )
+}
+
 /// Finds out whether an endpoint that broke a connection has crashed, and blames the content if so.
 fn note_break(gateway: &Rc<Gateway>, run: &RunGuard, content: Content) {
     let gateway = Rc::clone(gateway);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,7 +17,7 @@
 use crate::body::PieceSender;
 use crate::client::Connection;
 use crate::client::within;
-use crate::exchange::Attempted;
+use crate::exchange::Delivery;
 use crate::exchange::Exchange;
 use crate::exchange::RunGuard;
 use crate::exchange::Sent;
@@ -81,17 +81,17 @@
     Run(End),
 }
 
-/// Passes an answer on; returns the exchange again if there is nothing to deliver.
-pub(crate) async fn deliver(exchange: Exchange, sent: Sent) -> (Option<Exchange>, Attempted) {
+/// Passes an endpoint's answer on to the caller.
+pub(crate) async fn deliver(exchange: Exchange, sent: Sent) -> Delivery {
     let status = sent.response.status();
     if exchange.route.kind == RouteKind::Stream && status.is_success() {
-        return (None, Attempted::Delivered(stream(exchange, sent)));
+        return Delivery::Delivered(stream(exchange, sent));
     }
     deliver_whole(exchange, sent).await
 }
 
 /// Reads an answer whole and passes it on; a long one is passed on while it arrives.
-async fn deliver_whole(mut exchange: Exchange, sent: Sent) -> (Option<Exchange>, Attempted) {
+async fn deliver_whole(mut exchange: Exchange, sent: Sent) -> Delivery {
     let (head, mut source) = Source::new(sent);
     source.run.saw_first_byte();
     exchange.trace.saw_first_byte();
@@ -104,29 +104,34 @@
     };
     if let Some(end) = end {
         exchange.note_end(&mut source.run, end, "(in body)");
-        return (Some(exchange), Attempted::Ended(end, None));
+        return to_unusable(exchange, end, None);
     }
     if !hyper::body::Body::is_end_stream(&source.body) && bytes.len() >= WHOLE_MAX_BYTES {
         let executor = exchange.gateway.executor;
         let body = Body::streamed(|pieces| {
             executor.spawn(pump_long(exchange, source, Bytes::from(bytes), pieces))
         });
-        return (None, Attempted::Delivered(Response::from_parts(head, body)));
+        return Delivery::Delivered(Response::from_parts(head, body));
     }
     let response = Response::from_parts(head, Body::whole(bytes));
     let status = response.status();
     if status.is_server_error() {
         source.finish(&mut exchange, End::Failed);
-        return (
-            Some(exchange),
-            Attempted::Ended(End::Failed, Some(response)),
-        );
+        return to_unusable(exchange, End::Failed, Some(response));
     }
     source.finish(&mut exchange, End::Answered);
     exchange
         .trace
         .finish("answered", status.as_u16(), Execution::Ran);
-    (None, Attempted::Delivered(response))
+    Delivery::Delivered(response)
+}
+
+fn to_unusable(exchange: Exchange, end: End, failure: Option<Response<Body>>) -> Delivery {
+    Delivery::Unusable {
+        exchange: Box::new(exchange),
+        end,
+        failure,
+    }
 }
 
 /// Reads a body to its end, or until it exceeds `WHOLE_MAX_BYTES`.
