Count requests that wait at an engine when choosing one

The choice counted the tokens to read and 2 ms a running request, not the queue. Ruled out: a lost engine (it answered others). Test: prompt_placement, waiting_requests.

--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -18,6 +18,8 @@
     pub read_tokens_per_ms: f64,
     /// Delay that one running request adds to others, in milliseconds.
     pub run_cost_ms: f64,
+    /// Delay that one request which waits for a slot or for memory adds to others, in milliseconds.
+    pub queued_cost_ms: f64,
     /// Cost of an endpoint in another data centre, in milliseconds.
     pub remote_cost_ms: f64,
     /// Shares of the engines for up to three lanes, the one of the shortest gap targets first.
@@ -43,6 +45,7 @@
         Self {
             read_tokens_per_ms: 45.0,
             run_cost_ms: 2.0,
+            queued_cost_ms: 40.0,
             remote_cost_ms: 6.0,
             lane_shares: [0.34, 0.14, 0.52],
             tighter_lane_cost_ms: 2_000.0,
@@ -140,20 +143,23 @@
         runs = runs.max(load.running + load.waiting);
         slowness = f64::from(load.slowness_percent.max(50)) / 100.0;
     }
+    let slots = endpoint.entry.slots.max(1);
+    let beyond_slots = (runs + 1).saturating_sub(slots);
     let mut cost_ms = f64::from(runs) * config.run_cost_ms;
     match request.prompt {
         Some(prompt) => {
             let kept = endpoint.kept.to_kept_tokens(prompt);
             let unread = prompt.tokens.saturating_sub(kept) + demand.unread_tokens;
             cost_ms += unread as f64 / config.read_tokens_per_ms;
+            // An engine whose memory is full makes requests wait although slots are free.
+            let queued = load.map_or(0, |load| load.waiting).max(beyond_slots);
+            cost_ms += f64::from(queued) * config.queued_cost_ms;
             // The figure of slowness changes many times a second, so only a part of it will hold.
             cost_ms *= 1.0 + (slowness - 1.0) * 0.5;
         }
         None => {
-            let slots = endpoint.entry.slots.max(1);
-            let queued = (runs + 1).saturating_sub(slots);
             let service_ms = endpoint.first_byte_ms.max(1.0);
-            cost_ms += service_ms * (slowness + f64::from(queued) / f64::from(slots));
+            cost_ms += service_ms * (slowness + f64::from(beyond_slots) / f64::from(slots));
         }
     }
     if endpoint.entry.data_centre != *request.data_centre {
--- a/crates/core/tests/prompt_placement.rs
+++ b/crates/core/tests/prompt_placement.rs
@@ -8,6 +8,7 @@
 use waxwing_core::forwarding::Endpoints;
 use waxwing_core::forwarding::endpoints::Demand;
 use waxwing_core::forwarding::endpoints::Entry;
+use waxwing_core::forwarding::endpoints::Load;
 use waxwing_core::forwarding::placement;
 use waxwing_core::forwarding::placement::Lane;
 use waxwing_core::forwarding::prompt::Part;
@@ -205,3 +206,19 @@
         tried.push(key);
     }
 }
+
+/// An engine that makes requests wait for memory must be passed over although it has nothing left to read (TIER on
+/// qaghaz-fleet-grown, scale-1, seed 101077066482: drafts waited until their time was over).
+#[test]
+fn waiting_requests() {
+    let mut vm = Vm::new();
+    let prompt = digest(3, 3);
+    let home = vm.choose(&prompt, LONG, &[]);
+    let load = Load {
+        running: 40,
+        waiting: 60,
+        slowness_percent: 100,
+    };
+    vm.endpoints.saw_load(home, load, 1_000);
+    assert_ne!(vm.choose(&prompt, LONG, &[]), home);
+}
