--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -110,6 +110,8 @@
     pub read_tokens_per_ms: f64,
     /// Delay that one running request adds to others, in milliseconds.
     pub run_cost_ms: f64,
+    /// Delay that one request which waits for a slot or for memory adds to others, in milliseconds.
+    pub queued_cost_ms: f64,
     /// Cost of an endpoint in another data centre, in milliseconds.
     pub remote_cost_ms: f64,
     /// Shares of the engines for lanes of ascending gap targets.
@@ -130,6 +132,7 @@
         Self {
             read_tokens_per_ms: usual.read_tokens_per_ms,
             run_cost_ms: usual.run_cost_ms,
+            queued_cost_ms: usual.queued_cost_ms,
             remote_cost_ms: usual.remote_cost_ms,
             lane_shares: usual.lane_shares,
             tighter_lane_cost_ms: usual.tighter_lane_cost_ms,
@@ -145,6 +148,7 @@
         Self {
             read_tokens_per_ms: settings.read_tokens_per_ms,
             run_cost_ms: settings.run_cost_ms,
+            queued_cost_ms: settings.queued_cost_ms,
             remote_cost_ms: settings.remote_cost_ms,
             lane_shares: settings.lane_shares,
             tighter_lane_cost_ms: settings.tighter_lane_cost_ms,
