Clear a content of crashes once it ran to its end

Cause: found on reading. A content that was in progress on three engines as they crashed for other reasons stayed refused for two minutes, although it ran well between. A look-up without a body shares its content with all others on its path, so it could be hit.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -302,6 +302,12 @@
         self.evidence.borrow().to_loss_count(content) >= CRASHES_MAX
     }
 
+    /// Clears a content of crashes that it was blamed for.
+    pub(crate) fn clear_content(&self, content: &Content) {
+        let now_ms = self.clock.now_ms();
+        self.evidence.borrow_mut().clear(*content, now_ms);
+    }
+
     /// Takes a kept connection to an endpoint that the endpoint will not close right now.
     pub(crate) fn take_idle(&self, key: EndpointKey) -> Option<Connection> {
         let now_ms = self.clock.now_ms();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -65,6 +65,8 @@
     /// Ends the run well and keeps the connection for later requests.
     fn finish(mut self, exchange: &mut Exchange, end: End) {
         exchange.note_end(&mut self.run, end, "");
+        // A content that ran to its end does not crash endpoints, whatever became of them before.
+        exchange.gateway.clear_content(&exchange.content);
         if !self.closes {
             exchange
                 .gateway
