Survive a service without any engine to use

Cause: found on reading. The division of engines between lanes panicked for a prompt if all engines of its service were leaving or gone, which ends the process with all requests in progress. Test: prompt_placement, no_engines (panicked before, passes now).

--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -188,6 +188,10 @@
                 hashes.push(endpoint.hash);
             }
         }
+        if hashes.is_empty() {
+            let ends = vec![0];
+            return Self { hashes, ends };
+        }
         hashes.sort_unstable();
         let count = request.lane.count.clamp(1, config.lane_shares.len());
         let count = if hashes.len() < count { 1 } else { count };
--- a/crates/core/tests/prompt_placement.rs
+++ b/crates/core/tests/prompt_placement.rs
@@ -222,3 +222,28 @@
     vm.endpoints.saw_load(home, load, 1_000);
     assert_ne!(vm.choose(&prompt, LONG, &[]), home);
 }
+
+/// A service whose engines are all gone or leaving has none to choose; the process must survive that.
+#[test]
+fn no_engines() {
+    let mut vm = Vm::new();
+    for number in 0..9 {
+        vm.endpoints
+            .disable(&Name::from(format!("engine-{number}")));
+    }
+    let prompt = digest(3, 3);
+    let request = placement::Request {
+        service: &vm.service,
+        prompt: Some(&prompt),
+        lane: LONG,
+        is_repeatable: true,
+        data_centre: &vm.data_centre,
+        tried: &[],
+        draw: 7,
+    };
+    let config = placement::Config::default();
+    assert_eq!(
+        placement::choose(&config, &vm.endpoints, &request, 1_000),
+        None
+    );
+}
