Share the step to the next endpoint between first answers and resumed streams

Exchange::run and relay::resume each added the end of a run, asked whether it may be repeated, took the budget and chose an endpoint; take_next_endpoint does it for both. Exchange::check also held the memory of the body, which its name did not say; both stand in answer now. No change in behaviour.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -80,7 +80,7 @@
     pub(crate) deadline_ms: u64,
     pub(crate) tried: Vec<EndpointKey>,
     pub(crate) progress: Progress,
-    in_progress: InProgress,
+    _in_progress: InProgress,
 }
 
 /// Counts a request for as long as it lives.
@@ -162,7 +162,7 @@
     let version = configuration.as_ref().map_or(0, |known| known.version());
     let request_id = intent.request_id.clone().unwrap_or_default();
     let mut trace = Trace::new(gateway.clock, &request_id, version);
-    let in_progress = InProgress::new(gateway);
+    let mut in_progress = InProgress::new(gateway);
     let admitted = admit(
         gateway,
         configuration.as_deref(),
@@ -187,6 +187,7 @@
         Ok(body) => body,
         Err(refusal) => return refuse(gateway, &mut trace, &refusal, true),
     };
+    in_progress.hold(body.len());
     let draw = (gateway.draw() >> 32) as u32;
     let Some(service) = route.to_service(draw).cloned() else {
         let message = "the route names no service";
@@ -215,9 +216,11 @@
         deadline_ms,
         tried: Vec::new(),
         progress: Progress::new(limit_ms),
-        in_progress,
+        _in_progress: in_progress,
     };
-    if let Some(refusal) = exchange.check() {
+    if gateway.is_crashing(&exchange.content) {
+        let message = "endpoints crashed on this content";
+        let refusal = Refusal::not_run(Reason::Crashing, CRASHING_RETRY_AFTER_MS, message);
         return refuse(gateway, &mut exchange.trace, &refusal, false);
     }
     exchange.run().await
@@ -325,66 +328,60 @@
 }
 
 impl Exchange {
-    /// Returns the refusal of a request that must not reach any endpoint.
-    fn check(&mut self) -> Option<Refusal> {
-        self.in_progress.hold(self.body.len());
-        if self.gateway.is_crashing(&self.content) {
-            let message = "endpoints crashed on this content";
-            let refusal = Refusal::not_run(Reason::Crashing, CRASHING_RETRY_AFTER_MS, message);
-            return Some(refusal);
-        }
-        None
-    }
-
     /// Sends the request to endpoints until there is a final answer.
     async fn run(mut self) -> Response<Body> {
+        if self.to_left_ms() == 0 {
+            return self.give_up(None, true);
+        }
+        let now_ms = self.gateway.clock.now_ms();
+        self.gateway
+            .budget
+            .borrow_mut()
+            .add_request(&self.service, now_ms);
+        let mut key = self.take_endpoint();
         let mut failure = None;
-        let mut last_end = None;
-        loop {
-            let now_ms = self.gateway.clock.now_ms();
-            self.progress.left_ms = self.deadline_ms.saturating_sub(now_ms);
-            if let Some(end) = last_end {
-                if to_next(&self.route, &self.progress) == Next::GiveUp || !self.take_repeat(end) {
-                    return self.give_up(failure, end == End::Expired);
-                }
-            } else if self.progress.left_ms == 0 {
-                return self.give_up(None, true);
-            } else {
-                self.gateway
-                    .budget
-                    .borrow_mut()
-                    .add_request(&self.service, now_ms);
-            }
-            let Some(key) = self.choose() else {
-                return self.give_up(failure, false);
+        let mut is_expired = false;
+        while let Some(endpoint) = key {
+            let end = match self.send(endpoint, None).await {
+                Err(end) => end,
+                Ok(sent) => match relay::deliver(self, sent).await {
+                    Delivery::Delivered(response) => return response,
+                    Delivery::Unusable {
+                        exchange,
+                        end,
+                        failure: newer,
+                    } => {
+                        self = *exchange;
+                        failure = newer.or(failure);
+                        end
+                    }
+                },
             };
-            self.tried.push(key);
-            let sent = match self.send(key, None).await {
-                Ok(sent) => sent,
-                Err(end) => {
-                    self.progress.add(end);
-                    last_end = Some(end);
-                    continue;
-                }
-            };
-            match relay::deliver(self, sent).await {
-                Delivery::Delivered(response) => return response,
-                Delivery::Unusable {
-                    exchange,
-                    end,
-                    failure: newer,
-                } => {
-                    self = *exchange;
-                    self.progress.add(end);
-                    failure = newer.or(failure);
-                    last_end = Some(end);
-                }
-            }
+            is_expired = end == End::Expired;
+            key = self.take_next_endpoint(end);
+        }
+        self.give_up(failure, is_expired)
+    }
+
+    /// Chooses an endpoint that the request was not sent to yet.
+    fn take_endpoint(&mut self) -> Option<EndpointKey> {
+        let key = self.choose()?;
+        self.tried.push(key);
+        Some(key)
+    }
+
+    /// Chooses the endpoint for a repeat after a run ended; returns `None` if the request is to be given up.
+    pub(crate) fn take_next_endpoint(&mut self, end: End) -> Option<EndpointKey> {
+        self.progress.add(end);
+        self.progress.left_ms = self.to_left_ms();
+        if to_next(&self.route, &self.progress) == Next::GiveUp || !self.take_repeat(end) {
+            return None;
         }
+        self.take_endpoint()
     }
 
     /// Takes a repeat out of the budget; `end` is how the run before ended.
-    pub(crate) fn take_repeat(&self, end: End) -> bool {
+    fn take_repeat(&self, end: End) -> bool {
         let now_ms = self.gateway.clock.now_ms();
         let vms = self.gateway.peers.borrow().to_vm_count(now_ms);
         // An endpoint that was not reached received nothing, so nothing is repeated.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,9 +9,7 @@
 use waxwing_core::forwarding::configuration::RouteKind;
 use waxwing_core::forwarding::event_stream::EventSplitter;
 use waxwing_core::forwarding::run::End;
-use waxwing_core::forwarding::run::Next;
 use waxwing_core::forwarding::run::Patience;
-use waxwing_core::forwarding::run::to_next;
 
 use crate::body::Body;
 use crate::body::PieceSender;
@@ -278,17 +276,7 @@
 /// Continues a stream at another endpoint after the last event that the caller got.
 async fn resume(exchange: &mut Exchange, end: End, splitter: &EventSplitter) -> Option<Source> {
     let mut end = end;
-    loop {
-        exchange.progress.add(end);
-        exchange.progress.left_ms = exchange.to_left_ms();
-        if to_next(&exchange.route, &exchange.progress) == Next::GiveUp {
-            return None;
-        }
-        if !exchange.take_repeat(end) {
-            return None;
-        }
-        let key = exchange.choose()?;
-        exchange.tried.push(key);
+    while let Some(key) = exchange.take_next_endpoint(end) {
         let sent = match exchange.send(key, splitter.last_id()).await {
             Ok(sent) => sent,
             Err(next) => {
@@ -304,4 +292,5 @@
         exchange.note_end(&mut source.run, End::Failed, "(resumed)");
         end = End::Failed;
     }
+    None
 }
