Set socket options in one place; compare listed endpoints by hash; drop what nothing reads

client.rs and server.rs set the same two options. Endpoints::retain searched a list for each endpoint, which grows with the square of the endpoints at each new listing. Endpoint::to_own_demand and Reply::headers had no reader. No change in behaviour.

--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -1,6 +1,7 @@
 //! What a VM knows of the endpoints: their entries, their load and how far they can be relied on.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use slotmap::SlotMap;
@@ -149,11 +150,6 @@
         Trust::Trial
     }
 
-    /// Returns the load that this VM puts on the endpoint.
-    pub fn to_own_demand(&self) -> Demand {
-        self.own
-    }
-
     fn suspect(&mut self, now_ms: u64) {
         let doubled = self.suspicion_ms.saturating_mul(2);
         self.suspicion_ms = doubled.clamp(SUSPICION_MIN_MS, SUSPICION_MAX_MS);
@@ -265,6 +261,7 @@
 
     /// Removes all entries that a complete list does not contain.
     pub fn retain(&mut self, listed: &[Name], now_ms: u64) -> Vec<Change> {
+        let listed: HashSet<&Name> = listed.iter().collect();
         let mut missing = Vec::new();
         for id in self.by_id.keys() {
             if !listed.contains(id) {
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -13,7 +13,6 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
-use hyper::HeaderMap;
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Bytes;
@@ -70,7 +69,7 @@
         let stream = stream
             .ok_or_else(|| connect(std::io::ErrorKind::TimedOut.into()))?
             .map_err(connect)?;
-        set_options(&stream);
+        set_options(&stream, UNACKNOWLEDGED_MAX_MS);
         let handshake = http1::Builder::new()
             .handshake(FuturesIo::new(stream))
             .await;
@@ -110,11 +109,12 @@
     }
 }
 
-fn set_options(stream: &Async<TcpStream>) {
+/// Sends small writes at once, and breaks a connection whose peer acknowledges nothing for a time.
+pub(crate) fn set_options(stream: &Async<TcpStream>, unacknowledged_max_ms: u64) {
     let socket = SockRef::from(stream.get_ref());
     // Both only improve latency and detection; a connection without them works.
     let _ = socket.set_tcp_nodelay(true);
-    let _ = socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKNOWLEDGED_MAX_MS)));
+    let _ = socket.set_tcp_user_timeout(Some(Duration::from_millis(unacknowledged_max_ms)));
 }
 
 /// A whole answer.
@@ -122,8 +122,6 @@
 pub struct Reply {
     /// Status.
     pub status: StatusCode,
-    /// Headers.
-    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -191,7 +189,6 @@
         self.connection = Some(connection);
         Ok(Reply {
             status: head.status,
-            headers: head.headers,
             body,
         })
     }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -20,11 +20,11 @@
 use hyper::service::service_fn;
 use smol_hyper::rt::FuturesIo;
 use socket2::Domain;
-use socket2::SockRef;
 use socket2::Socket;
 use socket2::Type;
 
 use crate::body::Body;
+use crate::client::set_options;
 use crate::clock::Clock;
 use crate::error::Error;
 use crate::error::Result;
@@ -111,10 +111,7 @@
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
-    let socket = SockRef::from(stream.get_ref());
-    // Without this, an event waits for the acknowledgement of the one before it.
-    let _ = socket.set_tcp_nodelay(true);
-    let _ = socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKNOWLEDGED_MAX_MS)));
+    set_options(&stream, UNACKNOWLEDGED_MAX_MS);
     let clock = Clock::new();
     let in_progress = Rc::new(Cell::new(0_u32));
     let used_at_ms = Rc::new(Cell::new(clock.now_ms()));
