Install the metrics recorder in one place, with buckets and upkeep

crates/router and crates/gateway each had an install; the gateway's lacked the buckets, so what metric.rs calls histograms was rendered as summaries. The router calls the gateway's now. The gateway also folds recorded values every 5 s; without that they pile up in memory until somebody reads the page. The router daemon still has no upkeep.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use hyper::Response;
+use metrics_exporter_prometheus::PrometheusHandle;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -63,6 +64,9 @@
 /// Time between removals of what is due, in milliseconds.
 const TICK_MS: u64 = 200;
 
+/// Time between two rounds of folding values into the histograms, in milliseconds.
+const METRICS_UPKEEP_MS: u64 = 5_000;
+
 /// Descriptors kept free for files and calls of the process itself.
 const DESCRIPTORS_RESERVED: u64 = 250;
 
@@ -369,6 +373,7 @@
             .spawn(server::accept(executor, listener, limits.clone(), handler))
             .detach();
         if let Some(recorder) = metric::install() {
+            executor.spawn(maintain_metrics(recorder.clone())).detach();
             let handler = Rc::new(move |_| {
                 let text = recorder.render();
                 async move { Response::new(Body::whole(text)) }
@@ -429,6 +434,14 @@
     }
 }
 
+/// Folds recorded values into the histograms; between two pages of metrics they would pile up otherwise.
+async fn maintain_metrics(recorder: PrometheusHandle) {
+    loop {
+        Timer::after(Duration::from_millis(METRICS_UPKEEP_MS)).await;
+        recorder.run_upkeep();
+    }
+}
+
 /// Settings of a VM change only with its role; a process that is told to reload them goes on with what it has.
 async fn note_reloads(reload: Signals) {
     loop {
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -38,9 +38,15 @@
 /// Counter of log lines left out.
 pub const LINES_DROPPED: &str = "waxwing_gateway_log_lines_dropped_total";
 
-/// Installs the recorder of this process and returns the handle that renders it.
+/// Upper bounds of the buckets of all histograms, in seconds.
+const BUCKETS_S: &[f64] = &[
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0,
+];
+
+/// Installs the recorder of this process and returns what renders its text page.
 ///
-/// Returns `None` if a recorder is installed already, as in a process that runs several daemons.
+/// Returns `None` if a recorder is already installed, as in a process that runs several daemons.
 pub fn install() -> Option<PrometheusHandle> {
-    PrometheusBuilder::new().install_recorder().ok()
+    let builder = PrometheusBuilder::new().set_buckets(BUCKETS_S).ok()?;
+    builder.install_recorder().ok()
 }
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -17,7 +17,6 @@
 use crate::explain;
 use crate::jobs;
 use crate::members;
-use crate::metric;
 use crate::operator;
 use crate::peer;
 use crate::prober;
@@ -104,7 +103,7 @@
 pub fn start(config: Config) -> Result<Arc<Shared>> {
     let vm = config.vm.name.as_str();
     logging::install(vm, log::LevelFilter::Info, logging::Output::Stderr);
-    let metrics = metric::install();
+    let metrics = waxwing_gateway::metric::install();
     let listener = bind("vm.caller_address", &config.vm.caller_address)?;
     let peer_listener = bind("vm.peer_address", &config.vm.peer_address)?;
     let (handles, inboxes) = Handles::new();
--- a/crates/router/src/metric.rs
+++ b/crates/router/src/metric.rs
@@ -1,7 +1,5 @@
 //! Names of the metrics, and the recorder that renders them.
 
-use metrics_exporter_prometheus::PrometheusBuilder;
-use metrics_exporter_prometheus::PrometheusHandle;
 use waxwing_core::Refusal;
 use waxwing_core::coordination::scheduler::Scheduler;
 use waxwing_wire::peer::Shard;
@@ -67,18 +65,6 @@
 /// Tiers that always have a gauge, so that an emptied queue shows as 0.
 const TIERS: u8 = 4;
 
-const BUCKETS_S: &[f64] = &[
-    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0,
-];
-
-/// Installs the recorder of this process and returns what renders its text page.
-///
-/// Returns `None` if a recorder is already installed, as in a process that runs several daemons.
-pub fn install() -> Option<PrometheusHandle> {
-    let builder = PrometheusBuilder::new().set_buckets(BUCKETS_S).ok()?;
-    builder.install_recorder().ok()
-}
-
 /// Counts a refusal.
 pub fn count_refusal(class: &str, refusal: &Refusal) {
     let reason = refusal.reason.as_str();
