Name the endpoint in the log when it lapses or is not listed any more

endpoint_changed lines of these two cases said "lapsed" and "unlisted" in place of the endpoint, since the list returned only keys of what was already gone. It returns the ids now; the test also checks the id.

--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -259,8 +259,8 @@
         starts_draining.then_some(Change::Draining(key))
     }
 
-    /// Removes all entries that a complete list does not contain.
-    pub fn retain(&mut self, listed: &[Name], now_ms: u64) -> Vec<Change> {
+    /// Removes all entries that a complete list does not contain; returns the changes by id.
+    pub fn retain(&mut self, listed: &[Name], now_ms: u64) -> Vec<(Name, Change)> {
         let listed: HashSet<&Name> = listed.iter().collect();
         let mut missing = Vec::new();
         for id in self.by_id.keys() {
@@ -268,10 +268,13 @@
                 missing.push(id.clone());
             }
         }
-        missing
-            .iter()
-            .filter_map(|id| self.remove(id, now_ms))
-            .collect()
+        let mut changes = Vec::new();
+        for id in missing {
+            if let Some(change) = self.remove(&id, now_ms) {
+                changes.push((id, change));
+            }
+        }
+        changes
     }
 
     /// Records that the source of the list cannot be read.
@@ -294,8 +297,8 @@
         self.backlog_since_ms = None;
     }
 
-    /// Carries out the removals that are due.
-    pub fn tick(&mut self, now_ms: u64) -> Vec<Change> {
+    /// Carries out the removals that are due; returns the changes by id.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<(Name, Change)> {
         let mut due = Vec::new();
         for (id, due_ms) in &self.removals_due_ms {
             if *due_ms <= now_ms {
@@ -305,7 +308,9 @@
         let mut changes = Vec::new();
         for id in due {
             self.removals_due_ms.remove(&id);
-            changes.extend(self.take(&id).map(Change::Removed));
+            if let Some(key) = self.take(&id) {
+                changes.push((id, Change::Removed(key)));
+            }
         }
         changes
     }
--- a/crates/core/tests/endpoint_list.rs
+++ b/crates/core/tests/endpoint_list.rs
@@ -52,7 +52,8 @@
     endpoints.remove(&Name::from("e"), 1_000);
     endpoints.finish_backlog();
     let changes = endpoints.tick(1_000 + LAPSE_GRACE_MS);
-    assert!(matches!(changes[..], [Change::Removed(_)]));
+    assert!(matches!(changes[..], [(_, Change::Removed(_))]));
+    assert_eq!(changes[0].0, Name::from("e"));
     assert!(endpoints.is_empty());
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -210,8 +210,8 @@
             .endpoints
             .borrow_mut()
             .retain(listed, self.clock.now_ms());
-        for change in changes {
-            self.apply(Some(change), &Name::from("unlisted"));
+        for (id, change) in changes {
+            self.apply(Some(change), &id);
         }
     }
 
@@ -427,8 +427,8 @@
     loop {
         Timer::after(Duration::from_millis(TICK_MS)).await;
         let changes = gateway.endpoints.borrow_mut().tick(gateway.clock.now_ms());
-        for change in changes {
-            gateway.apply(Some(change), &Name::from("lapsed"));
+        for (id, change) in changes {
+            gateway.apply(Some(change), &id);
         }
         gateway.evidence.borrow_mut().expire(gateway.clock.now_ms());
     }
