Keep reading a range until an attempt to take it over is decided

The logs of a failed run show that vm-3 took ranges 1 and 4 of vm-1 over while vm-1 was not connected to it yet. For range 4 it read its own record, released the range and vm-1 took it back. Range 1 it stopped using (it was not preferred any more, and is_handed_over() did not know of the append in flight) before the record was read back; the log then named vm-3 as the owner, vm-3 did not know, and nobody served the range.

Conclusion: a process that has sent an Own record follows the range until a greater fencing token is read, also after an append that failed, since that may still take effect. Test: undecided_takeover (fails before).

--- a/crates/core/src/coordination/claim_owner.rs
+++ b/crates/core/src/coordination/claim_owner.rs
@@ -196,6 +196,10 @@
     raised: u64,
     cutoff_ms: u64,
     control: Option<Record>,
+    /// Fencing token after which this process has tried to take the range over.
+    ///
+    /// Until a greater token is read, the attempt may still take effect, even if its append failed.
+    attempted_after: Option<u64>,
     released_fence: u64,
     is_appending: bool,
     append_at_ms: u64,
@@ -224,6 +228,7 @@
             raised: 0,
             cutoff_ms: 0,
             control: None,
+            attempted_after: None,
             released_fence: 0,
             is_appending: false,
             append_at_ms: 0,
@@ -251,9 +256,10 @@
         now.now_ms.saturating_sub(self.confirmed_ms) >= self.limits.outage_after_ms
     }
 
-    /// Returns whether nothing is left to be written to the log.
+    /// Returns whether nothing is left to be written to the log, nor an attempt to take the range over to be read.
     pub fn is_handed_over(&self) -> bool {
-        !self.is_owner() && self.pending.is_empty()
+        let is_undecided = self.attempted_after == Some(self.table.fence());
+        !self.is_owner() && !is_undecided && self.pending.is_empty()
     }
 
     /// Returns the number of keys whose changes are not confirmed.
@@ -595,6 +601,9 @@
             if matches!(control, Record::Release { .. }) {
                 self.released_fence = self.table.fence();
             }
+            if let Record::Own { previous_fence, .. } = control {
+                self.attempted_after = Some(previous_fence);
+            }
             self.control = Some(control.clone());
             records.push(control);
         }
--- a/crates/core/tests/claim_owner.rs
+++ b/crates/core/tests/claim_owner.rs
@@ -218,3 +218,54 @@
     };
     assert_eq!([0, 1, 4].map(has_body), [false, true, true]);
 }
+
+/// Returns the records that an owner wants to append.
+fn to_appended(effects: Vec<Effect>) -> Vec<Record> {
+    let mut records = Vec::new();
+    for effect in effects {
+        if let Effect::Append(appended) = effect {
+            records.extend(appended);
+        }
+    }
+    records
+}
+
+/// Guards against a range that nobody serves: its former owner returned while this process was taking the range over, and
+/// this process stopped reading the range before it saw that it had become the owner.
+#[test]
+fn undecided_takeover() {
+    let (mut owner, offset) = to_serving();
+    let other = Owner {
+        vm: Name::from("b"),
+        incarnation: 2,
+    };
+    let fence = owner.table().fence();
+    let taken = Record::Own {
+        owner: other,
+        previous_fence: fence,
+    };
+    let effects = read(&mut owner, vec![(offset, Some(taken))]);
+    assert_eq!(to_appended(effects.clone()).len(), 1, "{effects:?}");
+    owner.step(now(0), Input::AppendEnded { is_confirmed: true });
+    let preferred = Name::from("b");
+    let live = BTreeSet::from([Name::from("a"), Name::from("b")]);
+    owner.step(now(0), Input::Members { preferred, live });
+    assert!(!owner.is_handed_over(), "the takeover may have succeeded");
+
+    let mut offset = offset + 1;
+    let mut records = to_appended(effects);
+    while !owner.is_handed_over() {
+        assert!(!records.is_empty(), "the range is not released");
+        let mut logged = Vec::new();
+        for record in records {
+            logged.push((offset, Some(record)));
+            offset += 1;
+        }
+        let mut effects = read(&mut owner, logged);
+        effects.extend(owner.step(now(0), Input::AppendEnded { is_confirmed: true }));
+        let fence = owner.table().fence();
+        effects.extend(owner.step(now(0), Input::FenceRaised(fence)));
+        records = to_appended(effects);
+    }
+    assert!(owner.table().is_released());
+}
