Remember requests that gave up before their claim is known

Cause: found by reading while tracing claim_without_answer_is_given_up. The notice that a request gave up travels on a new connection when the old one went silent, so it can reach a frozen owner before the claim does; and it goes to the VM that is routed to now, which may not have read the claim from the log yet. Both times it was acknowledged and ignored, and the key kept a claim without outcome.

Conclusion: an owner remembers up to 4,096 requests that gave up for 60 s (notices are delivered for 20 s), refuses their claims and settles them as not run when they are read. Tests: early_give_up, give_up_before_read (fail before); the model checks of claims pass unchanged.

--- a/crates/core/src/coordination/claim_owner.rs
+++ b/crates/core/src/coordination/claim_owner.rs
@@ -39,11 +39,21 @@
 /// Time for which a granted claim counts as running rather than unknown, in milliseconds.
 const RUNNING_MS: u64 = 120_000;
 
+/// Time for which a request that gave up is remembered, in milliseconds.
+///
+/// Its claim may arrive later, over another connection, or be read from the log of a former owner; notices of requests
+/// that gave up are delivered for up to 20 s.
+const GIVEN_UP_MS: u64 = 60_000;
+
+/// Requests that gave up and are remembered; further ones only end claims that are known already.
+const GIVEN_UP_MAX: usize = 4_096;
+
 /// Time after which a refused request may come back, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
 const HANDOVER_MESSAGE: &str = "the range of the key is changing its owner";
 const OUTAGE_MESSAGE: &str = "the claim cannot be recorded, since the log does not answer";
+const GIVEN_UP_MESSAGE: &str = "the request was given up before its claim arrived";
 
 /// Clocks of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -184,6 +194,8 @@
     pending: Pending,
     waiters: BTreeMap<ClaimKey, Waiter>,
     running: BTreeMap<ClaimKey, u64>,
+    /// Requests that gave up before this process knew of their claims, with the time until which they are remembered.
+    given_up: BTreeMap<u64, u64>,
     preferred: Option<Name>,
     live: BTreeSet<Name>,
     is_stopping: bool,
@@ -216,6 +228,7 @@
             pending: Pending::default(),
             waiters: BTreeMap::new(),
             running: BTreeMap::new(),
+            given_up: BTreeMap::new(),
             preferred: None,
             live: BTreeSet::new(),
             is_stopping: false,
@@ -277,7 +290,7 @@
                 self.live = live;
             }
             Input::Claim(request) => self.claim(now, *request, &mut effects),
-            Input::GiveUp { key, claimant } => self.give_up(&key, claimant),
+            Input::GiveUp { key, claimant } => self.give_up(now, &key, claimant),
             Input::Settle { key, id, result } => self.settle(&key, id, result),
             Input::Read { records, is_end } => self.read(now, &records, is_end, &mut effects),
             Input::Truncated(first_offset) => {
@@ -296,6 +309,10 @@
     }
 
     fn claim(&mut self, now: Now, request: Request, effects: &mut Vec<Effect>) {
+        if self.given_up.contains_key(&request.claimant) {
+            let refusal = Refusal::unknown(Reason::DeadlinePassed, 0, GIVEN_UP_MESSAGE);
+            return reply(effects, request.claimant, Verdict::Refused(refusal));
+        }
         let created_ms = request.key.to_created_ms();
         if created_ms + self.limits.key_lifetime_ms < now.wall_ms {
             let message = "the idempotency key is too old to tell whether it was used";
@@ -448,7 +465,7 @@
         reply(effects, claimant, Verdict::Granted(waiter.id));
     }
 
-    fn give_up(&mut self, key: &ClaimKey, claimant: u64) {
+    fn give_up(&mut self, now: Now, key: &ClaimKey, claimant: u64) {
         let waiter = self.waiters.get(key);
         if waiter.is_some_and(|waiter| waiter.request.claimant == claimant) {
             self.waiters.remove(key);
@@ -457,6 +474,29 @@
             && entry.claimant == claimant
         {
             self.settle(key, entry.id, Outcome::NotRun);
+            return;
+        }
+        if self.given_up.len() < GIVEN_UP_MAX {
+            self.given_up.insert(claimant, now.now_ms + GIVEN_UP_MS);
+        }
+    }
+
+    /// Ends the claims that were read after their requests had given up.
+    fn settle_given_up(&mut self, record: &Record) {
+        let Record::Claims { claims, .. } = record else {
+            return;
+        };
+        for claim in claims {
+            if !self.given_up.contains_key(&claim.claimant) {
+                continue;
+            }
+            let Some(entry) = self.entry(&claim.key) else {
+                continue;
+            };
+            if entry.claimant != claim.claimant {
+                continue;
+            }
+            self.settle(&claim.key, entry.id, Outcome::NotRun);
         }
     }
 
@@ -501,6 +541,7 @@
         self.confirm(now, effects);
         for record in records.iter().filter_map(|(_, record)| record.as_ref()) {
             self.pending.retry_rejected(record);
+            self.settle_given_up(record);
         }
     }
 
@@ -585,6 +626,7 @@
         }
         self.prune_at_ms = now.now_ms + PRUNE_INTERVAL_MS;
         self.running.retain(|_, until_ms| *until_ms > now.now_ms);
+        self.given_up.retain(|_, until_ms| *until_ms > now.now_ms);
         let kept_ms = self.limits.key_lifetime_ms + 2 * self.limits.clock_skew_max_ms;
         self.table.prune(now.wall_ms.saturating_sub(kept_ms));
     }
--- a/crates/core/tests/claim_owner.rs
+++ b/crates/core/tests/claim_owner.rs
@@ -230,6 +230,47 @@
     records
 }
 
+fn give_up(owner: &mut ClaimOwner, key: ClaimKey, claimant: u64) -> Vec<Effect> {
+    owner.step(now(0), Input::GiveUp { key, claimant })
+}
+
+/// Guards against a key that is claimed for good by a request that gave up over another connection, whose notice
+/// arrived before the claim.
+#[test]
+fn early_give_up() {
+    let (mut owner, _) = to_serving();
+    give_up(&mut owner, key(WALL_MS, 0), 1);
+    let late = ask(&mut owner, now(0), key(WALL_MS, 0));
+    assert_eq!(refusal(late), Some((Reason::DeadlinePassed, Run::Unknown)));
+    assert_eq!(owner.pending_len(), 0);
+}
+
+/// Guards against a claim that a former owner has logged, when the notice that its request gave up reached this process
+/// before the claim was read.
+#[test]
+fn give_up_before_read() {
+    let (mut owner, offset) = to_serving();
+    let claim = Claim {
+        key: key(WALL_MS, 0),
+        attempt: 1,
+        claimant: 7,
+        body_hash: [0; 32],
+    };
+    give_up(&mut owner, claim.key.clone(), 7);
+    let fence = owner.table().fence();
+    let claims = vec![claim.clone()];
+    let effects = read(
+        &mut owner,
+        vec![(offset, Some(Record::Claims { fence, claims }))],
+    );
+    let expected = Record::Outcome {
+        key: claim.key,
+        claim: ClaimId { fence, attempt: 1 },
+        result: Outcome::NotRun,
+    };
+    assert_eq!(to_appended(effects), vec![expected]);
+}
+
 /// Guards against a range that nobody serves: its former owner returned while this process was taking the range over, and
 /// this process stopped reading the range before it saw that it had become the owner.
 #[test]
