--- a/crates/harness/tests/claims_between_vms.rs
+++ b/crates/harness/tests/claims_between_vms.rs
@@ -18,6 +18,7 @@
 
 const DAEMONS: usize = 3;
 const KEYS: usize = 24;
+const UNCONFIRMED: &str = "waxwing_claim_pending_keys";
 
 fn start_deployment() -> Deployment {
     let deployment = Deployment::start(&Plan {
@@ -132,6 +133,18 @@
     keys
 }
 
+/// Waits until the log holds the outcomes of all keys; a VM that is killed before takes an outcome with it.
+fn wait_for_outcomes(deployment: &Deployment, keys: &[Uuid]) {
+    // A repeat is answered only once the owner of the range knows the outcome.
+    for key in keys {
+        book_until_done(&deployment.caller(0), *key);
+    }
+    condition::wait_until("the log holds all outcomes", || {
+        let mut daemons = deployment.daemons.iter();
+        daemons.all(|it| it.to_metrics().is_some() && it.to_sum(UNCONFIRMED) == 0.0)
+    });
+}
+
 /// Guards against ranges that stay without an owner after a VM was killed, and against old keys that run again there.
 #[test]
 fn ranges_of_a_killed_vm_are_taken_over() {
@@ -139,6 +152,7 @@
     let mut keys = book_until_done_everywhere(&deployment);
     let old = keys.len();
     assert_each_ran_once(&deployment, &keys);
+    wait_for_outcomes(&deployment, &keys);
     let killed = to_range_owner(keys[0]);
     deployment.daemons[killed].process().kill();
     for number in 0..KEYS {
