Count only work that goes first in the backlog of an engine

Change: unread prompt tokens are kept and advertised by level of urgency (adverts have version 2); a request counts those of its own and more urgent levels, and of the waiting requests the same share. Test: urgent_first.

--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -78,13 +78,46 @@
     pub slowness_percent: u32,
 }
 
+/// Levels of urgency that are told apart; all priorities from the last one on share it.
+pub const LEVELS: usize = 4;
+
+/// How urgent a request is, as endpoints order the requests that wait; 0 comes first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Level(u8);
+
+impl From<u8> for Level {
+    fn from(priority: u8) -> Self {
+        Self(priority.min(LEVELS as u8 - 1))
+    }
+}
+
+impl Level {
+    fn to_index(self) -> usize {
+        usize::from(self.0)
+    }
+}
+
 /// Load that one VM puts on an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Demand {
     /// Requests in progress.
     pub runs: u32,
-    /// Prompt tokens still to be read.
-    pub unread_tokens: u64,
+    /// Prompt tokens still to be read, by [`Level`].
+    pub unread_tokens: [u64; LEVELS],
+}
+
+impl Demand {
+    /// Returns the prompt tokens that are read before those of a new request.
+    ///
+    /// Engines read the prompts of more urgent requests first.
+    pub fn to_unread_ahead(&self, level: Level) -> u64 {
+        self.unread_tokens[..=level.to_index()].iter().sum()
+    }
+
+    /// Returns the prompt tokens still to be read.
+    pub fn to_unread(&self) -> u64 {
+        self.unread_tokens.iter().sum()
+    }
 }
 
 /// Changes of the list that the caller may have to act on.
@@ -177,6 +210,7 @@
 #[derive(Debug)]
 struct Run {
     endpoint: EndpointKey,
+    level: Level,
     unread_tokens: u64,
 }
 
@@ -390,6 +424,7 @@
         key: EndpointKey,
         prompt: Option<&Prompt>,
         memory_tokens: Option<u64>,
+        level: Level,
         now_ms: u64,
     ) -> RunKey {
         let mut unread_tokens = 0;
@@ -402,10 +437,11 @@
                 endpoint.kept.record(prompt, now_ms, capacity);
             }
             endpoint.own.runs += 1;
-            endpoint.own.unread_tokens += unread_tokens;
+            endpoint.own.unread_tokens[level.to_index()] += unread_tokens;
         }
         self.runs.insert(Run {
             endpoint: key,
+            level,
             unread_tokens,
         })
     }
@@ -419,7 +455,7 @@
         let Some(endpoint) = self.endpoints.get_mut(run.endpoint) else {
             return;
         };
-        endpoint.own.unread_tokens -= unread_tokens;
+        endpoint.own.unread_tokens[run.level.to_index()] -= unread_tokens;
         let average = &mut endpoint.first_byte_ms;
         let weight = if *average == 0.0 { 1.0 } else { AVERAGE_WEIGHT };
         *average += (waited_ms as f64 - *average) * weight;
@@ -453,7 +489,7 @@
         };
         if let Some(endpoint) = self.endpoints.get_mut(run.endpoint) {
             endpoint.own.runs -= 1;
-            endpoint.own.unread_tokens -= run.unread_tokens;
+            endpoint.own.unread_tokens[run.level.to_index()] -= run.unread_tokens;
         }
     }
 
@@ -513,7 +549,9 @@
                 continue;
             };
             sum.runs += demand.runs;
-            sum.unread_tokens += demand.unread_tokens;
+            for (sum, tokens) in sum.unread_tokens.iter_mut().zip(demand.unread_tokens) {
+                *sum += tokens;
+            }
         }
         sum
     }
@@ -521,7 +559,7 @@
     /// Returns the prompt tokens that an endpoint has still to read, as far as known.
     pub fn to_unread_tokens(&self, key: EndpointKey) -> u64 {
         let endpoint = self.endpoints.get(key);
-        endpoint.map_or(0, |endpoint| self.to_demand(endpoint).unread_tokens)
+        endpoint.map_or(0, |endpoint| self.to_demand(endpoint).to_unread())
     }
 
     /// Returns the load that this VM puts on endpoints, by the hashes of their ids; idle endpoints are left out.
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -7,6 +7,7 @@
 use crate::forwarding::endpoints::Endpoint;
 use crate::forwarding::endpoints::EndpointKey;
 use crate::forwarding::endpoints::Endpoints;
+use crate::forwarding::endpoints::Level;
 use crate::forwarding::endpoints::Trust;
 use crate::forwarding::endpoints::mix;
 use crate::forwarding::prompt::Prompt;
@@ -67,6 +68,8 @@
     pub prompt: Option<&'a Prompt>,
     /// Rank of its gap target among those of the service.
     pub lane: Lane,
+    /// How urgent it is.
+    pub level: Level,
     /// Whether it may run more than once, so that it can try an endpoint that failed lately.
     pub is_repeatable: bool,
     /// Data centre of the VM.
@@ -149,11 +152,16 @@
     match request.prompt {
         Some(prompt) => {
             let kept = endpoint.kept.to_kept_tokens(prompt);
-            let unread = prompt.tokens.saturating_sub(kept) + demand.unread_tokens;
+            let ahead = demand.to_unread_ahead(request.level);
+            let unread = prompt.tokens.saturating_sub(kept) + ahead;
             cost_ms += unread as f64 / config.read_tokens_per_ms;
             // An engine whose memory is full makes requests wait although slots are free.
             let queued = load.map_or(0, |load| load.waiting).max(beyond_slots);
-            cost_ms += f64::from(queued) * config.queued_cost_ms;
+            let share_ahead = match demand.to_unread() {
+                0 => 1.0,
+                unread => ahead as f64 / unread as f64,
+            };
+            cost_ms += f64::from(queued) * share_ahead * config.queued_cost_ms;
             // The figure of slowness changes many times a second, so only a part of it will hold.
             cost_ms *= 1.0 + (slowness - 1.0) * 0.5;
         }
--- a/crates/core/tests/prompt_placement.rs
+++ b/crates/core/tests/prompt_placement.rs
@@ -8,6 +8,7 @@
 use waxwing_core::forwarding::Endpoints;
 use waxwing_core::forwarding::endpoints::Demand;
 use waxwing_core::forwarding::endpoints::Entry;
+use waxwing_core::forwarding::endpoints::Level;
 use waxwing_core::forwarding::endpoints::Load;
 use waxwing_core::forwarding::placement;
 use waxwing_core::forwarding::placement::Lane;
@@ -49,10 +50,21 @@
     }
 
     fn choose(&self, prompt: &Prompt, lane: Lane, tried: &[EndpointKey]) -> EndpointKey {
+        self.choose_at(prompt, lane, tried, Level::default())
+    }
+
+    fn choose_at(
+        &self,
+        prompt: &Prompt,
+        lane: Lane,
+        tried: &[EndpointKey],
+        level: Level,
+    ) -> EndpointKey {
         let request = placement::Request {
             service: &self.service,
             prompt: Some(prompt),
             lane,
+            level,
             is_repeatable: true,
             data_centre: &self.data_centre,
             tried,
@@ -127,7 +139,9 @@
         long.insert(vm.to_id(key));
         let question = question(number);
         let key = vm.choose(&question, SHORT, &[]);
-        let run = vm.endpoints.begin(key, Some(&question), None, 1_000);
+        let run = vm
+            .endpoints
+            .begin(key, Some(&question), None, Level::default(), 1_000);
         vm.endpoints.saw_first_byte(run, 50);
         short.insert(vm.to_id(key));
     }
@@ -148,7 +162,9 @@
         let now_ms = 1_000 + number * 60;
         let prompt = digest(number * 7 % 40, number);
         let key = vm.choose(&prompt, LONG, &[]);
-        let run = vm.endpoints.begin(key, Some(&prompt), None, now_ms);
+        let run = vm
+            .endpoints
+            .begin(key, Some(&prompt), None, Level::default(), now_ms);
         readers
             .entry(number * 7 % 40)
             .or_default()
@@ -185,7 +201,7 @@
     let hash = vm.endpoints.get(home).unwrap().hash;
     let demand = Demand {
         runs: 20,
-        unread_tokens: 400_000,
+        unread_tokens: [400_000, 0, 0, 0],
     };
     vm.endpoints
         .set_peer_demand(Name::from("vm-2"), HashMap::from([(hash, demand)]));
@@ -194,6 +210,30 @@
     assert_eq!(vm.choose(&prompt, LONG, &[]), home);
 }
 
+/// Urgent requests must not avoid an engine because of less urgent ones that wait there: the engine reads theirs first
+/// (TIER on qaghaz-fleet-grown, scale-1, seed 101077066482: drafts filled their own engines while digests waited).
+#[test]
+fn urgent_first() {
+    let mut vm = Vm::new();
+    let prompt = digest(3, 3);
+    let home = vm.choose(&prompt, LONG, &[]);
+    let hash = vm.endpoints.get(home).unwrap().hash;
+    let demand = Demand {
+        runs: 20,
+        unread_tokens: [0, 0, 400_000, 0],
+    };
+    vm.endpoints
+        .set_peer_demand(Name::from("vm-2"), HashMap::from([(hash, demand)]));
+    let load = Load {
+        running: 20,
+        waiting: 20,
+        slowness_percent: 100,
+    };
+    vm.endpoints.saw_load(home, load, 1_000);
+    assert_ne!(vm.choose_at(&prompt, LONG, &[], Level::from(2)), home);
+    assert_eq!(vm.choose_at(&prompt, LONG, &[], Level::from(1)), home);
+}
+
 /// A request must not go twice to an endpoint that it was sent to.
 #[test]
 fn tried_endpoints() {
@@ -236,6 +276,7 @@
         service: &vm.service,
         prompt: Some(&prompt),
         lane: LONG,
+        level: Level::default(),
         is_repeatable: true,
         data_centre: &vm.data_centre,
         tried: &[],
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -405,6 +405,7 @@
             service: &self.service,
             prompt: self.intent.prompt.as_ref(),
             lane: self.lane,
+            level: self.priority.into(),
             is_repeatable: self.route.is_repeatable(),
             data_centre: &self.gateway.data_centre,
             tried: &self.tried,
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -109,7 +109,13 @@
             };
             let address = endpoint.entry.address;
             let endpoint_id = endpoint.entry.id.clone();
-            let run = endpoints.begin(key, prompt, self.memory_tokens, now_ms);
+            let run = endpoints.begin(
+                key,
+                prompt,
+                self.memory_tokens,
+                self.priority.into(),
+                now_ms,
+            );
             (address, endpoint_id, run)
         };
         let mut run = RunGuard {
--- a/crates/wire/src/advert.rs
+++ b/crates/wire/src/advert.rs
@@ -6,11 +6,12 @@
 use serde::Serialize;
 use waxwing_core::Name;
 use waxwing_core::forwarding::endpoints::Demand;
+use waxwing_core::forwarding::endpoints::LEVELS;
 use waxwing_core::forwarding::peers;
 use waxwing_core::state::evidence::Finding;
 
 /// Version of the message; adverts of other versions are refused.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// Why a datagram is not an advert.
 #[derive(Debug, thiserror::Error)]
@@ -41,8 +42,8 @@
     data_centre: String,
     ready: bool,
     configuration: u64,
-    /// Endpoint hash, runs, unread tokens.
-    demands: Vec<(u64, u32, u64)>,
+    /// Endpoint hash, runs, unread tokens by level.
+    demands: Vec<(u64, u32, [u64; LEVELS])>,
     /// Content hash in base64, endpoint that was lost if any, age in milliseconds.
     findings: Vec<(String, Option<String>, u64)>,
 }
