Keep shared parts at two engines and long prompts out of tighter lanes under overload

A burst of 210 digests a second meets engines that keep nothing; homes have seconds of backlog, and from 1 to 2 s on a request went elsewhere, where its part was read again while 10 to 20 requests waited. Digests also went to the engines of the route questions, whose first byte went from 91 to 1,900 ms.

--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -49,10 +49,10 @@
             queued_cost_ms: 40.0,
             remote_cost_ms: 6.0,
             lane_shares: [0.34, 0.14, 0.52],
-            tighter_lane_cost_ms: 2_000.0,
+            tighter_lane_cost_ms: 30_000.0,
             looser_lane_cost_ms: 300.0,
-            reread_factor: 8.0,
-            second_home_factor: 4.0,
+            reread_factor: 30.0,
+            second_home_factor: 8.0,
             shared_min_tokens: 1_024,
             failure_cost_ms: 400.0,
         }
