Turn prompts away that would be read too late, less urgent ones first

Change: forwarding::admission refuses a request (deadline_unreachable, not run, with Retry-After) whose prompt would not be read within a part of its time left, by urgency; drafts have a home in the digests' lane. Tests: late_prompts replays a burst of three times the capacity with no limit as baseline.

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -2,6 +2,7 @@
 //!
 //! Everything here is pure. The processes hold one value of each type and pass it the clock.
 
+pub mod admission;
 pub mod configuration;
 pub mod endpoints;
 pub mod event_stream;
--- /dev/null
+++ b/crates/core/src/forwarding/admission.rs
@@ -0,0 +1,44 @@
+//! Turns a prompt away that would be read too late.
+//!
+//! Answers a burst beyond what the engines can read. Without a limit the backlog grows until each prompt is read when
+//! little of its time is left: its answer is cut off, and the time of the engine is lost for all.
+
+use crate::forwarding::endpoints::LEVELS;
+use crate::forwarding::endpoints::Level;
+
+/// Shortest time after which a caller may come back, in milliseconds.
+const RETRY_MIN_MS: f64 = 300.0;
+
+/// Longest time after which a caller may come back, in milliseconds.
+const RETRY_MAX_MS: f64 = 3_000.0;
+
+/// Limits of the wait before a prompt is read.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Config {
+    /// Parts of the time left in which the prompt must be read, by level of urgency.
+    ///
+    /// Urgent requests have larger ones, so that less urgent requests are turned away before them.
+    pub latest_start_shares: [f64; LEVELS],
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            latest_start_shares: [0.5, 0.3, 0.15, 0.15],
+        }
+    }
+}
+
+/// Returns the time after which a caller may come back, in milliseconds, or `None` if its prompt is read in time.
+///
+/// `reading_ms` is the time until the prompt is read, `left_ms` that until the request's deadline.
+pub fn to_retry_after_ms(
+    config: &Config,
+    level: Level,
+    reading_ms: f64,
+    left_ms: u64,
+) -> Option<u64> {
+    let share = config.latest_start_shares[level.to_index()];
+    let excess_ms = reading_ms - left_ms as f64 * share;
+    (excess_ms > 0.0).then(|| excess_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS) as u64)
+}
--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -92,7 +92,7 @@
 }
 
 impl Level {
-    fn to_index(self) -> usize {
+    pub(super) fn to_index(self) -> usize {
         usize::from(self.0)
     }
 }
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -35,6 +35,8 @@
     pub reread_factor: f64,
     /// The same for the engine that comes second in the order of a part.
     pub second_home_factor: f64,
+    /// The same for the engine that comes first in a lane of longer gap targets.
+    pub looser_home_factor: f64,
     /// Shared prompts of fewer tokens are not worth a certain engine.
     pub shared_min_tokens: u64,
     /// Cost of a failure share of 1, in milliseconds.
@@ -53,6 +55,7 @@
             looser_lane_cost_ms: 300.0,
             reread_factor: 30.0,
             second_home_factor: 8.0,
+            looser_home_factor: 3.0,
             shared_min_tokens: 1_024,
             failure_cost_ms: 400.0,
         }
@@ -121,6 +124,21 @@
     best.map(|(_, key)| key)
 }
 
+/// Returns the time until the endpoint has read the prompt, in milliseconds; 0 for requests without one.
+pub fn to_reading_ms(
+    config: &Config,
+    endpoints: &Endpoints,
+    key: EndpointKey,
+    request: &Request<'_>,
+) -> f64 {
+    let (Some(endpoint), Some(prompt)) = (endpoints.get(key), request.prompt) else {
+        return 0.0;
+    };
+    let kept = endpoint.kept.to_kept_tokens(prompt);
+    let ahead = endpoints.to_demand(endpoint).to_unread_ahead(request.level);
+    (prompt.tokens.saturating_sub(kept) + ahead) as f64 / config.read_tokens_per_ms
+}
+
 /// Returns the order of trust; a request that may be repeated tries out an endpoint that failed a while ago.
 fn to_rank(trust: Trust, request: &Request<'_>) -> u8 {
     match trust {
@@ -238,19 +256,22 @@
         }
         let unread = shared_tokens.saturating_sub(endpoint.kept.to_kept_tokens(prompt));
         let unread_ms = unread as f64 / config.read_tokens_per_ms;
-        // All VMs rank the engines alike for this part, so the first one probably keeps it, and the second one does if
-        // the first was overloaded.
-        let start = if own == 0 { 0 } else { self.ends[own - 1] };
-        let rank = to_rank_among(
-            &self.hashes[start..self.ends[own]],
-            endpoint.hash,
-            shared.id,
-        );
-        match rank {
-            0 => cost_ms - unread_ms,
-            1 => cost_ms + unread_ms * (config.second_home_factor - 1.0),
-            _ => cost_ms + unread_ms * (config.reread_factor - 1.0),
-        }
+        // All VMs rank the engines of a lane alike for this part. The first one probably keeps it; the second one does if
+        // the first was overloaded, and the first one of a looser lane if all of the own lane were.
+        let rank = to_rank_among(self.to_slice(lane), endpoint.hash, shared.id);
+        let factor = match (lane == own, rank) {
+            (true, 0) => 0.0,
+            (true, 1) => config.second_home_factor,
+            (false, 0) => config.looser_home_factor,
+            _ => config.reread_factor,
+        };
+        cost_ms + unread_ms * (factor - 1.0)
+    }
+
+    /// Returns the hashes of the engines of a lane.
+    fn to_slice(&self, lane: usize) -> &[u64] {
+        let start = if lane == 0 { 0 } else { self.ends[lane - 1] };
+        &self.hashes[start..self.ends[lane]]
     }
 }
 
--- /dev/null
+++ b/crates/core/tests/late_prompts.rs
@@ -0,0 +1,83 @@
+//! Prompts that would be read too late are turned away, urgent ones last.
+
+use waxwing_core::forwarding::admission;
+use waxwing_core::forwarding::admission::Config;
+use waxwing_core::forwarding::endpoints::LEVELS;
+use waxwing_core::forwarding::endpoints::Level;
+
+/// Time limit of the requests in the replay, in milliseconds.
+const LIMIT_MS: u64 = 12_000;
+
+/// Time that an engine takes for one prompt and its tokens among others, in milliseconds.
+const READING_MS: f64 = 450.0;
+
+/// Time from the first token to the last while the engine reads other prompts, in milliseconds.
+const STREAM_MS: f64 = 8_000.0;
+
+/// Pause between arrivals, in milliseconds: three times what the engine can read.
+const ARRIVAL_MS: f64 = 150.0;
+
+/// Plays 10 s of arrivals at one engine that reads in order of arrival, and returns how many are answered in time.
+fn to_answered(config: &Config) -> usize {
+    let level = Level::from(2);
+    let mut answered = 0;
+    let mut free_at_ms = 0.0_f64;
+    let mut now_ms = 0.0;
+    while now_ms < 10_000.0 {
+        let reading_ms = (free_at_ms - now_ms).max(0.0) + READING_MS;
+        let is_refused =
+            admission::to_retry_after_ms(config, level, reading_ms, LIMIT_MS).is_some();
+        if !is_refused {
+            free_at_ms = now_ms + reading_ms;
+            if reading_ms + STREAM_MS <= LIMIT_MS as f64 {
+                answered += 1;
+            }
+        }
+        now_ms += ARRIVAL_MS;
+    }
+    answered
+}
+
+/// Guards against a burst of three times the capacity (qaghaz-fleet-grown, scale-1) in which engines read prompts whose
+/// answers are then cut off at the deadline.
+#[test]
+fn burst_of_prompts() {
+    let baseline = Config {
+        latest_start_shares: [1.0; LEVELS],
+    };
+    let before = to_answered(&baseline);
+    let after = to_answered(&Config::default());
+    assert!(after >= 2 * before, "{after} against {before}");
+}
+
+/// Less urgent requests must be turned away first.
+#[test]
+fn urgent_last() {
+    let config = Config::default();
+    let mut refused_before = false;
+    for priority in 0..=9 {
+        let level = Level::from(priority);
+        let is_refused = admission::to_retry_after_ms(&config, level, 2_500.0, LIMIT_MS).is_some();
+        assert!(is_refused || !refused_before, "priority {priority}");
+        refused_before = is_refused;
+    }
+    assert!(refused_before, "nothing is turned away");
+}
+
+/// The time to come back must cover the excess, within bounds that leave a caller time for its next attempt.
+#[test]
+fn time_to_return() {
+    let config = Config {
+        latest_start_shares: [0.5; LEVELS],
+    };
+    let level = Level::from(0);
+    let after = |reading_ms| admission::to_retry_after_ms(&config, level, reading_ms, 2_000);
+    assert_eq!(after(1_000.0), None);
+    assert_eq!(after(1_001.0), Some(300));
+    assert_eq!(after(2_200.0), Some(1_200));
+    assert_eq!(after(60_000.0), Some(3_000));
+    assert_eq!(
+        admission::to_retry_after_ms(&config, level, 10.0, 0),
+        Some(300)
+    );
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -23,6 +23,7 @@
 use waxwing_core::forwarding::Configuration;
 use waxwing_core::forwarding::EndpointKey;
 use waxwing_core::forwarding::Execution;
+use waxwing_core::forwarding::admission;
 use waxwing_core::forwarding::configuration::Route;
 use waxwing_core::forwarding::placement;
 use waxwing_core::forwarding::run::End;
@@ -339,6 +340,9 @@
             .borrow_mut()
             .add_request(&self.service, now_ms);
         let mut key = self.take_endpoint();
+        if let Some(refusal) = key.and_then(|key| self.to_overload(key)) {
+            return refuse(&self.gateway, &mut self.trace, &refusal, false);
+        }
         let mut failure = None;
         let mut is_expired = false;
         while let Some(endpoint) = key {
@@ -400,8 +404,34 @@
         true
     }
 
+    /// Returns the refusal of a request whose prompt the chosen endpoint would read too late.
+    fn to_overload(&self, key: EndpointKey) -> Option<Refusal> {
+        let gateway = &self.gateway;
+        let reading_ms = {
+            let endpoints = gateway.endpoints.borrow();
+            placement::to_reading_ms(&gateway.placement, &endpoints, key, &self.to_placement())
+        };
+        let level = self.priority.into();
+        let retry_after_ms =
+            admission::to_retry_after_ms(&gateway.admission, level, reading_ms, self.to_left_ms())?;
+        let message =
+            format!("the engines need {reading_ms:.0} ms to read the prompts up to this one");
+        Some(Refusal::not_run(
+            Reason::DeadlineUnreachable,
+            retry_after_ms,
+            message,
+        ))
+    }
+
     pub(crate) fn choose(&self) -> Option<EndpointKey> {
-        let request = placement::Request {
+        let endpoints = self.gateway.endpoints.borrow();
+        let now_ms = self.gateway.clock.now_ms();
+        let request = self.to_placement();
+        placement::choose(&self.gateway.placement, &endpoints, &request, now_ms)
+    }
+
+    fn to_placement(&self) -> placement::Request<'_> {
+        placement::Request {
             service: &self.service,
             prompt: self.intent.prompt.as_ref(),
             lane: self.lane,
@@ -410,10 +440,7 @@
             data_centre: &self.gateway.data_centre,
             tried: &self.tried,
             draw: self.gateway.draw(),
-        };
-        let endpoints = self.gateway.endpoints.borrow();
-        let now_ms = self.gateway.clock.now_ms();
-        placement::choose(&self.gateway.placement, &endpoints, &request, now_ms)
+        }
     }
 
     /// Gives the final answer of a request without a usable one.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use waxwing_core::forwarding::Configuration;
 use waxwing_core::forwarding::EndpointKey;
 use waxwing_core::forwarding::Endpoints;
+use waxwing_core::forwarding::admission;
 use waxwing_core::forwarding::endpoints::Change;
 use waxwing_core::forwarding::endpoints::Entry;
 use waxwing_core::forwarding::peers::Peers;
@@ -82,6 +83,7 @@
     pub(crate) data_centre: Name,
     pub(crate) incarnation: u64,
     pub(crate) dialect: Box<dyn Dialect>,
+    pub(crate) admission: admission::Config,
     pub(crate) placement: placement::Config,
     pub(crate) endpoints: RefCell<Endpoints>,
     pub(crate) budget: RefCell<RepeatBudget>,
@@ -118,6 +120,7 @@
             data_centre: Name::from(settings.vm.data_centre.as_str()),
             incarnation: to_unix_ms(),
             dialect,
+            admission: admission::Config::from(&settings.admission),
             placement: placement::Config::from(&settings.placement),
             endpoints: RefCell::new(Endpoints::new()),
             budget: RefCell::new(RepeatBudget::new(budget, clock.now_ms())),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 
 use serde::Deserialize;
+use waxwing_core::forwarding::admission;
+use waxwing_core::forwarding::endpoints::LEVELS;
 use waxwing_core::forwarding::placement;
 
 use crate::error::Error;
@@ -28,6 +30,9 @@
     /// Choice of endpoints.
     #[serde(default)]
     pub placement: Placement,
+    /// Limits of the wait before a prompt is read.
+    #[serde(default)]
+    pub admission: Admission,
     /// Log lines.
     #[serde(default)]
     pub log: Log,
@@ -124,6 +129,8 @@
     pub reread_factor: f64,
     /// The same for the engine that comes second in the order of a part.
     pub second_home_factor: f64,
+    /// The same for the engine that comes first in a lane of longer gap targets.
+    pub looser_home_factor: f64,
 }
 
 impl Default for Placement {
@@ -139,6 +146,7 @@
             looser_lane_cost_ms: usual.looser_lane_cost_ms,
             reread_factor: usual.reread_factor,
             second_home_factor: usual.second_home_factor,
+            looser_home_factor: usual.looser_home_factor,
         }
     }
 }
@@ -155,11 +163,37 @@
             looser_lane_cost_ms: settings.looser_lane_cost_ms,
             reread_factor: settings.reread_factor,
             second_home_factor: settings.second_home_factor,
+            looser_home_factor: settings.looser_home_factor,
             ..Self::default()
         }
     }
 }
 
+/// Limits of the wait before a prompt is read.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+pub struct Admission {
+    /// Parts of the time left in which the prompt must be read, by level of urgency.
+    pub latest_start_shares: [f64; LEVELS],
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        let usual = admission::Config::default();
+        Self {
+            latest_start_shares: usual.latest_start_shares,
+        }
+    }
+}
+
+impl From<&Admission> for admission::Config {
+    fn from(settings: &Admission) -> Self {
+        Self {
+            latest_start_shares: settings.latest_start_shares,
+        }
+    }
+}
+
 /// Log lines.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default)]
@@ -247,6 +281,7 @@
             ("read_tokens_per_ms", placement.read_tokens_per_ms),
             ("reread_factor", placement.reread_factor),
             ("second_home_factor", placement.second_home_factor),
+            ("looser_home_factor", placement.looser_home_factor),
             ("lane_shares[0]", placement.lane_shares[0]),
             ("lane_shares[1]", placement.lane_shares[1]),
             ("lane_shares[2]", placement.lane_shares[2]),
@@ -256,6 +291,13 @@
                 findings.push(format!("placement.{name} is {value}; use a number above 0"));
             }
         }
+        for (level, share) in self.admission.latest_start_shares.iter().enumerate() {
+            if !share.is_finite() || *share <= 0.0 {
+                findings.push(format!(
+                    "admission.latest_start_shares[{level}] is {share}; use a number above 0"
+                ));
+            }
+        }
         if self.log.level.parse::<log::LevelFilter>().is_err() {
             let level = &self.log.level;
             findings.push(format!(
