Let lanes take engines from each other when one kind of stream bursts

Lanes had fixed shares.

Change: forwarding::lanes (split from placement) sizes lanes by shares and by the demand that all VMs advertise; calm traffic leaves them as they are. Tests: lane_sizes, advert.

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -6,6 +6,7 @@
 pub mod configuration;
 pub mod endpoints;
 pub mod event_stream;
+pub mod lanes;
 pub mod peers;
 pub mod placement;
 pub mod prompt;
--- a/crates/core/src/forwarding/configuration.rs
+++ b/crates/core/src/forwarding/configuration.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use crate::Name;
-use crate::forwarding::placement::Lane;
+use crate::forwarding::lanes::Lane;
 
 /// What may be repeated on a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/crates/core/src/forwarding/lanes.rs
@@ -0,0 +1,210 @@
+//! Divides the engines of a service between streams with unlike gap targets.
+//!
+//! Answers two load patterns. Reading a long prompt delays the tokens of the streams beside it, so streams that bear only
+//! short pauses get engines of their own. A burst of one kind asks for more than its share of the engines reads, so a
+//! lane that is short of engines takes some from the others while these have more than they need.
+
+use std::collections::HashMap;
+
+use crate::Name;
+use crate::forwarding::endpoints::mix;
+
+/// Most lanes of a service.
+pub const LANES_MAX: usize = 3;
+
+/// Time over which the demand of a lane is averaged, in milliseconds.
+const AVERAGE_MS: f64 = 3_000.0;
+
+/// Shares and limits of the division.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// Shares of the engines for up to three lanes, the one of the shortest gap targets first.
+    pub shares: [f64; LANES_MAX],
+    /// Parts of their time that engines of each lane may spend on reading before the lane takes more engines.
+    pub reading_shares: [f64; LANES_MAX],
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            shares: [0.34, 0.14, 0.52],
+            reading_shares: [0.25, 0.4, 0.6],
+        }
+    }
+}
+
+/// Rank of a route's gap target among those of the routes to a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Lane {
+    /// Rank; 0 is the shortest target.
+    pub index: usize,
+    /// Number of ranks.
+    pub count: usize,
+}
+
+/// Prompt tokens that arrive for each lane, in tokens per millisecond.
+pub type Rates = [f64; LANES_MAX];
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Meter {
+    rates: Rates,
+    at_ms: u64,
+}
+
+impl Meter {
+    fn to_rates(self, now_ms: u64) -> Rates {
+        let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
+        let weight = (-age_ms / AVERAGE_MS).exp();
+        self.rates.map(|rate| rate * weight)
+    }
+}
+
+/// What callers ask of each service, here and at the other VMs; services go by the hashes of their names.
+#[derive(Debug, Default)]
+pub struct ReadingDemand {
+    own: HashMap<u64, Meter>,
+    peers: HashMap<Name, Vec<(u64, Rates)>>,
+}
+
+impl ReadingDemand {
+    /// Counts a request; parts that requests share are read seldom and left out by the caller.
+    pub fn add(&mut self, service: u64, lane: Lane, tokens: u64, now_ms: u64) {
+        let meter = self.own.entry(service).or_default();
+        meter.rates = meter.to_rates(now_ms);
+        meter.at_ms = now_ms;
+        meter.rates[lane.index.min(LANES_MAX - 1)] += tokens as f64 / AVERAGE_MS;
+    }
+
+    /// Replaces what another VM says of its callers.
+    pub fn set_peer(&mut self, peer: Name, rates: Vec<(u64, Rates)>) {
+        self.peers.insert(peer, rates);
+    }
+
+    /// Forgets a VM that is gone.
+    pub fn drop_peer(&mut self, peer: &Name) {
+        self.peers.remove(peer);
+    }
+
+    /// Returns what the callers of this VM ask.
+    pub fn to_own(&self, now_ms: u64) -> Vec<(u64, Rates)> {
+        let meters = self.own.iter();
+        meters
+            .map(|(service, meter)| (*service, meter.to_rates(now_ms)))
+            .collect()
+    }
+
+    /// Returns what the callers of all VMs ask of a service, as far as known.
+    pub fn to_rates(&self, service: u64, now_ms: u64) -> Rates {
+        let own = self.own.get(&service);
+        let mut sum = own.map_or(Rates::default(), |meter| meter.to_rates(now_ms));
+        for (other, rates) in self.peers.values().flatten() {
+            if *other != service {
+                continue;
+            }
+            for (sum, rate) in sum.iter_mut().zip(rates) {
+                *sum += rate;
+            }
+        }
+        sum
+    }
+}
+
+/// The engines of each lane; VMs that know the same engines and the same demand divide them alike.
+#[derive(Debug)]
+pub struct Lanes {
+    /// Hashes of the engines in ascending order.
+    hashes: Vec<u64>,
+    /// Index of the first engine after each lane.
+    ends: Vec<usize>,
+}
+
+impl Lanes {
+    /// Divides engines, given by the hashes of their ids, of which each reads `tokens_per_ms`.
+    pub fn new(
+        config: &Config,
+        mut hashes: Vec<u64>,
+        count: usize,
+        rates: &Rates,
+        tokens_per_ms: f64,
+    ) -> Self {
+        if hashes.is_empty() {
+            let ends = vec![0];
+            return Self { hashes, ends };
+        }
+        hashes.sort_unstable();
+        let count = count.clamp(1, LANES_MAX);
+        let count = if hashes.len() < count { 1 } else { count };
+        let sizes = to_sizes(config, hashes.len(), count, rates, tokens_per_ms);
+        let mut ends = Vec::new();
+        let mut sum = 0.0;
+        for (index, size) in sizes.iter().enumerate() {
+            sum += size;
+            // Each lane has an engine at least.
+            let end = (sum.round() as usize).max(ends.last().copied().unwrap_or(0) + 1);
+            ends.push(end.min(hashes.len() - (count - 1 - index)));
+        }
+        Self { hashes, ends }
+    }
+
+    /// Returns the last lane, for ranks beyond the number of lanes.
+    pub fn to_last(&self) -> usize {
+        self.ends.len() - 1
+    }
+
+    /// Returns the lane of an engine.
+    pub fn to_lane(&self, hash: u64) -> usize {
+        let index = self.hashes.partition_point(|other| *other < hash);
+        self.ends.iter().position(|end| index < *end).unwrap_or(0)
+    }
+
+    /// Returns how many engines of a lane come before one in the rendezvous order of a part.
+    pub fn to_rank(&self, lane: usize, hash: u64, part_id: u64) -> usize {
+        let start = if lane == 0 { 0 } else { self.ends[lane - 1] };
+        let hashes = &self.hashes[start..self.ends[lane]];
+        if hashes.binary_search(&hash).is_err() {
+            return hashes.len();
+        }
+        let part = mix(part_id);
+        let own = mix(hash ^ part);
+        hashes
+            .iter()
+            .filter(|other| mix(**other ^ part) > own)
+            .count()
+    }
+}
+
+/// Returns the number of engines of each lane, not rounded.
+fn to_sizes(
+    config: &Config,
+    engines: usize,
+    count: usize,
+    rates: &Rates,
+    tokens_per_ms: f64,
+) -> Vec<f64> {
+    let engines = engines as f64;
+    let total: f64 = config.shares[..count].iter().sum();
+    let mut sizes = Vec::new();
+    let mut needs = Vec::new();
+    for index in 0..count {
+        sizes.push(engines * config.shares[index] / total);
+        needs.push(rates[index] / (tokens_per_ms * config.reading_shares[index]));
+    }
+    let needed: f64 = needs.iter().sum();
+    if needed >= engines {
+        return needs.iter().map(|need| need * engines / needed).collect();
+    }
+    let mut missing = 0.0;
+    let mut spare = 0.0;
+    for (size, need) in sizes.iter().zip(&needs) {
+        missing += (need - size).max(0.0);
+        spare += (size - need).max(0.0);
+    }
+    for (size, need) in sizes.iter_mut().zip(&needs) {
+        if *size < *need {
+            *size = *need;
+        } else if spare > 0.0 {
+            *size -= (*size - need) * missing / spare;
+        }
+    }
+    sizes
+}
--- a/crates/core/src/forwarding/peers.rs
+++ b/crates/core/src/forwarding/peers.rs
@@ -5,6 +5,7 @@
 
 use crate::Name;
 use crate::forwarding::endpoints::Demand;
+use crate::forwarding::lanes::Rates;
 use crate::state::evidence::Finding;
 
 /// Pause between adverts, in milliseconds.
@@ -40,6 +41,8 @@
     pub configuration_version: u64,
     /// Load that it puts on endpoints, by the hashes of their ids.
     pub demands: Vec<(u64, Demand)>,
+    /// Prompt tokens that its callers ask for, by the hashes of the services' names.
+    pub asked: Vec<(u64, Rates)>,
     /// Contents that crashed endpoints.
     pub findings: Vec<Finding>,
 }
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -10,6 +10,10 @@
 use crate::forwarding::endpoints::Level;
 use crate::forwarding::endpoints::Trust;
 use crate::forwarding::endpoints::mix;
+use crate::forwarding::lanes;
+use crate::forwarding::lanes::Lane;
+use crate::forwarding::lanes::Lanes;
+use crate::forwarding::lanes::Rates;
 use crate::forwarding::prompt::Prompt;
 
 /// Costs and shares of the placement.
@@ -23,8 +27,8 @@
     pub queued_cost_ms: f64,
     /// Cost of an endpoint in another data centre, in milliseconds.
     pub remote_cost_ms: f64,
-    /// Shares of the engines for up to three lanes, the one of the shortest gap targets first.
-    pub lane_shares: [f64; 3],
+    /// Division of the engines into lanes.
+    pub lanes: lanes::Config,
     /// Cost of an engine in a lane of shorter gap targets, in milliseconds.
     pub tighter_lane_cost_ms: f64,
     /// Cost of an engine in a lane of longer gap targets, in milliseconds for each lane between.
@@ -50,7 +54,7 @@
             run_cost_ms: 2.0,
             queued_cost_ms: 40.0,
             remote_cost_ms: 6.0,
-            lane_shares: [0.34, 0.14, 0.52],
+            lanes: lanes::Config::default(),
             tighter_lane_cost_ms: 30_000.0,
             looser_lane_cost_ms: 300.0,
             reread_factor: 30.0,
@@ -71,6 +75,8 @@
     pub prompt: Option<&'a Prompt>,
     /// Rank of its gap target among those of the service.
     pub lane: Lane,
+    /// What callers ask of the service in each lane.
+    pub rates: Rates,
     /// How urgent it is.
     pub level: Level,
     /// Whether it may run more than once, so that it can try an endpoint that failed lately.
@@ -83,15 +89,6 @@
     pub draw: u64,
 }
 
-/// Rank of a route's gap target among those of the routes to a service.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Lane {
-    /// Rank; 0 is the shortest target.
-    pub index: usize,
-    /// Number of ranks.
-    pub count: usize,
-}
-
 /// Returns the endpoint with the least expected delay, or `None` if there is none to use.
 ///
 /// Endpoints under suspicion are used only if no other is left.
@@ -101,9 +98,7 @@
     request: &Request<'_>,
     now_ms: u64,
 ) -> Option<EndpointKey> {
-    let lanes = request
-        .prompt
-        .map(|_| Lanes::new(config, endpoints, request));
+    let lanes = request.prompt.map(|_| to_lanes(config, endpoints, request));
     let mut best: Option<((u8, f64), EndpointKey)> = None;
     for (key, endpoint) in endpoints.of_service(request.service) {
         if !endpoint.is_usable() || request.tried.contains(&key) {
@@ -112,7 +107,7 @@
         let rank = to_rank(endpoint.to_trust(now_ms), request);
         let mut cost_ms = to_cost_ms(config, endpoints, endpoint, request, now_ms);
         if let (Some(lanes), Some(prompt)) = (&lanes, request.prompt) {
-            cost_ms += lanes.to_cost_ms(config, endpoint, request.lane, prompt);
+            cost_ms += to_lane_cost_ms(config, lanes, endpoint, request.lane, prompt);
         }
         // A millionth of a millisecond decides between equals only.
         cost_ms += (mix(request.draw ^ endpoint.hash) % 1_000) as f64 * 1e-6;
@@ -195,95 +190,53 @@
     cost_ms + (endpoint.failure_share - 0.2).max(0.0) * config.failure_cost_ms
 }
 
-/// The division of a service's engines between streams with unlike gap targets.
-///
-/// Reading a long prompt delays the tokens of the streams beside it, so streams that bear only short pauses get
-/// engines of their own. The division follows from the ids alone: all VMs that know the same engines divide them alike.
-struct Lanes {
-    /// Hashes of the engines in ascending order.
-    hashes: Vec<u64>,
-    /// Index of the first engine after each lane.
-    ends: Vec<usize>,
-}
-
-impl Lanes {
-    fn new(config: &Config, endpoints: &Endpoints, request: &Request<'_>) -> Self {
-        let mut hashes = Vec::new();
-        for (_, endpoint) in endpoints.of_service(request.service) {
-            if endpoint.is_usable() {
-                hashes.push(endpoint.hash);
-            }
-        }
-        if hashes.is_empty() {
-            let ends = vec![0];
-            return Self { hashes, ends };
+fn to_lanes(config: &Config, endpoints: &Endpoints, request: &Request<'_>) -> Lanes {
+    let mut hashes = Vec::new();
+    for (_, endpoint) in endpoints.of_service(request.service) {
+        if endpoint.is_usable() {
+            hashes.push(endpoint.hash);
         }
-        hashes.sort_unstable();
-        let count = request.lane.count.clamp(1, config.lane_shares.len());
-        let count = if hashes.len() < count { 1 } else { count };
-        let shares = &config.lane_shares[..count];
-        let total: f64 = shares.iter().sum();
-        let mut ends = Vec::new();
-        let mut share = 0.0;
-        for (index, lane_share) in shares.iter().enumerate() {
-            share += lane_share;
-            let end = (hashes.len() as f64 * share / total).round() as usize;
-            // Each lane has an engine at least.
-            ends.push(end.clamp(index + 1, hashes.len() - (count - 1 - index)));
-        }
-        Self { hashes, ends }
-    }
-
-    fn to_lane(&self, hash: u64) -> usize {
-        let index = self.hashes.partition_point(|other| *other < hash);
-        self.ends.iter().position(|end| index < *end).unwrap_or(0)
-    }
-
-    fn to_cost_ms(&self, config: &Config, endpoint: &Endpoint, lane: Lane, prompt: &Prompt) -> f64 {
-        let own = lane.index.min(self.ends.len() - 1);
-        let lane = self.to_lane(endpoint.hash);
-        let mut cost_ms = 0.0;
-        if lane < own {
-            cost_ms += config.tighter_lane_cost_ms;
-        }
-        cost_ms += lane.saturating_sub(own) as f64 * config.looser_lane_cost_ms;
-        let shared_tokens = prompt.to_shared_tokens();
-        let Some(shared) = prompt.to_shared_part() else {
-            return cost_ms;
-        };
-        if shared_tokens < config.shared_min_tokens {
-            return cost_ms;
-        }
-        let unread = shared_tokens.saturating_sub(endpoint.kept.to_kept_tokens(prompt));
-        let unread_ms = unread as f64 / config.read_tokens_per_ms;
-        // All VMs rank the engines of a lane alike for this part. The first one probably keeps it; the second one does if
-        // the first was overloaded, and the first one of a looser lane if all of the own lane were.
-        let rank = to_rank_among(self.to_slice(lane), endpoint.hash, shared.id);
-        let factor = match (lane == own, rank) {
-            (true, 0) => 0.0,
-            (true, 1) => config.second_home_factor,
-            (false, 0) => config.looser_home_factor,
-            _ => config.reread_factor,
-        };
-        cost_ms + unread_ms * (factor - 1.0)
-    }
-
-    /// Returns the hashes of the engines of a lane.
-    fn to_slice(&self, lane: usize) -> &[u64] {
-        let start = if lane == 0 { 0 } else { self.ends[lane - 1] };
-        &self.hashes[start..self.ends[lane]]
     }
+    Lanes::new(
+        &config.lanes,
+        hashes,
+        request.lane.count,
+        &request.rates,
+        config.read_tokens_per_ms,
+    )
 }
 
-/// Returns how many of the engines come before one in the rendezvous order of a part.
-fn to_rank_among(hashes: &[u64], hash: u64, part_id: u64) -> usize {
-    if hashes.binary_search(&hash).is_err() {
-        return hashes.len();
+fn to_lane_cost_ms(
+    config: &Config,
+    lanes: &Lanes,
+    endpoint: &Endpoint,
+    own: Lane,
+    prompt: &Prompt,
+) -> f64 {
+    let own = own.index.min(lanes.to_last());
+    let lane = lanes.to_lane(endpoint.hash);
+    let mut cost_ms = 0.0;
+    if lane < own {
+        cost_ms += config.tighter_lane_cost_ms;
     }
-    let part = mix(part_id);
-    let own = mix(hash ^ part);
-    hashes
-        .iter()
-        .filter(|other| mix(**other ^ part) > own)
-        .count()
+    cost_ms += lane.saturating_sub(own) as f64 * config.looser_lane_cost_ms;
+    let shared_tokens = prompt.to_shared_tokens();
+    let Some(shared) = prompt.to_shared_part() else {
+        return cost_ms;
+    };
+    if shared_tokens < config.shared_min_tokens {
+        return cost_ms;
+    }
+    let unread = shared_tokens.saturating_sub(endpoint.kept.to_kept_tokens(prompt));
+    let unread_ms = unread as f64 / config.read_tokens_per_ms;
+    // All VMs rank the engines of a lane alike for this part. The first one probably keeps it; the second one does if
+    // the first was overloaded, and the first one of a looser lane if all of the own lane were.
+    let rank = lanes.to_rank(lane, endpoint.hash, shared.id);
+    let factor = match (lane == own, rank) {
+        (true, 0) => 0.0,
+        (true, 1) => config.second_home_factor,
+        (false, 0) => config.looser_home_factor,
+        _ => config.reread_factor,
+    };
+    cost_ms + unread_ms * (factor - 1.0)
 }
--- /dev/null
+++ b/crates/core/tests/lane_sizes.rs
@@ -0,0 +1,86 @@
+//! Division of engines into lanes: fixed shares in calm times, engines for the lane that is short of them in a burst.
+
+use waxwing_core::Name;
+use waxwing_core::forwarding::lanes::Config;
+use waxwing_core::forwarding::lanes::Lane;
+use waxwing_core::forwarding::lanes::Lanes;
+use waxwing_core::forwarding::lanes::Rates;
+use waxwing_core::forwarding::lanes::ReadingDemand;
+
+const TOKENS_PER_MS: f64 = 38.0;
+
+fn hashes(count: u64) -> Vec<u64> {
+    let mut hashes = Vec::new();
+    for number in 0..count {
+        hashes.push(number * 1_000);
+    }
+    hashes
+}
+
+fn sizes(engines: u64, count: usize, rates: Rates) -> Vec<usize> {
+    let lanes = Lanes::new(
+        &Config::default(),
+        hashes(engines),
+        count,
+        &rates,
+        TOKENS_PER_MS,
+    );
+    let mut sizes = vec![0; lanes.to_last() + 1];
+    for hash in hashes(engines) {
+        sizes[lanes.to_lane(hash)] += 1;
+    }
+    sizes
+}
+
+/// Lanes must not move while all engines have time to spare: each move makes parts be read again.
+#[test]
+fn calm_traffic() {
+    assert_eq!(sizes(9, 3, [0.0; 3]), [3, 1, 5]);
+    assert_eq!(sizes(9, 3, [9.2, 15.3, 28.0]), [3, 1, 5]);
+    assert_eq!(sizes(60, 3, [60.0, 100.0, 240.0]), [20, 9, 31]);
+}
+
+/// Guards against a burst of drafts that keeps to its 8 of 60 engines while those of route questions are idle (TIER on
+/// qaghaz-fleet-grown, scale-1, seeds 2, 3, 4: drafts got nothing while digests began).
+#[test]
+fn burst_of_drafts() {
+    let burst = sizes(60, 3, [60.0, 460.0, 240.0]);
+    assert!(burst[1] >= 25, "{burst:?}");
+    assert!(burst[0] >= 5, "{burst:?}");
+    assert!(burst[2] >= 10, "{burst:?}");
+}
+
+/// More demand than all engines can read must still leave each lane an engine.
+#[test]
+fn overload() {
+    let overload = sizes(9, 3, [1.0, 1.0, 5_000.0]);
+    assert_eq!(overload, [1, 1, 7]);
+    assert_eq!(sizes(60, 3, [500.0; 3]).iter().sum::<usize>(), 60);
+}
+
+/// Fewer engines than lanes, or a single kind of stream, leave one lane.
+#[test]
+fn few_engines() {
+    assert_eq!(sizes(2, 3, [0.0; 3]), [2]);
+    assert_eq!(sizes(5, 1, [0.0; 3]), [5]);
+    assert_eq!(sizes(5, 0, [0.0; 3]), [5]);
+    assert_eq!(sizes(4, 7, [0.0; 3]).iter().sum::<usize>(), 4);
+}
+
+/// Demand is summed over VMs, ends with the burst, and leaves with a VM.
+#[test]
+fn summed_demand() {
+    let drafts = Lane { index: 1, count: 3 };
+    let mut demand = ReadingDemand::default();
+    for now_ms in 0..10_000 {
+        demand.add(7, drafts, 40, now_ms);
+    }
+    let own = demand.to_rates(7, 10_000);
+    assert!((38.0..42.0).contains(&own[1]), "{own:?}");
+    assert_eq!(demand.to_rates(8, 10_000), [0.0; 3]);
+    let peer = Name::from("vm-2");
+    demand.set_peer(peer.clone(), vec![(7, [1.0, 2.0, 3.0]), (8, [9.0; 3])]);
+    assert!((demand.to_rates(7, 10_000)[1] - own[1] - 2.0).abs() < 1e-9);
+    demand.drop_peer(&peer);
+    assert!(demand.to_rates(7, 30_000)[1] < 0.1);
+}
--- a/crates/core/tests/peer_adverts.rs
+++ b/crates/core/tests/peer_adverts.rs
@@ -16,6 +16,7 @@
         is_ready: true,
         configuration_version: 1,
         demands: Vec::new(),
+        asked: Vec::new(),
         findings: Vec::new(),
     }
 }
--- a/crates/core/tests/prompt_placement.rs
+++ b/crates/core/tests/prompt_placement.rs
@@ -10,8 +10,9 @@
 use waxwing_core::forwarding::endpoints::Entry;
 use waxwing_core::forwarding::endpoints::Level;
 use waxwing_core::forwarding::endpoints::Load;
+use waxwing_core::forwarding::lanes::Lane;
+use waxwing_core::forwarding::lanes::Rates;
 use waxwing_core::forwarding::placement;
-use waxwing_core::forwarding::placement::Lane;
 use waxwing_core::forwarding::prompt::Part;
 use waxwing_core::forwarding::prompt::Prompt;
 use waxwing_core::forwarding::run::End;
@@ -64,6 +65,7 @@
             service: &self.service,
             prompt: Some(prompt),
             lane,
+            rates: Rates::default(),
             level,
             is_repeatable: true,
             data_centre: &self.data_centre,
@@ -276,6 +278,7 @@
         service: &vm.service,
         prompt: Some(&prompt),
         lane: LONG,
+        rates: Rates::default(),
         level: Level::default(),
         is_repeatable: true,
         data_centre: &vm.data_centre,
--- a/crates/core/tests/route_table.rs
+++ b/crates/core/tests/route_table.rs
@@ -7,7 +7,7 @@
 use waxwing_core::forwarding::configuration::Route;
 use waxwing_core::forwarding::configuration::RouteKind;
 use waxwing_core::forwarding::configuration::Target;
-use waxwing_core::forwarding::placement::Lane;
+use waxwing_core::forwarding::lanes::Lane;
 
 fn route(name: &str, prefix: &str, gap_target_ms: Option<u64>) -> Route {
     let target = |service: &str, weight| Target {
--- a/crates/gateway/src/adverts.rs
+++ b/crates/gateway/src/adverts.rs
@@ -91,6 +91,10 @@
         is_ready: gateway.is_ready(),
         configuration_version: gateway.configuration().map_or(0, |known| known.version()),
         demands: gateway.endpoints.borrow().to_own_demands(),
+        asked: gateway
+            .reading_demand
+            .borrow()
+            .to_own(gateway.clock.now_ms()),
         findings,
     }
 }
@@ -101,6 +105,7 @@
         if let Change::Lost(vm) = change {
             log::warn!(event = "peer_lost", peer = vm.as_str(); "no advert for too long");
             gateway.endpoints.borrow_mut().drop_peer(&vm);
+            gateway.reading_demand.borrow_mut().drop_peer(&vm);
         }
     }
     let alive = gateway.peers.borrow().to_alive_count(now_ms);
@@ -137,6 +142,7 @@
     let vm = advert.vm.clone();
     let demands: HashMap<_, _> = advert.demands.iter().copied().collect();
     let findings = advert.findings.clone();
+    let asked = advert.asked.clone();
     let (is_news, change) = gateway.peers.borrow_mut().hear(advert, now_ms);
     if let Some(Change::Seen(peer)) = change {
         log::info!(event = "peer_seen", peer = peer.as_str(); "hears adverts");
@@ -144,6 +150,10 @@
     if !is_news {
         return "old";
     }
+    gateway
+        .reading_demand
+        .borrow_mut()
+        .set_peer(vm.clone(), asked);
     gateway.endpoints.borrow_mut().set_peer_demand(vm, demands);
     gateway.evidence.borrow_mut().merge(&findings, now_ms);
     "news"
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -25,6 +25,8 @@
 use waxwing_core::forwarding::Execution;
 use waxwing_core::forwarding::admission;
 use waxwing_core::forwarding::configuration::Route;
+use waxwing_core::forwarding::endpoints::to_hash;
+use waxwing_core::forwarding::lanes::Lane;
 use waxwing_core::forwarding::placement;
 use waxwing_core::forwarding::run::End;
 use waxwing_core::forwarding::run::Next;
@@ -73,7 +75,7 @@
     pub(crate) organisation: Option<Name>,
     pub(crate) priority: u8,
     pub(crate) memory_tokens: Option<u64>,
-    pub(crate) lane: placement::Lane,
+    pub(crate) lane: Lane,
     pub(crate) intent: Intent,
     pub(crate) head: Parts,
     pub(crate) body: Bytes,
@@ -339,6 +341,7 @@
             .budget
             .borrow_mut()
             .add_request(&self.service, now_ms);
+        self.count_demand(now_ms);
         let mut key = self.take_endpoint();
         if let Some(refusal) = key.and_then(|key| self.to_overload(key)) {
             return refuse(&self.gateway, &mut self.trace, &refusal, false);
@@ -404,6 +407,16 @@
         true
     }
 
+    fn count_demand(&self, now_ms: u64) {
+        let Some(prompt) = &self.intent.prompt else {
+            return;
+        };
+        let tokens = prompt.tokens.saturating_sub(prompt.to_shared_tokens());
+        let service = to_hash(self.service.as_str());
+        let mut demand = self.gateway.reading_demand.borrow_mut();
+        demand.add(service, self.lane, tokens, now_ms);
+    }
+
     /// Returns the refusal of a request whose prompt the chosen endpoint would read too late.
     fn to_overload(&self, key: EndpointKey) -> Option<Refusal> {
         let gateway = &self.gateway;
@@ -431,7 +444,10 @@
     }
 
     fn to_placement(&self) -> placement::Request<'_> {
+        let now_ms = self.gateway.clock.now_ms();
+        let demand = self.gateway.reading_demand.borrow();
         placement::Request {
+            rates: demand.to_rates(to_hash(self.service.as_str()), now_ms),
             service: &self.service,
             prompt: self.intent.prompt.as_ref(),
             lane: self.lane,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use waxwing_core::forwarding::admission;
 use waxwing_core::forwarding::endpoints::Change;
 use waxwing_core::forwarding::endpoints::Entry;
+use waxwing_core::forwarding::lanes::ReadingDemand;
 use waxwing_core::forwarding::peers::Peers;
 use waxwing_core::forwarding::placement;
 use waxwing_core::forwarding::repeat_budget;
@@ -86,6 +87,7 @@
     pub(crate) admission: admission::Config,
     pub(crate) placement: placement::Config,
     pub(crate) endpoints: RefCell<Endpoints>,
+    pub(crate) reading_demand: RefCell<ReadingDemand>,
     pub(crate) budget: RefCell<RepeatBudget>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) evidence: RefCell<Evidence>,
@@ -123,6 +125,7 @@
             admission: admission::Config::from(&settings.admission),
             placement: placement::Config::from(&settings.placement),
             endpoints: RefCell::new(Endpoints::new()),
+            reading_demand: RefCell::new(ReadingDemand::default()),
             budget: RefCell::new(RepeatBudget::new(budget, clock.now_ms())),
             peers: RefCell::new(Peers::new()),
             evidence: RefCell::new(Evidence::new(EVIDENCE_LIFETIME_MS, EVIDENCE_MAX)),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use waxwing_core::forwarding::admission;
 use waxwing_core::forwarding::endpoints::LEVELS;
+use waxwing_core::forwarding::lanes;
+use waxwing_core::forwarding::lanes::LANES_MAX;
 use waxwing_core::forwarding::placement;
 
 use crate::error::Error;
@@ -120,7 +122,9 @@
     /// Cost of an endpoint in another data centre, in milliseconds.
     pub remote_cost_ms: f64,
     /// Shares of the engines for lanes of ascending gap targets.
-    pub lane_shares: [f64; 3],
+    pub lane_shares: [f64; LANES_MAX],
+    /// Parts of their time that engines of each lane may spend on reading before the lane takes more engines.
+    pub lane_reading_shares: [f64; LANES_MAX],
     /// Cost of an engine in a lane of shorter gap targets, in milliseconds.
     pub tighter_lane_cost_ms: f64,
     /// Cost of an engine in a lane of longer gap targets, in milliseconds for each lane between.
@@ -141,7 +145,8 @@
             run_cost_ms: usual.run_cost_ms,
             queued_cost_ms: usual.queued_cost_ms,
             remote_cost_ms: usual.remote_cost_ms,
-            lane_shares: usual.lane_shares,
+            lane_shares: usual.lanes.shares,
+            lane_reading_shares: usual.lanes.reading_shares,
             tighter_lane_cost_ms: usual.tighter_lane_cost_ms,
             looser_lane_cost_ms: usual.looser_lane_cost_ms,
             reread_factor: usual.reread_factor,
@@ -158,7 +163,10 @@
             run_cost_ms: settings.run_cost_ms,
             queued_cost_ms: settings.queued_cost_ms,
             remote_cost_ms: settings.remote_cost_ms,
-            lane_shares: settings.lane_shares,
+            lanes: lanes::Config {
+                shares: settings.lane_shares,
+                reading_shares: settings.lane_reading_shares,
+            },
             tighter_lane_cost_ms: settings.tighter_lane_cost_ms,
             looser_lane_cost_ms: settings.looser_lane_cost_ms,
             reread_factor: settings.reread_factor,
@@ -282,6 +290,9 @@
             ("reread_factor", placement.reread_factor),
             ("second_home_factor", placement.second_home_factor),
             ("looser_home_factor", placement.looser_home_factor),
+            ("lane_reading_shares[0]", placement.lane_reading_shares[0]),
+            ("lane_reading_shares[1]", placement.lane_reading_shares[1]),
+            ("lane_reading_shares[2]", placement.lane_reading_shares[2]),
             ("lane_shares[0]", placement.lane_shares[0]),
             ("lane_shares[1]", placement.lane_shares[1]),
             ("lane_shares[2]", placement.lane_shares[2]),
--- a/crates/wire/src/advert.rs
+++ b/crates/wire/src/advert.rs
@@ -7,6 +7,7 @@
 use waxwing_core::Name;
 use waxwing_core::forwarding::endpoints::Demand;
 use waxwing_core::forwarding::endpoints::LEVELS;
+use waxwing_core::forwarding::lanes::Rates;
 use waxwing_core::forwarding::peers;
 use waxwing_core::state::evidence::Finding;
 
@@ -44,6 +45,8 @@
     configuration: u64,
     /// Endpoint hash, runs, unread tokens by level.
     demands: Vec<(u64, u32, [u64; LEVELS])>,
+    /// Hash of a service's name, prompt tokens that arrive for each lane in a millisecond.
+    asked: Vec<(u64, Rates)>,
     /// Content hash in base64, endpoint that was lost if any, age in milliseconds.
     findings: Vec<(String, Option<String>, u64)>,
 }
@@ -74,6 +77,7 @@
             ready: advert.is_ready,
             configuration: advert.configuration_version,
             demands,
+            asked: advert.asked.clone(),
             findings,
         }
     }
@@ -104,6 +108,13 @@
                 age_ms,
             });
         }
+        let rates = wire.asked.iter().flat_map(|(_, rates)| rates);
+        if rates
+            .into_iter()
+            .any(|rate| !rate.is_finite() || *rate < 0.0)
+        {
+            return Err(Error::Field("asked"));
+        }
         Ok(Self {
             vm: Name::from(wire.vm),
             incarnation: wire.incarnation,
@@ -114,6 +125,7 @@
             is_ready: wire.ready,
             configuration_version: wire.configuration,
             demands,
+            asked: wire.asked,
             findings,
         })
     }
