--- a/crates/core/src/forwarding/lanes.rs
+++ b/crates/core/src/forwarding/lanes.rs
@@ -184,10 +184,12 @@
     let engines = engines as f64;
     let total: f64 = config.shares[..count].iter().sum();
     let mut sizes = Vec::new();
+    for share in &config.shares[..count] {
+        sizes.push(engines * share / total);
+    }
     let mut needs = Vec::new();
-    for index in 0..count {
-        sizes.push(engines * config.shares[index] / total);
-        needs.push(rates[index] / (tokens_per_ms * config.reading_shares[index]));
+    for (rate, reading_share) in rates[..count].iter().zip(&config.reading_shares) {
+        needs.push(rate / (tokens_per_ms * reading_share));
     }
     let needed: f64 = needs.iter().sum();
     if needed >= engines {
