Judge admission by the backlog before a prompt, and log it

Cause: found on reading: admission counted the prompt itself, so that a prompt of 80,000 tokens or more was refused for good on an idle engine (1.8 s of 12 s at 45 tokens a ms), whatever its caller waited. The refusal also did not name the engine that decided it.

Change: only prompts that go first count; the request's line names the engine and its backlog.

--- a/crates/core/src/forwarding/admission.rs
+++ b/crates/core/src/forwarding/admission.rs
@@ -15,7 +15,7 @@
 /// Limits of the wait before a prompt is read.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Config {
-    /// Parts of the time left in which the prompt must be read, by level of urgency.
+    /// Parts of the time left in which the engine must begin to read the prompt, by level of urgency.
     ///
     /// Urgent requests have larger ones, so that less urgent requests are turned away before them.
     pub latest_start_shares: [f64; LEVELS],
@@ -31,14 +31,15 @@
 
 /// Returns the time after which a caller may come back, in milliseconds, or `None` if its prompt is read in time.
 ///
-/// `reading_ms` is the time until the prompt is read, `left_ms` that until the request's deadline.
+/// `backlog_ms` is the time until the engine begins to read the prompt, `left_ms` that until the request's deadline. The
+/// prompt itself does not count: one that is long must have its chance at an idle engine.
 pub fn to_retry_after_ms(
     config: &Config,
     level: Level,
-    reading_ms: f64,
+    backlog_ms: f64,
     left_ms: u64,
 ) -> Option<u64> {
     let share = config.latest_start_shares[level.to_index()];
-    let excess_ms = reading_ms - left_ms as f64 * share;
+    let excess_ms = backlog_ms - left_ms as f64 * share;
     (excess_ms > 0.0).then(|| excess_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS) as u64)
 }
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -119,19 +119,19 @@
     best.map(|(_, key)| key)
 }
 
-/// Returns the time until the endpoint has read the prompt, in milliseconds; 0 for requests without one.
-pub fn to_reading_ms(
+/// Returns the time until the endpoint has read the prompts before that of the request, in milliseconds; 0 for requests
+/// without one.
+pub fn to_backlog_ms(
     config: &Config,
     endpoints: &Endpoints,
     key: EndpointKey,
     request: &Request<'_>,
 ) -> f64 {
-    let (Some(endpoint), Some(prompt)) = (endpoints.get(key), request.prompt) else {
+    let (Some(endpoint), Some(_)) = (endpoints.get(key), request.prompt) else {
         return 0.0;
     };
-    let kept = endpoint.kept.to_kept_tokens(prompt);
     let ahead = endpoints.to_demand(endpoint).to_unread_ahead(request.level);
-    (prompt.tokens.saturating_sub(kept) + ahead) as f64 / config.read_tokens_per_ms
+    ahead as f64 / config.read_tokens_per_ms
 }
 
 /// Returns the order of trust; a request that may be repeated tries out an endpoint that failed a while ago.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -418,17 +418,19 @@
     }
 
     /// Returns the refusal of a request whose prompt the chosen endpoint would read too late.
-    fn to_overload(&self, key: EndpointKey) -> Option<Refusal> {
-        let gateway = &self.gateway;
-        let reading_ms = {
-            let endpoints = gateway.endpoints.borrow();
-            placement::to_reading_ms(&gateway.placement, &endpoints, key, &self.to_placement())
-        };
+    fn to_overload(&mut self, key: EndpointKey) -> Option<Refusal> {
+        let gateway = Rc::clone(&self.gateway);
+        let endpoints = gateway.endpoints.borrow();
+        let placement = self.to_placement();
+        let backlog_ms = placement::to_backlog_ms(&gateway.placement, &endpoints, key, &placement);
         let level = self.priority.into();
+        let left_ms = self.to_left_ms();
         let retry_after_ms =
-            admission::to_retry_after_ms(&gateway.admission, level, reading_ms, self.to_left_ms())?;
+            admission::to_retry_after_ms(&gateway.admission, level, backlog_ms, left_ms)?;
+        let endpoint_id = &endpoints.get(key)?.entry.id;
+        self.trace.add_backlog(endpoint_id.as_str(), backlog_ms);
         let message =
-            format!("the engines need {reading_ms:.0} ms to read the prompts up to this one");
+            format!("the engines need {backlog_ms:.0} ms to read the prompts before this one");
         Some(Refusal::not_run(
             Reason::DeadlineUnreachable,
             retry_after_ms,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -181,7 +181,7 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default)]
 pub struct Admission {
-    /// Parts of the time left in which the prompt must be read, by level of urgency.
+    /// Parts of the time left in which the engine must begin to read the prompt, by level of urgency.
     pub latest_start_shares: [f64; LEVELS],
 }
 
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -68,6 +68,15 @@
         let _ = write!(self.runs, "{endpoint}:{end}@{began_ms}-{ended_ms}{detail} ");
     }
 
+    /// Adds an endpoint to which the request was not sent because of the prompts that it had still to read.
+    pub(crate) fn add_backlog(&mut self, endpoint: &str, backlog_ms: f64) {
+        let elapsed_ms = self.to_elapsed_ms();
+        let _ = write!(
+            self.runs,
+            "{endpoint}:not_sent@{elapsed_ms}(backlog {backlog_ms:.0} ms) "
+        );
+    }
+
     pub(crate) fn saw_first_byte(&mut self) {
         if self.first_byte_ms.is_some() {
             return;
