--- a/crates/core/src/forwarding/lanes.rs
+++ b/crates/core/src/forwarding/lanes.rs
@@ -45,6 +45,7 @@
 /// Prompt tokens that arrive for each lane, in tokens per millisecond.
 pub type Rates = [f64; LANES_MAX];
 
+/// Rates that decay with time, so that a burst is forgotten.
 #[derive(Clone, Copy, Debug, Default)]
 struct Meter {
     rates: Rates,
@@ -67,7 +68,7 @@
 }
 
 impl ReadingDemand {
-    /// Counts a request; parts that requests share are read seldom and left out by the caller.
+    /// Counts prompt tokens that a caller of this VM asks an engine to read.
     pub fn add(&mut self, service: u64, lane: Lane, tokens: u64, now_ms: u64) {
         let meter = self.own.entry(service).or_default();
         meter.rates = meter.to_rates(now_ms);
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -1,7 +1,8 @@
 //! Chooses the endpoint for a request.
 //!
-//! Answers two load patterns: long prompts that would delay the tokens of short interactive streams, and prompts that
-//! share parts, which are cheap only where these parts are kept.
+//! Answers prompts that share parts, which are cheap only where these parts are kept; also in a burst, when each part that
+//! is read again delays all requests that wait there. Long prompts beside interactive streams are kept apart by
+//! [`lanes`].
 
 use crate::Name;
 use crate::forwarding::endpoints::Endpoint;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -343,7 +343,7 @@
             .add_request(&self.service, now_ms);
         self.count_demand(now_ms);
         let mut key = self.take_endpoint();
-        if let Some(refusal) = key.and_then(|key| self.to_overload(key)) {
+        if let Some(refusal) = key.and_then(|key| self.to_overload_refusal(key)) {
             return refuse(&self.gateway, &mut self.trace, &refusal, false);
         }
         let mut failure = None;
@@ -407,6 +407,7 @@
         true
     }
 
+    /// Counts the request's own part of its prompt as demand of its lane; engines mostly keep the parts that it shares.
     fn count_demand(&self, now_ms: u64) {
         let Some(prompt) = &self.intent.prompt else {
             return;
@@ -418,7 +419,7 @@
     }
 
     /// Returns the refusal of a request whose prompt the chosen endpoint would read too late.
-    fn to_overload(&mut self, key: EndpointKey) -> Option<Refusal> {
+    fn to_overload_refusal(&mut self, key: EndpointKey) -> Option<Refusal> {
         let gateway = Rc::clone(&self.gateway);
         let endpoints = gateway.endpoints.borrow();
         let placement = self.to_placement();
