--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -343,7 +343,7 @@
             .add_request(&self.service, now_ms);
         self.count_demand(now_ms);
         let mut key = self.take_endpoint();
-        if let Some(refusal) = key.and_then(|key| self.to_overload_refusal(key)) {
+        if let Some(refusal) = key.and_then(|key| self.check_backlog(key)) {
             return refuse(&self.gateway, &mut self.trace, &refusal, false);
         }
         let mut failure = None;
@@ -419,7 +419,7 @@
     }
 
     /// Returns the refusal of a request whose prompt the chosen endpoint would read too late.
-    fn to_overload_refusal(&mut self, key: EndpointKey) -> Option<Refusal> {
+    fn check_backlog(&mut self, key: EndpointKey) -> Option<Refusal> {
         let gateway = Rc::clone(&self.gateway);
         let endpoints = gateway.endpoints.borrow();
         let placement = self.to_placement();
