End the claim of a request that gave up in one place

give_up and settle_given_up each looked the entry up, compared the claimant and settled it as not run. Behaviour is the same: the tests of the owner, the model checks and the random inputs pass unchanged.

--- a/crates/core/src/coordination/claim_owner.rs
+++ b/crates/core/src/coordination/claim_owner.rs
@@ -470,33 +470,30 @@
         if waiter.is_some_and(|waiter| waiter.request.claimant == claimant) {
             self.waiters.remove(key);
         }
-        if let Some(entry) = self.entry(key)
-            && entry.claimant == claimant
-        {
-            self.settle(key, entry.id, Outcome::NotRun);
-            return;
-        }
-        if self.given_up.len() < GIVEN_UP_MAX {
+        let is_known = self.settle_not_run(key, claimant);
+        if !is_known && self.given_up.len() < GIVEN_UP_MAX {
             self.given_up.insert(claimant, now.now_ms + GIVEN_UP_MS);
         }
     }
 
+    /// Ends the claim of a request that never sends its call; returns whether the claim is known.
+    fn settle_not_run(&mut self, key: &ClaimKey, claimant: u64) -> bool {
+        let Some(entry) = self.entry(key).filter(|it| it.claimant == claimant) else {
+            return false;
+        };
+        self.settle(key, entry.id, Outcome::NotRun);
+        true
+    }
+
     /// Ends the claims that were read after their requests had given up.
     fn settle_given_up(&mut self, record: &Record) {
         let Record::Claims { claims, .. } = record else {
             return;
         };
         for claim in claims {
-            if !self.given_up.contains_key(&claim.claimant) {
-                continue;
-            }
-            let Some(entry) = self.entry(&claim.key) else {
-                continue;
-            };
-            if entry.claimant != claim.claimant {
-                continue;
+            if self.given_up.contains_key(&claim.claimant) {
+                self.settle_not_run(&claim.key, claim.claimant);
             }
-            self.settle(&claim.key, entry.id, Outcome::NotRun);
         }
     }
 
