Rank the homes of a part once for each placement

choose() asked for the rank of every engine in its lane, and each rank compared the engine with all others of the lane: with 1,500 engines in a lane that is 2.4 million hashes for one request. Only the first two engines of a lane are ever told apart, so they are found once (Lanes::to_homes, test ranked_homes against a sorted order).

Beside it: the look whether a run could be replaced computed all costs to learn whether any endpoint is left (can_choose has the same filter as choose); the check of the backlog built a whole placement request, with the sum of all VMs' demand, to read its level. Choices are the same; random numbers are drawn in another order, since the look does not draw any.

--- a/crates/core/src/forwarding/lanes.rs
+++ b/crates/core/src/forwarding/lanes.rs
@@ -158,19 +158,45 @@
         self.ends.iter().position(|end| index < *end).unwrap_or(0)
     }
 
-    /// Returns how many engines of a lane come before one in the rendezvous order of a part.
-    pub fn to_rank(&self, lane: usize, hash: u64, part_id: u64) -> usize {
-        let start = if lane == 0 { 0 } else { self.ends[lane - 1] };
-        let hashes = &self.hashes[start..self.ends[lane]];
-        if hashes.binary_search(&hash).is_err() {
-            return hashes.len();
-        }
+    /// Returns the homes of a part in each lane.
+    pub fn to_homes(&self, part_id: u64) -> Vec<Homes> {
         let part = mix(part_id);
-        let own = mix(hash ^ part);
-        hashes
-            .iter()
-            .filter(|other| mix(**other ^ part) > own)
-            .count()
+        let mut homes = Vec::new();
+        let mut start = 0;
+        for end in &self.ends {
+            homes.push(Homes::new(&self.hashes[start..*end], part));
+            start = *end;
+        }
+        homes
+    }
+}
+
+/// The engines that come first and second in the rendezvous order of a part, by the hashes of their ids.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Homes {
+    /// The first engine.
+    pub first: Option<u64>,
+    /// The second engine.
+    pub second: Option<u64>,
+}
+
+impl Homes {
+    fn new(hashes: &[u64], part: u64) -> Self {
+        let mut first: Option<(u64, u64)> = None;
+        let mut second = None;
+        for hash in hashes {
+            let scored = Some((mix(hash ^ part), *hash));
+            if scored > first {
+                second = first;
+                first = scored;
+            } else if scored > second {
+                second = scored;
+            }
+        }
+        Self {
+            first: first.map(|(_, hash)| hash),
+            second: second.map(|(_, hash)| hash),
+        }
     }
 }
 
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -12,6 +12,7 @@
 use crate::forwarding::endpoints::Trust;
 use crate::forwarding::endpoints::mix;
 use crate::forwarding::lanes;
+use crate::forwarding::lanes::Homes;
 use crate::forwarding::lanes::Lane;
 use crate::forwarding::lanes::Lanes;
 use crate::forwarding::lanes::Rates;
@@ -99,16 +100,15 @@
     request: &Request<'_>,
     now_ms: u64,
 ) -> Option<EndpointKey> {
-    let lanes = request.prompt.map(|_| to_lanes(config, endpoints, request));
+    let lanes = request
+        .prompt
+        .map(|prompt| (LaneView::new(config, endpoints, request, prompt), prompt));
     let mut best: Option<((u8, f64), EndpointKey)> = None;
-    for (key, endpoint) in endpoints.of_service(request.service) {
-        if !endpoint.is_usable() || request.tried.contains(&key) {
-            continue;
-        }
+    for (key, endpoint) in to_candidates(endpoints, request.service, request.tried) {
         let rank = to_rank(endpoint.to_trust(now_ms), request);
         let mut cost_ms = to_cost_ms(config, endpoints, endpoint, request, now_ms);
-        if let (Some(lanes), Some(prompt)) = (&lanes, request.prompt) {
-            cost_ms += to_lane_cost_ms(config, lanes, endpoint, request.lane, prompt);
+        if let Some((lanes, prompt)) = &lanes {
+            cost_ms += lanes.to_cost_ms(config, endpoint, prompt);
         }
         // A millionth of a millisecond decides between equals only.
         cost_ms += (mix(request.draw ^ endpoint.hash) % 1_000) as f64 * 1e-6;
@@ -120,18 +120,28 @@
     best.map(|(_, key)| key)
 }
 
-/// Returns the time until the endpoint has read the prompts before that of the request, in milliseconds; 0 for requests
-/// without one.
+/// Returns whether any endpoint is left to choose.
+pub fn can_choose(endpoints: &Endpoints, service: &Name, tried: &[EndpointKey]) -> bool {
+    to_candidates(endpoints, service, tried).next().is_some()
+}
+
+fn to_candidates<'a>(
+    endpoints: &'a Endpoints,
+    service: &Name,
+    tried: &'a [EndpointKey],
+) -> impl Iterator<Item = (EndpointKey, &'a Endpoint)> {
+    let known = endpoints.of_service(service);
+    known.filter(|(key, endpoint)| endpoint.is_usable() && !tried.contains(key))
+}
+
+/// Returns the time until an endpoint has read the prompts that it reads before one of this level, in milliseconds.
 pub fn to_backlog_ms(
     config: &Config,
     endpoints: &Endpoints,
-    key: EndpointKey,
-    request: &Request<'_>,
+    endpoint: &Endpoint,
+    level: Level,
 ) -> f64 {
-    let (Some(endpoint), Some(_)) = (endpoints.get(key), request.prompt) else {
-        return 0.0;
-    };
-    let ahead = endpoints.to_demand(endpoint).to_unread_ahead(request.level);
+    let ahead = endpoints.to_demand(endpoint).to_unread_ahead(level);
     ahead as f64 / config.read_tokens_per_ms
 }
 
@@ -191,53 +201,69 @@
     cost_ms + (endpoint.failure_share - 0.2).max(0.0) * config.failure_cost_ms
 }
 
-fn to_lanes(config: &Config, endpoints: &Endpoints, request: &Request<'_>) -> Lanes {
-    let mut hashes = Vec::new();
-    for (_, endpoint) in endpoints.of_service(request.service) {
-        if endpoint.is_usable() {
-            hashes.push(endpoint.hash);
-        }
-    }
-    Lanes::new(
-        &config.lanes,
-        hashes,
-        request.lane.count,
-        &request.rates,
-        config.read_tokens_per_ms,
-    )
+/// What placing one request needs to know of the lanes of its service.
+struct LaneView {
+    lanes: Lanes,
+    /// Lane of the request.
+    own: usize,
+    /// Homes of its shared part in each lane; empty if the part is not worth one.
+    homes: Vec<Homes>,
+    shared_tokens: u64,
 }
 
-fn to_lane_cost_ms(
-    config: &Config,
-    lanes: &Lanes,
-    endpoint: &Endpoint,
-    own: Lane,
-    prompt: &Prompt,
-) -> f64 {
-    let own = own.index.min(lanes.to_last());
-    let lane = lanes.to_lane(endpoint.hash);
-    let mut cost_ms = 0.0;
-    if lane < own {
-        cost_ms += config.tighter_lane_cost_ms;
+impl LaneView {
+    fn new(config: &Config, endpoints: &Endpoints, request: &Request<'_>, prompt: &Prompt) -> Self {
+        let mut hashes = Vec::new();
+        for (_, endpoint) in endpoints.of_service(request.service) {
+            if endpoint.is_usable() {
+                hashes.push(endpoint.hash);
+            }
+        }
+        let lanes = Lanes::new(
+            &config.lanes,
+            hashes,
+            request.lane.count,
+            &request.rates,
+            config.read_tokens_per_ms,
+        );
+        let shared_tokens = prompt.to_shared_tokens();
+        let homes = match prompt.to_shared_part() {
+            Some(part) if shared_tokens >= config.shared_min_tokens => lanes.to_homes(part.id),
+            _ => Vec::new(),
+        };
+        Self {
+            own: request.lane.index.min(lanes.to_last()),
+            lanes,
+            homes,
+            shared_tokens,
+        }
     }
-    cost_ms += lane.saturating_sub(own) as f64 * config.looser_lane_cost_ms;
-    let shared_tokens = prompt.to_shared_tokens();
-    let Some(shared) = prompt.to_shared_part() else {
-        return cost_ms;
-    };
-    if shared_tokens < config.shared_min_tokens {
-        return cost_ms;
+
+    fn to_cost_ms(&self, config: &Config, endpoint: &Endpoint, prompt: &Prompt) -> f64 {
+        let lane = self.lanes.to_lane(endpoint.hash);
+        let mut cost_ms = 0.0;
+        if lane < self.own {
+            cost_ms += config.tighter_lane_cost_ms;
+        }
+        cost_ms += lane.saturating_sub(self.own) as f64 * config.looser_lane_cost_ms;
+        let Some(homes) = self.homes.get(lane) else {
+            return cost_ms;
+        };
+        let kept = endpoint.kept.to_kept_tokens(prompt);
+        let unread = self.shared_tokens.saturating_sub(kept);
+        let unread_ms = unread as f64 / config.read_tokens_per_ms;
+        // All VMs rank the engines of a lane alike for this part. The first one probably keeps it; the second one does
+        // if the first was overloaded, and the first one of another lane if all of the own lane were.
+        let hash = Some(endpoint.hash);
+        let factor = if hash == homes.first && lane == self.own {
+            0.0
+        } else if hash == homes.first {
+            config.looser_home_factor
+        } else if hash == homes.second && lane == self.own {
+            config.second_home_factor
+        } else {
+            config.reread_factor
+        };
+        cost_ms + unread_ms * (factor - 1.0)
     }
-    let unread = shared_tokens.saturating_sub(endpoint.kept.to_kept_tokens(prompt));
-    let unread_ms = unread as f64 / config.read_tokens_per_ms;
-    // All VMs rank the engines of a lane alike for this part. The first one probably keeps it; the second one does if
-    // the first was overloaded, and the first one of a looser lane if all of the own lane were.
-    let rank = lanes.to_rank(lane, endpoint.hash, shared.id);
-    let factor = match (lane == own, rank) {
-        (true, 0) => 0.0,
-        (true, 1) => config.second_home_factor,
-        (false, 0) => config.looser_home_factor,
-        _ => config.reread_factor,
-    };
-    cost_ms + unread_ms * (factor - 1.0)
 }
--- a/crates/core/tests/lane_sizes.rs
+++ b/crates/core/tests/lane_sizes.rs
@@ -1,6 +1,7 @@
 //! Division of engines into lanes: fixed shares in calm times, engines for the lane that is short of them in a burst.
 
 use waxwing_core::Name;
+use waxwing_core::forwarding::endpoints::mix;
 use waxwing_core::forwarding::lanes::Config;
 use waxwing_core::forwarding::lanes::Lane;
 use waxwing_core::forwarding::lanes::Lanes;
@@ -84,3 +85,23 @@
     demand.drop_peer(&peer);
     assert!(demand.to_rates(7, 30_000)[1] < 0.1);
 }
+
+/// The homes of a part must be the first two of its lane in rendezvous order.
+#[test]
+fn ranked_homes() {
+    let config = Config::default();
+    for engines in [1, 2, 3, 9, 60] {
+        let lanes = Lanes::new(&config, hashes(engines), 3, &[0.0; 3], TOKENS_PER_MS);
+        for part_id in 0..50 {
+            let homes = lanes.to_homes(part_id);
+            assert_eq!(homes.len(), lanes.to_last() + 1);
+            for (lane, homes) in homes.iter().enumerate() {
+                let mut order = hashes(engines);
+                order.retain(|hash| lanes.to_lane(*hash) == lane);
+                order.sort_by_key(|hash| std::cmp::Reverse(mix(hash ^ mix(part_id))));
+                assert_eq!(homes.first, order.first().copied());
+                assert_eq!(homes.second, order.get(1).copied());
+            }
+        }
+    }
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -420,16 +420,17 @@
 
     /// Returns the refusal of a request whose prompt the chosen endpoint would read too late.
     fn check_backlog(&mut self, key: EndpointKey) -> Option<Refusal> {
+        self.intent.prompt.as_ref()?;
         let gateway = Rc::clone(&self.gateway);
         let endpoints = gateway.endpoints.borrow();
-        let placement = self.to_placement();
-        let backlog_ms = placement::to_backlog_ms(&gateway.placement, &endpoints, key, &placement);
+        let endpoint = endpoints.get(key)?;
         let level = self.priority.into();
+        let backlog_ms = placement::to_backlog_ms(&gateway.placement, &endpoints, endpoint, level);
         let left_ms = self.to_left_ms();
         let retry_after_ms =
             admission::to_retry_after_ms(&gateway.admission, level, backlog_ms, left_ms)?;
-        let endpoint_id = &endpoints.get(key)?.entry.id;
-        self.trace.add_backlog(endpoint_id.as_str(), backlog_ms);
+        self.trace
+            .add_backlog(endpoint.entry.id.as_str(), backlog_ms);
         let message =
             format!("the engines need {backlog_ms:.0} ms to read the prompts before this one");
         Some(Refusal::not_run(
@@ -439,27 +440,23 @@
         ))
     }
 
-    pub(crate) fn choose(&self) -> Option<EndpointKey> {
-        let endpoints = self.gateway.endpoints.borrow();
-        let now_ms = self.gateway.clock.now_ms();
-        let request = self.to_placement();
-        placement::choose(&self.gateway.placement, &endpoints, &request, now_ms)
-    }
-
-    fn to_placement(&self) -> placement::Request<'_> {
-        let now_ms = self.gateway.clock.now_ms();
-        let demand = self.gateway.reading_demand.borrow();
-        placement::Request {
-            rates: demand.to_rates(to_hash(self.service.as_str()), now_ms),
+    fn choose(&self) -> Option<EndpointKey> {
+        let gateway = &self.gateway;
+        let now_ms = gateway.clock.now_ms();
+        let service = to_hash(self.service.as_str());
+        let request = placement::Request {
             service: &self.service,
             prompt: self.intent.prompt.as_ref(),
             lane: self.lane,
+            rates: gateway.reading_demand.borrow().to_rates(service, now_ms),
             level: self.priority.into(),
             is_repeatable: self.route.is_repeatable(),
-            data_centre: &self.gateway.data_centre,
+            data_centre: &gateway.data_centre,
             tried: &self.tried,
-            draw: self.gateway.draw(),
-        }
+            draw: gateway.draw(),
+        };
+        let endpoints = gateway.endpoints.borrow();
+        placement::choose(&gateway.placement, &endpoints, &request, now_ms)
     }
 
     /// Gives the final answer of a request without a usable one.
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -13,6 +13,7 @@
 use waxwing_core::forwarding::EndpointKey;
 use waxwing_core::forwarding::endpoints::Load;
 use waxwing_core::forwarding::endpoints::RunKey;
+use waxwing_core::forwarding::placement;
 use waxwing_core::forwarding::run::End;
 use waxwing_core::forwarding::run::Patience;
 use waxwing_core::state::evidence::Content;
@@ -206,7 +207,10 @@
         let now_ms = self.gateway.clock.now_ms();
         let vms = self.gateway.peers.borrow().to_vm_count(now_ms);
         let mut budget = self.gateway.budget.borrow_mut();
-        self.can_repeat() && budget.covers(&self.service, vms, now_ms) && self.choose().is_some()
+        let endpoints = self.gateway.endpoints.borrow();
+        self.can_repeat()
+            && budget.covers(&self.service, vms, now_ms)
+            && placement::can_choose(&endpoints, &self.service, &self.tried)
     }
 
     async fn exchange_heads(
