Sum the demand of other VMs when an advert arrives, and do not copy adverts

For each request and each endpoint the adverts of all VMs were looked up: 300 VMs with 3,000 endpoints make 900,000 look-ups a request. The sums per endpoint are kept now and change with an advert (test replaced_demand). hear() stored the whole advert to remember four fields of it, so that the caller had to copy its lists first.

Values are the same; no test lost an assertion.

--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -2,7 +2,10 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::collections::hash_map;
 use std::net::SocketAddr;
+use std::ops::AddAssign;
+use std::ops::SubAssign;
 
 use slotmap::SlotMap;
 use slotmap::new_key_type;
@@ -120,6 +123,24 @@
     }
 }
 
+impl AddAssign for Demand {
+    fn add_assign(&mut self, other: Self) {
+        self.runs += other.runs;
+        for (sum, tokens) in self.unread_tokens.iter_mut().zip(other.unread_tokens) {
+            *sum += tokens;
+        }
+    }
+}
+
+impl SubAssign for Demand {
+    fn sub_assign(&mut self, other: Self) {
+        self.runs -= other.runs;
+        for (sum, tokens) in self.unread_tokens.iter_mut().zip(other.unread_tokens) {
+            *sum -= tokens;
+        }
+    }
+}
+
 /// Changes of the list that the caller may have to act on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -221,7 +242,9 @@
     runs: SlotMap<RunKey, Run>,
     by_id: HashMap<Name, EndpointKey>,
     by_service: HashMap<Name, Vec<EndpointKey>>,
-    peer_demand: HashMap<Name, HashMap<u64, Demand>>,
+    peer_demand: HashMap<Name, Vec<(u64, Demand)>>,
+    /// Sum of `peer_demand` over the VMs, kept since each request looks at it for all endpoints.
+    peer_sums: HashMap<u64, Demand>,
     removals_due_ms: HashMap<Name, u64>,
     removed: HashMap<Name, (Option<u64>, u64)>,
     backlog_since_ms: Option<u64>,
@@ -532,26 +555,32 @@
     }
 
     /// Replaces what another VM says of the load that it puts on endpoints, by the hashes of their ids.
-    pub fn set_peer_demand(&mut self, peer: Name, demand: HashMap<u64, Demand>) {
-        self.peer_demand.insert(peer, demand);
+    pub fn set_peer_demand(&mut self, peer: Name, demands: Vec<(u64, Demand)>) {
+        self.drop_peer(&peer);
+        for (hash, demand) in &demands {
+            *self.peer_sums.entry(*hash).or_default() += *demand;
+        }
+        self.peer_demand.insert(peer, demands);
     }
 
     /// Forgets the load of a VM that is gone.
     pub fn drop_peer(&mut self, peer: &Name) {
-        self.peer_demand.remove(peer);
+        for (hash, demand) in self.peer_demand.remove(peer).unwrap_or_default() {
+            let hash_map::Entry::Occupied(mut sum) = self.peer_sums.entry(hash) else {
+                continue;
+            };
+            *sum.get_mut() -= demand;
+            if *sum.get() == Demand::default() {
+                sum.remove();
+            }
+        }
     }
 
     /// Returns the load that all VMs together put on an endpoint, as far as known.
     pub fn to_demand(&self, endpoint: &Endpoint) -> Demand {
         let mut sum = endpoint.own;
-        for demand in self.peer_demand.values() {
-            let Some(demand) = demand.get(&endpoint.hash) else {
-                continue;
-            };
-            sum.runs += demand.runs;
-            for (sum, tokens) in sum.unread_tokens.iter_mut().zip(demand.unread_tokens) {
-                *sum += tokens;
-            }
+        if let Some(peers) = self.peer_sums.get(&endpoint.hash) {
+            sum += *peers;
         }
         sum
     }
--- a/crates/core/src/forwarding/peers.rs
+++ b/crates/core/src/forwarding/peers.rs
@@ -47,9 +47,19 @@
     pub findings: Vec<Finding>,
 }
 
+/// What later answers need of the newest advert of a VM.
+#[derive(Debug)]
+struct Known {
+    /// Incarnation and sequence of the advert.
+    order: (u64, u64),
+    front: SocketAddr,
+    data_centre: Name,
+    is_ready: bool,
+}
+
 #[derive(Debug)]
 struct Peer {
-    advert: Option<Advert>,
+    known: Option<Known>,
     address: SocketAddr,
     heard_at_ms: Option<u64>,
 }
@@ -78,7 +88,7 @@
     /// Adds a VM that was found, so that it gets adverts.
     pub fn add(&mut self, vm: Name, address: SocketAddr) {
         let peer = self.peers.entry(vm).or_insert(Peer {
-            advert: None,
+            known: None,
             address,
             heard_at_ms: None,
         });
@@ -90,21 +100,29 @@
     /// Takes in an advert; returns whether it is news, and the change that it makes.
     ///
     /// Adverts may overtake each other; one that is older than what is known is ignored.
-    pub fn hear(&mut self, advert: Advert, now_ms: u64) -> (bool, Option<Change>) {
+    pub fn hear(&mut self, advert: &Advert, now_ms: u64) -> (bool, Option<Change>) {
         self.add(advert.vm.clone(), advert.peer);
         let Some(peer) = self.peers.get_mut(&advert.vm) else {
             return (false, None);
         };
         let order = (advert.incarnation, advert.sequence);
-        let known = peer.advert.as_ref().map(|a| (a.incarnation, a.sequence));
-        if known.is_some_and(|known| order <= known) {
+        if peer
+            .known
+            .as_ref()
+            .is_some_and(|known| order <= known.order)
+        {
             return (false, None);
         }
         let was_alive = is_alive(peer, now_ms);
         peer.address = advert.peer;
         peer.heard_at_ms = Some(now_ms);
         let change = (!was_alive).then(|| Change::Seen(advert.vm.clone()));
-        peer.advert = Some(advert);
+        peer.known = Some(Known {
+            order,
+            front: advert.front,
+            data_centre: advert.data_centre.clone(),
+            is_ready: advert.is_ready,
+        });
         (true, change)
     }
 
@@ -138,12 +156,12 @@
         let is_isolated = !self.peers.values().any(|peer| is_alive(peer, now_ms));
         let mut fronts = Vec::new();
         for peer in self.peers.values() {
-            let Some(advert) = peer.advert.as_ref().filter(|advert| advert.is_ready) else {
+            let Some(known) = peer.known.as_ref().filter(|known| known.is_ready) else {
                 continue;
             };
             let silence_ms = now_ms.saturating_sub(peer.heard_at_ms.unwrap_or(0));
             if is_alive(peer, now_ms) || (is_isolated && silence_ms < ISOLATED_MS) {
-                fronts.push((advert.data_centre != *data_centre, advert.front));
+                fronts.push((known.data_centre != *data_centre, known.front));
             }
         }
         fronts.sort_unstable();
--- a/crates/core/tests/peer_adverts.rs
+++ b/crates/core/tests/peer_adverts.rs
@@ -25,14 +25,14 @@
 #[test]
 fn late_advert() {
     let mut peers = Peers::new();
-    peers.hear(advert("v", 1, 5, 1_000), 100);
+    peers.hear(&advert("v", 1, 5, 1_000), 100);
     let mut stopping = advert("v", 1, 6, 1_000);
     stopping.is_ready = false;
-    peers.hear(stopping, 200);
-    assert_eq!(peers.hear(advert("v", 1, 4, 1_000), 300), (false, None));
+    peers.hear(&stopping, 200);
+    assert_eq!(peers.hear(&advert("v", 1, 4, 1_000), 300), (false, None));
     assert!(peers.to_fronts(&Name::from("a"), 300).is_empty());
     assert!(
-        peers.hear(advert("v", 2, 1, 1_000), 400).0,
+        peers.hear(&advert("v", 2, 1, 1_000), 400).0,
         "a new incarnation counts anew"
     );
     assert_eq!(peers.to_fronts(&Name::from("a"), 400).len(), 1);
@@ -42,9 +42,9 @@
 #[test]
 fn silent_vm() {
     let mut peers = Peers::new();
-    peers.hear(advert("v", 1, 1, 1_000), 0);
-    peers.hear(advert("w", 1, 1, 2_000), 0);
-    peers.hear(advert("w", 1, 2, 2_000), 1_500);
+    peers.hear(&advert("v", 1, 1, 1_000), 0);
+    peers.hear(&advert("w", 1, 1, 2_000), 0);
+    peers.hear(&advert("w", 1, 2, 2_000), 1_500);
     assert_eq!(
         peers.to_lost(1_200, 1_500),
         vec![Change::Lost(Name::from("v"))]
@@ -63,7 +63,7 @@
 #[test]
 fn isolated_vm() {
     let mut peers = Peers::new();
-    peers.hear(advert("v", 1, 1, 1_000), 0);
+    peers.hear(&advert("v", 1, 1, 1_000), 0);
     assert_eq!(peers.to_fronts(&Name::from("a"), 2_000).len(), 1);
     assert!(peers.to_fronts(&Name::from("a"), 4_000).is_empty());
 }
@@ -72,8 +72,8 @@
 #[test]
 fn nearest_first() {
     let mut peers = Peers::new();
-    peers.hear(advert("far", 1, 1, 2_000), 0);
-    peers.hear(advert("near", 1, 1, 1_000), 0);
+    peers.hear(&advert("far", 1, 1, 2_000), 0);
+    peers.hear(&advert("near", 1, 1, 1_000), 0);
     let fronts = peers.to_fronts(&Name::from("a"), 0);
     assert_eq!(fronts[0], "127.0.0.1:1000".parse().unwrap());
 }
--- a/crates/core/tests/prompt_placement.rs
+++ b/crates/core/tests/prompt_placement.rs
@@ -8,6 +8,7 @@
 use waxwing_core::forwarding::Endpoints;
 use waxwing_core::forwarding::endpoints::Demand;
 use waxwing_core::forwarding::endpoints::Entry;
+use waxwing_core::forwarding::endpoints::LEVELS;
 use waxwing_core::forwarding::endpoints::Level;
 use waxwing_core::forwarding::endpoints::Load;
 use waxwing_core::forwarding::lanes::Lane;
@@ -81,6 +82,17 @@
         .unwrap()
     }
 
+    /// Takes in that another VM has 20 requests at an engine, with prompts still to be read.
+    fn hear_demand(&mut self, peer: &str, key: EndpointKey, unread_tokens: [u64; LEVELS]) {
+        let demand = Demand {
+            runs: 20,
+            unread_tokens,
+        };
+        let hash = self.endpoints.get(key).unwrap().hash;
+        self.endpoints
+            .set_peer_demand(Name::from(peer), vec![(hash, demand)]);
+    }
+
     fn to_id(&self, key: EndpointKey) -> Name {
         self.endpoints.get(key).unwrap().entry.id.clone()
     }
@@ -200,13 +212,7 @@
     let mut vm = Vm::new();
     let prompt = digest(3, 3);
     let home = vm.choose(&prompt, LONG, &[]);
-    let hash = vm.endpoints.get(home).unwrap().hash;
-    let demand = Demand {
-        runs: 20,
-        unread_tokens: [400_000, 0, 0, 0],
-    };
-    vm.endpoints
-        .set_peer_demand(Name::from("vm-2"), HashMap::from([(hash, demand)]));
+    vm.hear_demand("vm-2", home, [400_000, 0, 0, 0]);
     assert_ne!(vm.choose(&prompt, LONG, &[]), home);
     vm.endpoints.drop_peer(&Name::from("vm-2"));
     assert_eq!(vm.choose(&prompt, LONG, &[]), home);
@@ -219,13 +225,7 @@
     let mut vm = Vm::new();
     let prompt = digest(3, 3);
     let home = vm.choose(&prompt, LONG, &[]);
-    let hash = vm.endpoints.get(home).unwrap().hash;
-    let demand = Demand {
-        runs: 20,
-        unread_tokens: [0, 0, 400_000, 0],
-    };
-    vm.endpoints
-        .set_peer_demand(Name::from("vm-2"), HashMap::from([(hash, demand)]));
+    vm.hear_demand("vm-2", home, [0, 0, 400_000, 0]);
     let load = Load {
         running: 20,
         waiting: 20,
@@ -291,3 +291,21 @@
         None
     );
 }
+
+/// What another VM said before must not count beside what it says now, nor after it is gone.
+#[test]
+fn replaced_demand() {
+    let mut vm = Vm::new();
+    let home = vm.choose(&digest(3, 3), LONG, &[]);
+    let unread = |vm: &Vm| vm.endpoints.to_unread_tokens(home);
+    vm.hear_demand("vm-2", home, [7, 0, 0, 1]);
+    vm.hear_demand("vm-3", home, [100, 0, 0, 0]);
+    vm.hear_demand("vm-2", home, [0, 20, 0, 0]);
+    assert_eq!(unread(&vm), 120);
+    vm.endpoints.drop_peer(&Name::from("vm-3"));
+    assert_eq!(unread(&vm), 20);
+    vm.endpoints.set_peer_demand(Name::from("vm-2"), Vec::new());
+    assert_eq!(unread(&vm), 0);
+    vm.endpoints.drop_peer(&Name::from("vm-2"));
+    assert_eq!(unread(&vm), 0);
+}
--- a/crates/gateway/src/adverts.rs
+++ b/crates/gateway/src/adverts.rs
@@ -1,6 +1,5 @@
 //! Adverts between VMs over UDP.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::rc::Rc;
@@ -139,22 +138,25 @@
         return "old";
     }
     let now_ms = gateway.clock.now_ms();
-    let vm = advert.vm.clone();
-    let demands: HashMap<_, _> = advert.demands.iter().copied().collect();
-    let findings = advert.findings.clone();
-    let asked = advert.asked.clone();
-    let (is_news, change) = gateway.peers.borrow_mut().hear(advert, now_ms);
+    let (is_news, change) = gateway.peers.borrow_mut().hear(&advert, now_ms);
     if let Some(Change::Seen(peer)) = change {
         log::info!(event = "peer_seen", peer = peer.as_str(); "hears adverts");
     }
     if !is_news {
         return "old";
     }
+    let vm = advert.vm;
     gateway
         .reading_demand
         .borrow_mut()
-        .set_peer(vm.clone(), asked);
-    gateway.endpoints.borrow_mut().set_peer_demand(vm, demands);
-    gateway.evidence.borrow_mut().merge(&findings, now_ms);
+        .set_peer(vm.clone(), advert.asked);
+    gateway
+        .endpoints
+        .borrow_mut()
+        .set_peer_demand(vm, advert.demands);
+    gateway
+        .evidence
+        .borrow_mut()
+        .merge(&advert.findings, now_ms);
     "news"
 }
