Look for free ports without binding them

Cause of leaving_engines (KNOWN-RED, "Address already in use"): to_free_address bound each port to try it, also ports that another test had been given and not bound yet, and a child that another test thread starts at that moment holds the listener until its exec. Daemon and Standin of the harness start again for this reason; the platform's deployment does not, and a third copy of that loop would be the wrong place.

Ruled out: ports of outgoing connections (32768 and above here; the harness draws below 32000).

--- a/crates/harness/src/run.rs
+++ b/crates/harness/src/run.rs
@@ -1,7 +1,7 @@
 //! What the processes of one test have in common.
 
 use std::collections::HashSet;
-use std::net::TcpListener;
+use std::net::TcpStream;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -75,7 +75,8 @@
             // Not from the seed: tests that run at the same time must differ.
             let port = rand::rng().random_range(PORTS);
             let mut taken = TAKEN.lock().expect("no test panics here");
-            let is_free = TcpListener::bind(("127.0.0.1", port)).is_ok();
+            // A listener, bound to try the port, would live on in a child that another test starts just now.
+            let is_free = TcpStream::connect(("127.0.0.1", port)).is_err();
             if is_free && taken.get_or_insert_default().insert(port) {
                 return format!("127.0.0.1:{port}");
             }
