Order requests by the rank of their organisation first and that of their route second

So grade-check (rank 0), origin-brief (1) and lot-dossier (2) were all sent with the same priority, and an engine whose 12 slots are full preempts the newest of them for a request of an organisation of rank 0: mostly a grade-check, whose 40 events hold a slot longest.

Ruled out: unlike versions of the configuration (three versions beside the preempted request, all with the same ranks); memory (12 requests hold about 110,000 of 291,631 tokens).

Now the organisation's rank goes first and the route's decides between equals, ten levels in all; the admission shares follow them. Log lines of requests name organisation and urgency. Adverts leave out levels without tokens (version 3) and refuse numbers whose sums would overflow.

The test burst_of_prompts names the level that its digest now has, Level::new(None, 2); the share there is 0.15 as before.

--- a/crates/core/src/forwarding/admission.rs
+++ b/crates/core/src/forwarding/admission.rs
@@ -24,7 +24,7 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            latest_start_shares: [0.5, 0.3, 0.15, 0.15],
+            latest_start_shares: [0.5, 0.45, 0.4, 0.4, 0.3, 0.25, 0.25, 0.2, 0.15, 0.15],
         }
     }
 }
--- a/crates/core/src/forwarding/configuration.rs
+++ b/crates/core/src/forwarding/configuration.rs
@@ -101,7 +101,7 @@
     pub name: Name,
     /// API keys of its callers.
     pub keys: Vec<String>,
-    /// Rank that replaces that of the route.
+    /// Rank that goes before that of the route.
     pub priority: Option<u8>,
 }
 
--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -81,25 +81,46 @@
     pub slowness_percent: u32,
 }
 
-/// Levels of urgency that are told apart; all priorities from the last one on share it.
-pub const LEVELS: usize = 4;
+/// Levels of urgency that endpoints tell apart.
+pub const LEVELS: usize = 10;
+
+/// Ranks of routes that are told apart among requests of organisations with the same rank.
+const ROUTE_RANKS: u8 = 3;
 
 /// How urgent a request is, as endpoints order the requests that wait; 0 comes first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Level(u8);
 
 impl From<u8> for Level {
-    fn from(priority: u8) -> Self {
-        Self(priority.min(LEVELS as u8 - 1))
+    fn from(level: u8) -> Self {
+        Self(level.min(LEVELS as u8 - 1))
     }
 }
 
 impl Level {
-    pub(super) fn to_index(self) -> usize {
+    /// Combines the rank of an organisation with that of a route.
+    ///
+    /// The organisation's rank comes first, the route's decides between equals: if all organisations have the same rank,
+    /// an engine must still preempt the least urgent routes first. Without a rank of the organisation the route's stands
+    /// for both.
+    pub fn new(organisation_rank: Option<u8>, route_rank: u8) -> Self {
+        let first = organisation_rank.unwrap_or(route_rank);
+        let second = route_rank.min(ROUTE_RANKS - 1);
+        Self::from(first.saturating_mul(ROUTE_RANKS).saturating_add(second))
+    }
+
+    /// Returns the level as a number below [`LEVELS`].
+    pub fn to_index(self) -> usize {
         usize::from(self.0)
     }
 }
 
+impl From<Level> for u8 {
+    fn from(level: Level) -> Self {
+        level.0
+    }
+}
+
 /// Load that one VM puts on an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Demand {
--- a/crates/core/tests/late_prompts.rs
+++ b/crates/core/tests/late_prompts.rs
@@ -19,7 +19,8 @@
 
 /// Plays 10 s of arrivals at one engine that reads in order of arrival, and returns how many are answered in time.
 fn to_answered(config: &Config) -> usize {
-    let level = Level::from(2);
+    // A digest, whose route has rank 2, of an organisation without a rank of its own.
+    let level = Level::new(None, 2);
     let mut answered = 0;
     let mut free_at_ms = 0.0_f64;
     let mut now_ms = 0.0;
--- a/crates/core/tests/prompt_placement.rs
+++ b/crates/core/tests/prompt_placement.rs
@@ -83,7 +83,9 @@
     }
 
     /// Takes in that another VM has 20 requests at an engine, with prompts still to be read.
-    fn hear_demand(&mut self, peer: &str, key: EndpointKey, unread_tokens: [u64; LEVELS]) {
+    fn hear_demand(&mut self, peer: &str, key: EndpointKey, unread: &[u64]) {
+        let mut unread_tokens = [0; LEVELS];
+        unread_tokens[..unread.len()].copy_from_slice(unread);
         let demand = Demand {
             runs: 20,
             unread_tokens,
@@ -212,7 +214,7 @@
     let mut vm = Vm::new();
     let prompt = digest(3, 3);
     let home = vm.choose(&prompt, LONG, &[]);
-    vm.hear_demand("vm-2", home, [400_000, 0, 0, 0]);
+    vm.hear_demand("vm-2", home, &[400_000, 0, 0, 0]);
     assert_ne!(vm.choose(&prompt, LONG, &[]), home);
     vm.endpoints.drop_peer(&Name::from("vm-2"));
     assert_eq!(vm.choose(&prompt, LONG, &[]), home);
@@ -225,7 +227,7 @@
     let mut vm = Vm::new();
     let prompt = digest(3, 3);
     let home = vm.choose(&prompt, LONG, &[]);
-    vm.hear_demand("vm-2", home, [0, 0, 400_000, 0]);
+    vm.hear_demand("vm-2", home, &[0, 0, 400_000, 0]);
     let load = Load {
         running: 20,
         waiting: 20,
@@ -298,9 +300,9 @@
     let mut vm = Vm::new();
     let home = vm.choose(&digest(3, 3), LONG, &[]);
     let unread = |vm: &Vm| vm.endpoints.to_unread_tokens(home);
-    vm.hear_demand("vm-2", home, [7, 0, 0, 1]);
-    vm.hear_demand("vm-3", home, [100, 0, 0, 0]);
-    vm.hear_demand("vm-2", home, [0, 20, 0, 0]);
+    vm.hear_demand("vm-2", home, &[7, 0, 0, 1]);
+    vm.hear_demand("vm-3", home, &[100, 0, 0, 0]);
+    vm.hear_demand("vm-2", home, &[0, 20, 0, 0]);
     assert_eq!(unread(&vm), 120);
     vm.endpoints.drop_peer(&Name::from("vm-3"));
     assert_eq!(unread(&vm), 20);
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,6 +3,7 @@
 use hyper::HeaderMap;
 use hyper::StatusCode;
 use waxwing_core::Name;
+use waxwing_core::forwarding::endpoints::Level;
 use waxwing_core::forwarding::endpoints::Load;
 use waxwing_core::forwarding::prompt::Prompt;
 
@@ -30,8 +31,8 @@
     pub time_limit_ms: u64,
     /// Organisation of the caller.
     pub organisation: Option<&'a Name>,
-    /// Rank of the request; 0 is the most urgent.
-    pub priority: Option<u8>,
+    /// How urgent the request is, for endpoints that order what waits there.
+    pub level: Option<Level>,
     /// Id of the event after which a stream goes on.
     pub last_event_id: Option<&'a str>,
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -25,6 +25,7 @@
 use waxwing_core::forwarding::Execution;
 use waxwing_core::forwarding::admission;
 use waxwing_core::forwarding::configuration::Route;
+use waxwing_core::forwarding::endpoints::Level;
 use waxwing_core::forwarding::endpoints::to_hash;
 use waxwing_core::forwarding::lanes::Lane;
 use waxwing_core::forwarding::placement;
@@ -73,7 +74,7 @@
     pub(crate) route: Route,
     pub(crate) service: Name,
     pub(crate) organisation: Option<Name>,
-    pub(crate) priority: u8,
+    pub(crate) level: Level,
     pub(crate) memory_tokens: Option<u64>,
     pub(crate) lane: Lane,
     pub(crate) intent: Intent,
@@ -173,10 +174,11 @@
         &intent,
         &mut trace,
     );
-    let (route, organisation, priority) = match admitted {
+    let (route, organisation, level) = match admitted {
         Ok(admitted) => admitted,
         Err(refusal) => return refuse(gateway, &mut trace, &refusal, false),
     };
+    trace.set_caller(organisation.as_ref(), level);
     let limits = configuration
         .as_ref()
         .map(|known| known.limits())
@@ -212,7 +214,7 @@
         route,
         service,
         organisation,
-        priority,
+        level,
         intent,
         head,
         body,
@@ -236,7 +238,7 @@
     head: &Parts,
     intent: &Intent,
     trace: &mut Trace,
-) -> Result<(Route, Option<Name>, u8), Refusal> {
+) -> Result<(Route, Option<Name>, Level), Refusal> {
     let unready =
         |message: &str| Refusal::not_run(Reason::NoSettings, UNREADY_RETRY_AFTER_MS, message);
     let configuration = configuration.ok_or_else(|| unready("this VM has no configuration yet"))?;
@@ -284,9 +286,9 @@
             message,
         ));
     }
-    let priority = organisation.and_then(|organisation| organisation.priority);
+    let rank = organisation.and_then(|organisation| organisation.priority);
     let name = organisation.map(|organisation| organisation.name.clone());
-    Ok((route.clone(), name, priority.unwrap_or(route.priority)))
+    Ok((route.clone(), name, Level::new(rank, route.priority)))
 }
 
 async fn read_body(
@@ -424,7 +426,7 @@
         let gateway = Rc::clone(&self.gateway);
         let endpoints = gateway.endpoints.borrow();
         let endpoint = endpoints.get(key)?;
-        let level = self.priority.into();
+        let level = self.level;
         let backlog_ms = placement::to_backlog_ms(&gateway.placement, &endpoints, endpoint, level);
         let left_ms = self.to_left_ms();
         let retry_after_ms =
@@ -449,7 +451,7 @@
             prompt: self.intent.prompt.as_ref(),
             lane: self.lane,
             rates: gateway.reading_demand.borrow().to_rates(service, now_ms),
-            level: self.priority.into(),
+            level: self.level,
             is_repeatable: self.route.is_repeatable(),
             data_centre: &gateway.data_centre,
             tried: &self.tried,
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -110,13 +110,7 @@
             };
             let address = endpoint.entry.address;
             let endpoint_id = endpoint.entry.id.clone();
-            let run = endpoints.begin(
-                key,
-                prompt,
-                self.memory_tokens,
-                self.priority.into(),
-                now_ms,
-            );
+            let run = endpoints.begin(key, prompt, self.memory_tokens, self.level, now_ms);
             (address, endpoint_id, run)
         };
         let mut run = RunGuard {
@@ -320,7 +314,7 @@
             endpoint_id: &run.endpoint_id,
             time_limit_ms: left_ms,
             organisation: self.organisation.as_ref(),
-            priority: self.intent.prompt.is_some().then_some(self.priority),
+            level: self.intent.prompt.is_some().then_some(self.level),
             last_event_id,
         };
         self.gateway.dialect.instruct(&mut headers, &instructions);
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -4,6 +4,7 @@
 
 use waxwing_core::Name;
 use waxwing_core::forwarding::configuration::RouteKind;
+use waxwing_core::forwarding::endpoints::Level;
 use waxwing_core::forwarding::run::End;
 use waxwing_core::forwarding::run::Execution;
 
@@ -17,6 +18,8 @@
     request_id: String,
     route: Option<Name>,
     kind: &'static str,
+    organisation: Option<Name>,
+    level: Option<u8>,
     configuration_version: u64,
     runs: String,
     first_byte_ms: Option<u64>,
@@ -31,6 +34,8 @@
             request_id: request_id.to_owned(),
             route: None,
             kind: "none",
+            organisation: None,
+            level: None,
             configuration_version,
             runs: String::new(),
             first_byte_ms: None,
@@ -47,6 +52,11 @@
         };
     }
 
+    pub(crate) fn set_caller(&mut self, organisation: Option<&Name>, level: Level) {
+        self.organisation = organisation.cloned();
+        self.level = Some(level.into());
+    }
+
     pub(crate) fn request_id(&self) -> &str {
         &self.request_id
     }
@@ -107,6 +117,8 @@
             event = "request_end",
             request = self.request_id.as_str(),
             route = self.route.as_ref().map_or("", Name::as_str),
+            organisation = self.organisation.as_ref().map_or("", Name::as_str),
+            urgency = self.level,
             outcome = outcome,
             status = status,
             execution = execution,
--- a/crates/wire/src/advert.rs
+++ b/crates/wire/src/advert.rs
@@ -12,7 +12,13 @@
 use waxwing_core::state::evidence::Finding;
 
 /// Version of the message; adverts of other versions are refused.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
+
+/// Most prompt tokens that one VM can have in progress at an endpoint at one level; sums over all VMs must not overflow.
+const TOKENS_MAX: u64 = 1 << 40;
+
+/// Most requests that one VM can have in progress at an endpoint; it has fewer descriptors.
+const RUNS_MAX: u32 = 1 << 20;
 
 /// Why a datagram is not an advert.
 #[derive(Debug, thiserror::Error)]
@@ -43,8 +49,8 @@
     data_centre: String,
     ready: bool,
     configuration: u64,
-    /// Endpoint hash, runs, unread tokens by level.
-    demands: Vec<(u64, u32, [u64; LEVELS])>,
+    /// Endpoint hash, runs, unread tokens as pairs of level and number; levels without any are left out.
+    demands: Vec<(u64, u32, Vec<(usize, u64)>)>,
     /// Hash of a service's name, prompt tokens that arrive for each lane in a millisecond.
     asked: Vec<(u64, Rates)>,
     /// Content hash in base64, endpoint that was lost if any, age in milliseconds.
@@ -55,7 +61,9 @@
     fn from(advert: &peers::Advert) -> Self {
         let mut demands = Vec::new();
         for (hash, demand) in &advert.demands {
-            demands.push((*hash, demand.runs, demand.unread_tokens));
+            let levels = demand.unread_tokens.iter().copied().enumerate();
+            let unread_tokens = levels.filter(|(_, tokens)| *tokens > 0).collect();
+            demands.push((*hash, demand.runs, unread_tokens));
         }
         let mut findings = Vec::new();
         for finding in &advert.findings {
@@ -91,7 +99,18 @@
             return Err(Error::Version(wire.v));
         }
         let mut demands = Vec::new();
-        for (hash, runs, unread_tokens) in wire.demands {
+        for (hash, runs, levels) in wire.demands {
+            if runs > RUNS_MAX {
+                return Err(Error::Field("demands"));
+            }
+            let mut unread_tokens = [0; LEVELS];
+            for (level, tokens) in levels {
+                if tokens > TOKENS_MAX {
+                    return Err(Error::Field("demands"));
+                }
+                let known = unread_tokens.get_mut(level);
+                *known.ok_or(Error::Field("demands"))? = tokens;
+            }
             let demand = Demand {
                 runs,
                 unread_tokens,
--- a/crates/wire/tests/advert.rs
+++ b/crates/wire/tests/advert.rs
@@ -9,7 +9,7 @@
 fn sample() -> Advert {
     let demand = Demand {
         runs: 3,
-        unread_tokens: [1, 20, 300, 0],
+        unread_tokens: [1, 20, 300, 0, 0, 0, 0, 0, 0, 4_000],
     };
     Advert {
         vm: Name::from("vm-1"),
@@ -37,7 +37,7 @@
 #[test]
 fn refused_adverts() {
     let text = String::from_utf8(advert::to_bytes(&sample()).unwrap()).unwrap();
-    let older = text.replace("\"v\":2", "\"v\":1");
+    let older = text.replace("\"v\":3", "\"v\":1");
     assert!(matches!(
         advert::from_bytes(older.as_bytes()),
         Err(Error::Version(1))
@@ -45,6 +45,16 @@
     let negative = text.replace("[0.5,", "[-0.5,");
     let result = advert::from_bytes(negative.as_bytes());
     assert!(matches!(result, Err(Error::Field("asked"))), "{result:?}");
+    // A level that no endpoint knows, and numbers whose sums over all VMs would overflow.
+    for (sent, other) in [
+        ("[9,4000]", "[10,4000]"),
+        ("[9,4000]", "[9,18446744073709551615]"),
+        (",3,[[", ",4294967295,[["),
+    ] {
+        assert!(text.contains(sent), "{text}");
+        let result = advert::from_bytes(text.replace(sent, other).as_bytes());
+        assert!(matches!(result, Err(Error::Field("demands"))), "{result:?}");
+    }
     for length in 0..text.len() {
         assert!(advert::from_bytes(&text.as_bytes()[..length]).is_err());
     }
