Count suspended time on the steady clock

Cause looked for: a process that was paused acts on a permission that ran out. A machine that is suspended for seconds found its deadlines, its share of the repeat budget and its belief in the configuration as young as before, since the standard library's clock stands still meanwhile. The boot-time clock goes on.

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,13 +1,18 @@
 //! The clocks of a process.
 
-use std::time::Instant;
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
-/// A steady clock that counts milliseconds from a fixed start.
+use nix::time::ClockId;
+use nix::time::clock_gettime;
+
+/// A steady clock that counts milliseconds from a fixed start, also while the machine is suspended.
+///
+/// A process that was suspended must find that its permissions and beliefs are older by that time.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    start: Instant,
+    start: Duration,
 }
 
 /// Value of the steady clock at its start; leaves room to subtract windows.
@@ -18,17 +23,23 @@
     #[expect(clippy::new_without_default, reason = "a clock is not a plain value")]
     pub fn new() -> Self {
         Self {
-            start: Instant::now(),
+            start: to_boot_time(),
         }
     }
 
     /// Returns the steady time, in milliseconds.
     pub fn now_ms(&self) -> u64 {
-        let elapsed_ms = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX / 2);
-        START_MS + elapsed_ms
+        let elapsed = to_boot_time().saturating_sub(self.start);
+        START_MS + u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX / 2)
     }
 }
 
+/// Returns the time since the machine started.
+fn to_boot_time() -> Duration {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
+    Duration::from(time.expect("the kernel has this clock since Linux 2.6.39"))
+}
+
 /// Returns the time of day as Unix time, in milliseconds; it may jump.
 pub fn to_unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
