Let a few VMs read the log service for the fleet

Now 1 + VMs / 32 readers, chosen by rendezvous among the VMs that are heard and ready and spread over the data centres, read at 40 % of the shortest bound (drain, change of configuration). The others ask the nearest reader by HTTP on the peers' port; the question waits there until something is new. The answer says how far it reaches and how old it is, so the VM that asked knows as of when its belief holds, however long the answer was on its way. From 60 % of the bound on it reads by itself, spread by a jitter. Nothing older than the belief is applied, whoever says it. A reader that holds removals back does not vouch for its list; one that the log service turns away asks the other readers.

By the way: a VM that the log service turns away gets the configuration, also after a restart.

Ruled out: passing records on by UDP from the reader, since how old such a record is cannot be known when it arrives.

--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,16 @@
+//! One reading of the log service for the whole fleet.
+//!
+//! A few VMs read the configuration and the list of endpoints, and the others ask them. Each VM knows how old what it
+//! believes is, and reads by itself before a bound would be missed, so a reader that is lost, paused or cut off costs
+//! calls but no bound. Everything here is pure; the processes pass it the clock.
+
+pub mod belief;
+pub mod readers;
+pub mod revisions;
+pub mod view;
+
+pub use belief::Belief;
+pub use belief::Role;
+pub use belief::Timing;
+pub use readers::Member;
+pub use view::Feed;
--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -11,9 +11,12 @@
 use slotmap::new_key_type;
 
 use crate::Name;
+use crate::fleet::revisions::Delta;
+use crate::fleet::revisions::Revisions;
 use crate::forwarding::prompt::KeptParts;
 use crate::forwarding::prompt::Prompt;
 use crate::forwarding::run::End;
+use crate::hash::to_hash;
 
 new_key_type! {
     /// Key of an endpoint; a restarted endpoint gets a new one.
@@ -270,6 +273,7 @@
     removed: HashMap<Name, (Option<u64>, u64)>,
     backlog_since_ms: Option<u64>,
     is_source_lost: bool,
+    revisions: Revisions,
 }
 
 /// Records of one endpoint that a source which was away cannot hold: one from before and one from after its return.
@@ -280,6 +284,18 @@
 /// Entries may lapse while the source is away, although their endpoints live.
 pub const LAPSE_GRACE_MS: u64 = 2_000;
 
+impl Entry {
+    /// Returns whether another entry of the same endpoint says the same; only its number and its warming up differ.
+    fn is_like(&self, other: &Self) -> bool {
+        let renumbered = Self {
+            sequence: other.sequence,
+            cold_ms: other.cold_ms,
+            ..self.clone()
+        };
+        renumbered == *other
+    }
+}
+
 impl Endpoints {
     /// Creates an empty list.
     pub fn new() -> Self {
@@ -313,6 +329,9 @@
             return Some(Change::Restarted { old: key, new });
         }
         let starts_draining = entry.is_draining && !known.entry.is_draining;
+        if !known.entry.is_like(&entry) {
+            self.revisions.note_change(&entry.id);
+        }
         known.entry = entry;
         starts_draining.then_some(Change::Draining(key))
     }
@@ -334,6 +353,9 @@
         let known = self.endpoints.get_mut(key)?;
         let starts_draining = !known.entry.is_draining;
         known.entry.is_draining = true;
+        if starts_draining {
+            self.revisions.note_change(id);
+        }
         starts_draining.then_some(Change::Draining(key))
     }
 
@@ -401,6 +423,7 @@
     fn insert(&mut self, entry: Entry) -> EndpointKey {
         let id = entry.id.clone();
         let service = entry.service.clone();
+        self.revisions.note_change(&id);
         let endpoint = Endpoint {
             hash: to_hash(id.as_str()),
             entry,
@@ -424,6 +447,7 @@
     fn take(&mut self, id: &Name) -> Option<EndpointKey> {
         let key = self.by_id.remove(id)?;
         let endpoint = self.endpoints.remove(key)?;
+        self.revisions.note_removal(id);
         if self.removed.len() >= REMOVED_MAX {
             self.removed.clear();
         }
@@ -435,6 +459,21 @@
         Some(key)
     }
 
+    /// Returns whether removals are held back, so that the list is not what its source says.
+    pub fn has_pending_removals(&self) -> bool {
+        !self.removals_due_ms.is_empty()
+    }
+
+    /// Returns what changed in the list after a revision; `None` asks for the whole list.
+    pub fn to_delta(&self, since: Option<u64>) -> Delta<'_> {
+        self.revisions.to_delta(since)
+    }
+
+    /// Returns the number of the last change of the list.
+    pub fn revision(&self) -> u64 {
+        self.revisions.newest()
+    }
+
     /// Returns an endpoint.
     pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
         self.endpoints.get(key)
@@ -636,19 +675,3 @@
         if count > 0.0 { sum / count } else { 0.0 }
     }
 }
-
-/// Returns a hash of a name that is the same in all processes (FNV-1a, then mixed).
-pub fn to_hash(text: &str) -> u64 {
-    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
-    for byte in text.bytes() {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    }
-    mix(hash)
-}
-
-/// Mixes a number so that similar inputs give unlike outputs (the finalizer of SplitMix64).
-pub fn mix(value: u64) -> u64 {
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
--- a/crates/core/src/forwarding/lanes.rs
+++ b/crates/core/src/forwarding/lanes.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 
 use crate::Name;
-use crate::forwarding::endpoints::mix;
+use crate::hash::mix;
 
 /// Most lanes of a service.
 pub const LANES_MAX: usize = 3;
--- a/crates/core/src/forwarding/peers.rs
+++ b/crates/core/src/forwarding/peers.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use crate::Name;
+use crate::fleet::Member;
 use crate::forwarding::endpoints::Demand;
 use crate::forwarding::lanes::Rates;
 use crate::state::evidence::Finding;
@@ -168,6 +169,25 @@
         fronts.into_iter().map(|(_, front)| front).collect()
     }
 
+    /// Returns the VMs that are heard and take callers, so that they know the configuration and the endpoints.
+    pub fn to_members(&self, now_ms: u64) -> Vec<Member> {
+        let mut members = Vec::new();
+        for (vm, peer) in &self.peers {
+            let Some(known) = peer.known.as_ref().filter(|known| known.is_ready) else {
+                continue;
+            };
+            if !is_alive(peer, now_ms) {
+                continue;
+            }
+            members.push(Member {
+                vm: vm.clone(),
+                data_centre: known.data_centre.clone(),
+                address: peer.address,
+            });
+        }
+        members
+    }
+
     /// Returns the number of VMs that share budgets, this one included.
     pub fn to_vm_count(&self, now_ms: u64) -> usize {
         let mut count = 1;
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -10,13 +10,13 @@
 use crate::forwarding::endpoints::Endpoints;
 use crate::forwarding::endpoints::Level;
 use crate::forwarding::endpoints::Trust;
-use crate::forwarding::endpoints::mix;
 use crate::forwarding::lanes;
 use crate::forwarding::lanes::Homes;
 use crate::forwarding::lanes::Lane;
 use crate::forwarding::lanes::Lanes;
 use crate::forwarding::lanes::Rates;
 use crate::forwarding::prompt::Prompt;
+use crate::hash::mix;
 
 /// Costs and shares of the placement.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,7 +7,9 @@
 pub mod document;
 pub mod error;
 pub mod finding;
+pub mod fleet;
 pub mod forwarding;
+pub mod hash;
 pub mod state;
 
 mod name;
--- a/crates/core/tests/lane_sizes.rs
+++ b/crates/core/tests/lane_sizes.rs
@@ -1,12 +1,12 @@
 //! Division of engines into lanes: fixed shares in calm times, engines for the lane that is short of them in a burst.
 
 use waxwing_core::Name;
-use waxwing_core::forwarding::endpoints::mix;
 use waxwing_core::forwarding::lanes::Config;
 use waxwing_core::forwarding::lanes::Lane;
 use waxwing_core::forwarding::lanes::Lanes;
 use waxwing_core::forwarding::lanes::Rates;
 use waxwing_core::forwarding::lanes::ReadingDemand;
+use waxwing_core::hash::mix;
 
 const TOKENS_PER_MS: f64 = 38.0;
 
--- a/crates/gateway/src/adverts.rs
+++ b/crates/gateway/src/adverts.rs
@@ -88,7 +88,7 @@
         peer: gateway.settings.listen.peers,
         data_centre: gateway.data_centre.clone(),
         is_ready: gateway.is_ready(),
-        configuration_version: gateway.configuration().map_or(0, |known| known.version()),
+        configuration_version: gateway.to_configuration_version(),
         demands: gateway.endpoints.borrow().to_own_demands(),
         asked: gateway
             .reading_demand
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,6 +3,7 @@
 use hyper::HeaderMap;
 use hyper::StatusCode;
 use waxwing_core::Name;
+use waxwing_core::forwarding::Configuration;
 use waxwing_core::forwarding::endpoints::Level;
 use waxwing_core::forwarding::endpoints::Load;
 use waxwing_core::forwarding::prompt::Prompt;
@@ -67,6 +68,13 @@
     /// Reads the head of an endpoint's answer.
     fn to_verdict(&self, status: StatusCode, headers: &HeaderMap) -> Verdict;
 
+    /// Decodes the document of a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails with a sentence for the log if it is not a configuration.
+    fn to_configuration(&self, document: &[u8]) -> Result<Configuration, String>;
+
     /// Sets the id of the request on an answer of the router's own.
     fn identify(&self, headers: &mut HeaderMap, request_id: &str);
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -26,7 +26,6 @@
 use waxwing_core::forwarding::admission;
 use waxwing_core::forwarding::configuration::Route;
 use waxwing_core::forwarding::endpoints::Level;
-use waxwing_core::forwarding::endpoints::to_hash;
 use waxwing_core::forwarding::lanes::Lane;
 use waxwing_core::forwarding::placement;
 use waxwing_core::forwarding::run::End;
@@ -34,6 +33,7 @@
 use waxwing_core::forwarding::run::Progress;
 use waxwing_core::forwarding::run::to_next;
 use waxwing_core::forwarding::run::to_status;
+use waxwing_core::hash::to_hash;
 use waxwing_core::state::evidence::Content;
 
 use crate::body::Body;
--- /dev/null
+++ b/crates/gateway/src/fleet.rs
@@ -0,0 +1,346 @@
+//! Asks VMs that read the log service, or answers those that ask.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use http_body_util::BodyExt;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use waxwing_core::Name;
+use waxwing_core::fleet::Belief;
+use waxwing_core::fleet::Feed;
+use waxwing_core::fleet::Member;
+use waxwing_core::fleet::Role;
+use waxwing_core::fleet::Timing;
+use waxwing_core::fleet::belief::to_as_of_ms;
+use waxwing_core::fleet::readers;
+use waxwing_core::fleet::view::ConfigurationView;
+use waxwing_core::fleet::view::EndpointsView;
+use waxwing_core::fleet::view::Extent;
+use waxwing_core::fleet::view::Question;
+use waxwing_core::fleet::view::View;
+use waxwing_wire::view as wire;
+
+use crate::body::Body;
+use crate::client::Caller;
+use crate::client::within;
+use crate::gateway::Gateway;
+use crate::metric;
+
+/// Longest question, in bytes.
+const QUESTION_MAX_BYTES: usize = 4_096;
+
+/// Time for an answer beyond the time that the question may wait, in milliseconds.
+const ANSWER_MS: u64 = 300;
+
+/// Time for which a reader that did not answer or could not vouch is not asked again, in milliseconds.
+const AVOID_MS: u64 = 1_000;
+
+/// Pause of a VM that has nobody to ask, in milliseconds.
+const PAUSE_MS: u64 = 200;
+
+/// What a VM believes of the topics, and who waits for news of them.
+pub(crate) struct Fleet {
+    timing: Timing,
+    endpoints: Cell<Belief>,
+    configuration: Cell<Belief>,
+    /// Questions that wait for news.
+    waiting: RefCell<Vec<flume::Sender<()>>>,
+}
+
+impl Fleet {
+    pub(crate) fn new(bound_ms: u64) -> Self {
+        Self {
+            timing: Timing { bound_ms },
+            endpoints: Cell::default(),
+            configuration: Cell::default(),
+            waiting: RefCell::default(),
+        }
+    }
+
+    pub(crate) fn timing(&self) -> Timing {
+        self.timing
+    }
+
+    pub(crate) fn belief(&self, feed: Feed) -> Belief {
+        self.to_cell(feed).get()
+    }
+
+    /// Changes a belief and wakes the questions that wait if it got younger.
+    pub(crate) fn confirm(&self, feed: Feed, offset: u64, as_of_ms: u64) {
+        if self.update(feed, |belief| belief.confirm(offset, as_of_ms)) {
+            for sender in self.waiting.take() {
+                // A question that was given up meanwhile needs no answer.
+                let _ = sender.try_send(());
+            }
+        }
+    }
+
+    pub(crate) fn update<T>(&self, feed: Feed, change: impl FnOnce(&mut Belief) -> T) -> T {
+        let cell = self.to_cell(feed);
+        let mut belief = cell.get();
+        let result = change(&mut belief);
+        cell.set(belief);
+        result
+    }
+
+    fn to_cell(&self, feed: Feed) -> &Cell<Belief> {
+        match feed {
+            Feed::Endpoints => &self.endpoints,
+            Feed::Configuration => &self.configuration,
+        }
+    }
+
+    fn to_news(&self) -> flume::Receiver<()> {
+        let (sender, receiver) = flume::bounded(1);
+        self.waiting.borrow_mut().push(sender);
+        receiver
+    }
+}
+
+/// Returns whether this VM reads for others, and the readers that it may ask itself.
+pub(crate) fn to_role(gateway: &Gateway) -> (Role, Vec<Member>) {
+    let mut members = gateway.peers.borrow().to_members(gateway.clock.now_ms());
+    if gateway.is_ready() {
+        members.push(Member {
+            vm: gateway.vm.clone(),
+            data_centre: gateway.data_centre.clone(),
+            address: gateway.settings.listen.peers,
+        });
+    }
+    let readers = readers::choose(&members);
+    let is_reader = readers.iter().any(|member| member.vm == gateway.vm);
+    let role = if is_reader {
+        Role::Reader
+    } else {
+        Role::Follower
+    };
+    let ordered = readers::order_for(readers, &gateway.vm, &gateway.data_centre);
+    (role, ordered.into_iter().cloned().collect())
+}
+
+/// Returns whether this VM has to ask others; a reader that the log service turns away has to, too.
+fn is_asking(gateway: &Gateway, role: Role) -> bool {
+    let stale_ms = gateway.fleet.timing().to_stale_ms();
+    let now_ms = gateway.clock.now_ms();
+    let is_stale = |belief: Belief| {
+        let age_ms = belief.to_age_ms(now_ms);
+        age_ms.is_none_or(|age_ms| age_ms >= stale_ms)
+    };
+    role == Role::Follower || to_beliefs(gateway).into_iter().any(is_stale)
+}
+
+/// The connection to the reader that answered last, and what it said.
+struct Source {
+    vm: Name,
+    caller: Caller,
+    /// Incarnation and revision of the last answer that was taken in.
+    known: Option<(u64, u64)>,
+}
+
+/// Asks readers for as long as the process runs.
+pub(crate) async fn follow(gateway: Rc<Gateway>) {
+    let mut source: Option<Source> = None;
+    let mut avoided: HashMap<Name, u64> = HashMap::new();
+    let mut role = None;
+    loop {
+        let (newer, readers) = to_role(&gateway);
+        if role != Some(newer) {
+            role = Some(newer);
+            log::info!(event = "fleet_role", reads = newer == Role::Reader; "reads the log service for others or asks them");
+        }
+        let now_ms = gateway.clock.now_ms();
+        avoided.retain(|_, until_ms| now_ms < *until_ms);
+        let mut known = readers.iter();
+        let reader = known.find(|reader| !avoided.contains_key(&reader.vm));
+        let reader = reader.filter(|_| is_asking(&gateway, newer));
+        let Some(reader) = reader else {
+            Timer::after(Duration::from_millis(PAUSE_MS)).await;
+            continue;
+        };
+        if source.as_ref().is_none_or(|known| known.vm != reader.vm) {
+            log::info!(event = "fleet_reader", reader = reader.vm.as_str(); "asks this VM what the log service says");
+            source = Some(Source {
+                vm: reader.vm.clone(),
+                caller: Caller::new(gateway.executor, reader.address),
+                known: None,
+            });
+        }
+        let Some(asked) = source.as_mut() else {
+            continue;
+        };
+        let outcome = ask(&gateway, asked).await;
+        let name = match &outcome {
+            Ok(true) => "fresh",
+            Ok(false) => "stale",
+            Err(_) => "failed",
+        };
+        metrics::counter!(metric::VIEWS, "outcome" => name).increment(1);
+        if let Err(message) = &outcome {
+            log::warn!(event = "fleet_reader_lost", reader = asked.vm.as_str(); "{message}");
+        }
+        if !matches!(outcome, Ok(true)) {
+            let until_ms = gateway.clock.now_ms() + AVOID_MS;
+            avoided.insert(asked.vm.clone(), until_ms);
+            source = None;
+        }
+    }
+}
+
+/// Asks a reader once and takes its answer in; returns whether what it says is young enough to rely on.
+async fn ask(gateway: &Gateway, source: &mut Source) -> Result<bool, String> {
+    let timing = gateway.fleet.timing();
+    let question = Question {
+        known: source.known,
+        configuration_version: gateway.to_configuration_version(),
+        wait_ms: timing.to_wait_ms(),
+    };
+    let bytes = wire::to_question_bytes(&question).map_err(|error| error.to_string())?;
+    let sent_ms = gateway.clock.now_ms();
+    let limit_ms = question.wait_ms + ANSWER_MS;
+    let reply = source.caller.call("POST", "/view", bytes, limit_ms).await;
+    let reply = reply.map_err(|error| error.to_string())?;
+    if reply.status != StatusCode::OK {
+        return Err(format!("the reader answered {}", reply.status.as_u16()));
+    }
+    let view = wire::to_view(&reply.body).map_err(|error| error.to_string())?;
+    let endpoints = view.endpoints.extent;
+    let configuration = view.configuration.extent;
+    let as_of_ms = |extent: Extent| to_as_of_ms(sent_ms, view.waited_ms, extent.age_ms);
+    if gateway
+        .fleet
+        .belief(Feed::Configuration)
+        .accepts(configuration.offset)
+    {
+        take_configuration(gateway, &view.configuration)?;
+        let as_of_ms = as_of_ms(configuration);
+        gateway
+            .fleet
+            .confirm(Feed::Configuration, configuration.offset, as_of_ms);
+    }
+    if gateway
+        .fleet
+        .belief(Feed::Endpoints)
+        .accepts(endpoints.offset)
+    {
+        let as_of_ms = as_of_ms(endpoints);
+        source.known = Some((view.incarnation, view.endpoints.revision));
+        gateway.take_endpoints(view.endpoints);
+        gateway
+            .fleet
+            .confirm(Feed::Endpoints, endpoints.offset, as_of_ms);
+    }
+    let oldest_ms = endpoints.age_ms.max(configuration.age_ms);
+    Ok(oldest_ms < timing.to_stale_ms())
+}
+
+fn take_configuration(gateway: &Gateway, view: &ConfigurationView) -> Result<(), String> {
+    let Some(document) = &view.document else {
+        return Ok(());
+    };
+    let configuration = gateway.dialect.to_configuration(document.as_bytes())?;
+    gateway.set_configuration(configuration, document, "reader");
+    Ok(())
+}
+
+/// Answers a question of another VM, when there is news or the time that it may wait is over.
+pub(crate) async fn answer(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+    let received_ms = gateway.clock.now_ms();
+    let body = Limited::new(request.into_body(), QUESTION_MAX_BYTES)
+        .collect()
+        .await;
+    let question = match body.map(|body| wire::to_question(&body.to_bytes())) {
+        Ok(Ok(question)) => question,
+        Ok(Err(error)) => return to_failure(StatusCode::BAD_REQUEST, &error.to_string()),
+        Err(error) => return to_failure(StatusCode::BAD_REQUEST, &error.to_string()),
+    };
+    let before = to_beliefs(&gateway);
+    let limit_ms = question.wait_ms.min(gateway.fleet.timing().bound_ms);
+    while !has_news(&gateway, &question, before) {
+        let waited_ms = gateway.clock.now_ms() - received_ms;
+        if waited_ms >= limit_ms {
+            break;
+        }
+        let news = gateway.fleet.to_news();
+        within(limit_ms - waited_ms, news.recv_async()).await;
+    }
+    let Some(view) = to_view(&gateway, &question, received_ms) else {
+        return to_failure(StatusCode::SERVICE_UNAVAILABLE, "this VM cannot vouch now");
+    };
+    match wire::to_view_bytes(&view) {
+        Ok(bytes) => Response::new(Body::whole(bytes)),
+        Err(error) => {
+            log::error!(event = "view_not_encoded"; "{error}");
+            to_failure(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "the view cannot be encoded",
+            )
+        }
+    }
+}
+
+fn to_beliefs(gateway: &Gateway) -> [Belief; 2] {
+    [Feed::Endpoints, Feed::Configuration].map(|feed| gateway.fleet.belief(feed))
+}
+
+fn has_news(gateway: &Gateway, question: &Question, before: [Belief; 2]) -> bool {
+    let revision = gateway.endpoints.borrow().revision();
+    question.known != Some((gateway.incarnation, revision))
+        || gateway.to_configuration_version() > question.configuration_version
+        || to_beliefs(gateway) != before
+}
+
+/// Returns what this VM can vouch for, or `None` if it has no list or holds removals back.
+fn to_view(gateway: &Gateway, question: &Question, received_ms: u64) -> Option<View> {
+    let endpoints = gateway.endpoints.borrow();
+    if !gateway.is_ready() || endpoints.has_pending_removals() {
+        return None;
+    }
+    let now_ms = gateway.clock.now_ms();
+    let to_extent = |feed| {
+        let belief = gateway.fleet.belief(feed);
+        Some(Extent {
+            offset: belief.offset()?,
+            age_ms: belief.to_age_ms(now_ms)?,
+        })
+    };
+    let known = question.known;
+    let since = known.filter(|(incarnation, _)| *incarnation == gateway.incarnation);
+    let delta = endpoints.to_delta(since.map(|(_, revision)| revision));
+    let mut entries = Vec::new();
+    for id in delta.changed {
+        let endpoint = endpoints.find(id).and_then(|key| endpoints.get(key));
+        entries.extend(endpoint.map(|endpoint| endpoint.entry.clone()));
+    }
+    let version = gateway.to_configuration_version();
+    let is_newer = version > question.configuration_version;
+    Some(View {
+        incarnation: gateway.incarnation,
+        waited_ms: now_ms - received_ms,
+        endpoints: EndpointsView {
+            extent: to_extent(Feed::Endpoints)?,
+            revision: delta.revision,
+            is_whole: delta.is_whole,
+            removed: delta.removed.into_iter().cloned().collect(),
+            entries,
+        },
+        configuration: ConfigurationView {
+            extent: to_extent(Feed::Configuration)?,
+            version,
+            document: is_newer.then(|| gateway.to_document()).flatten(),
+        },
+    })
+}
+
+fn to_failure(status: StatusCode, message: &str) -> Response<Body> {
+    let mut response = Response::new(Body::whole(message.to_owned()));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,10 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use waxwing_core::Name;
+use waxwing_core::fleet::Belief;
+use waxwing_core::fleet::Feed;
+use waxwing_core::fleet::Role;
+use waxwing_core::fleet::view::EndpointsView;
 use waxwing_core::forwarding::Configuration;
 use waxwing_core::forwarding::EndpointKey;
 use waxwing_core::forwarding::Endpoints;
@@ -37,6 +41,8 @@
 use crate::dialect::Dialect;
 use crate::error::Result;
 use crate::exchange;
+use crate::fleet;
+use crate::fleet::Fleet;
 use crate::metric;
 use crate::server;
 use crate::settings::Settings;
@@ -75,6 +81,17 @@
 /// Kept connections to one endpoint.
 const IDLE_PER_ENDPOINT_MAX: usize = 8;
 
+/// How to read a topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Read {
+    /// Offset to read from; `None` asks for a list of everything.
+    pub offset: Option<u64>,
+    /// Time for which the read waits for records, in milliseconds.
+    pub wait_ms: u64,
+    /// Steady time at which it begins, in milliseconds.
+    pub began_ms: u64,
+}
+
 /// The state that all tasks of a process share.
 pub struct Gateway {
     pub(crate) executor: &'static LocalExecutor<'static>,
@@ -91,11 +108,13 @@
     pub(crate) budget: RefCell<RepeatBudget>,
     pub(crate) peers: RefCell<Peers>,
     pub(crate) evidence: RefCell<Evidence>,
+    pub(crate) fleet: Fleet,
     pub(crate) in_progress: Cell<u32>,
     pub(crate) buffered_bytes: Cell<usize>,
     idle: RefCell<HashMap<EndpointKey, Vec<Connection>>>,
     configuration: RefCell<Option<Rc<Configuration>>>,
-    confirmed_at_ms: Cell<u64>,
+    /// Document of the configuration in force, as the log service holds it.
+    document: RefCell<Option<String>>,
     has_endpoint_list: Cell<bool>,
     idle_timeout_ms: Rc<Cell<u64>>,
     random: RefCell<ChaCha8Rng>,
@@ -129,11 +148,12 @@
             budget: RefCell::new(RepeatBudget::new(budget, clock.now_ms())),
             peers: RefCell::new(Peers::new()),
             evidence: RefCell::new(Evidence::new(EVIDENCE_LIFETIME_MS, EVIDENCE_MAX)),
+            fleet: Fleet::new(settings.log_service.to_bound_ms()),
             in_progress: Cell::new(0),
             buffered_bytes: Cell::new(0),
             idle: RefCell::new(HashMap::new()),
             configuration: RefCell::new(None),
-            confirmed_at_ms: Cell::new(0),
+            document: RefCell::new(None),
             has_endpoint_list: Cell::new(false),
             idle_timeout_ms: Rc::new(Cell::new(15_000)),
             random: RefCell::new(ChaCha8Rng::from_os_rng()),
@@ -152,13 +172,23 @@
         &self.settings
     }
 
+    /// Returns the steady time, in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
     /// Returns a random number.
     pub fn draw(&self) -> u64 {
         self.random.borrow_mut().random()
     }
 
     /// Puts a configuration in force if it is newer than the present one; returns whether it was.
-    pub fn set_configuration(&self, configuration: Configuration, source: &str) -> bool {
+    pub fn set_configuration(
+        &self,
+        configuration: Configuration,
+        document: &str,
+        source: &str,
+    ) -> bool {
         let version = configuration.version();
         let known = self.configuration().map(|known| known.version());
         if known.is_some_and(|known| version <= known) {
@@ -172,22 +202,95 @@
         self.idle_timeout_ms
             .set(configuration.limits().idle_timeout_ms.max(1_000));
         *self.configuration.borrow_mut() = Some(Rc::new(configuration));
+        *self.document.borrow_mut() = Some(document.to_owned());
         true
     }
 
-    /// Records that the configuration in force was the newest a moment ago.
-    pub fn confirm_configuration(&self) {
-        self.confirmed_at_ms.set(self.clock.now_ms());
-    }
-
     /// Returns the configuration in force.
     pub fn configuration(&self) -> Option<Rc<Configuration>> {
         self.configuration.borrow().clone()
     }
 
+    /// Returns the version in force; 0 if there is none.
+    pub(crate) fn to_configuration_version(&self) -> u64 {
+        self.configuration().map_or(0, |known| known.version())
+    }
+
+    /// Returns the document of the configuration in force.
+    pub(crate) fn to_document(&self) -> Option<String> {
+        self.document.borrow().clone()
+    }
+
     /// Returns the time since the configuration was known to be the newest, in milliseconds.
     pub(crate) fn to_configuration_age_ms(&self) -> u64 {
-        self.clock.now_ms() - self.confirmed_at_ms.get().min(self.clock.now_ms())
+        let belief = self.fleet.belief(Feed::Configuration);
+        belief.to_age_ms(self.clock.now_ms()).unwrap_or(u64::MAX)
+    }
+
+    /// Waits until this VM has to read a topic itself, and returns how.
+    pub async fn next_read(&self, feed: Feed) -> Read {
+        let timing = self.fleet.timing();
+        let draw = self.draw();
+        let role = loop {
+            let (role, _) = fleet::to_role(self);
+            let due_ms = self.fleet.belief(feed).to_due_ms(timing, role, draw);
+            let left_ms = due_ms.saturating_sub(self.clock.now_ms());
+            if left_ms == 0 {
+                break role;
+            }
+            // The role may change meanwhile.
+            let pause_ms = left_ms.min(timing.to_period_ms());
+            Timer::after(Duration::from_millis(pause_ms)).await;
+        };
+        let began_ms = self.clock.now_ms();
+        self.fleet.update(feed, |belief| belief.begin(began_ms));
+        Read {
+            offset: self.fleet.belief(feed).offset(),
+            wait_ms: match role {
+                Role::Reader => timing.to_period_ms(),
+                Role::Follower => 0,
+            },
+            began_ms,
+        }
+    }
+
+    /// Records that a read succeeded and that nothing beyond `offset` existed at a time; `take` applies what it brought.
+    pub fn finish_read(&self, feed: Feed, offset: u64, as_of_ms: u64, take: impl FnOnce()) {
+        if self.fleet.update(feed, Belief::succeed) {
+            log::info!(event = "log_service_regained", feed:? = feed; "reads succeed again");
+        }
+        // A reader may have told something newer meanwhile.
+        if self.fleet.belief(feed).accepts(offset) {
+            take();
+            self.fleet.confirm(feed, offset, as_of_ms);
+        }
+    }
+
+    /// Records that a read failed; returns whether it is the first one in a row.
+    pub fn fail_read(&self, feed: Feed) -> bool {
+        self.fleet.update(feed, Belief::fail)
+    }
+
+    /// Lets the next read list everything, since records are missing.
+    pub fn lose_offset(&self, feed: Feed) {
+        self.fleet.update(feed, Belief::lose_offset);
+    }
+
+    /// Takes in what a reader knows of the endpoints.
+    pub(crate) fn take_endpoints(&self, view: EndpointsView) {
+        // The reader answers only when it holds no removal back, so its removals are current.
+        self.regain_endpoint_source(usize::MAX);
+        for id in &view.removed {
+            self.remove_endpoint(id);
+        }
+        let mut listed = Vec::new();
+        for entry in view.entries {
+            listed.push(entry.id.clone());
+            self.update_endpoint(entry);
+        }
+        if view.is_whole {
+            self.retain_endpoints(&listed);
+        }
     }
 
     /// Adds or updates an endpoint.
@@ -363,6 +466,7 @@
     pub async fn run(self: Rc<Self>) -> Result<()> {
         let listener = server::listen("callers", self.settings.listen.front)?;
         let metrics_listener = server::listen("metrics", self.settings.listen.metrics)?;
+        let peers_listener = server::listen("other VMs", self.settings.listen.peers)?;
         let socket = adverts::bind(self.settings.listen.peers)?;
         let stop = Signals::of_stop()?;
         let reload = Signals::of_reload()?;
@@ -378,6 +482,16 @@
         executor
             .spawn(server::accept(executor, listener, limits.clone(), handler))
             .detach();
+        let gateway = Rc::clone(&self);
+        let handler = Rc::new(move |request| fleet::answer(Rc::clone(&gateway), request));
+        executor
+            .spawn(server::accept(
+                executor,
+                peers_listener,
+                limits.clone(),
+                handler,
+            ))
+            .detach();
         if let Some(recorder) = metric::install() {
             executor.spawn(maintain_metrics(recorder.clone())).detach();
             let handler = Rc::new(move |_| {
@@ -391,6 +505,7 @@
         executor
             .spawn(adverts::run(Rc::clone(&self), socket))
             .detach();
+        executor.spawn(fleet::follow(Rc::clone(&self))).detach();
         executor.spawn(tick(Rc::clone(&self))).detach();
         executor.spawn(note_reloads(reload)).detach();
         log::info!(event = "started", incarnation = self.incarnation; "serving callers");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 
 mod adverts;
 mod exchange;
+mod fleet;
 mod gateway;
 mod headers;
 mod relay;
@@ -26,4 +27,5 @@
 pub use error::Error;
 pub use error::Result;
 pub use gateway::Gateway;
+pub use gateway::Read;
 pub use settings::Settings;
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -31,6 +31,8 @@
 pub const PEERS: &str = "waxwing_gateway_peers";
 /// Counter of adverts by outcome: `sent`, `send_failed`, `news`, `old` or `undecodable`.
 pub const ADVERTS: &str = "waxwing_gateway_adverts_total";
+/// Counter of answers of readers by outcome: `fresh`, `stale` or `failed`.
+pub const VIEWS: &str = "waxwing_gateway_views_total";
 /// Counter of calls to the log service by call and outcome.
 pub const LOG_CALLS: &str = "waxwing_gateway_log_calls_total";
 /// Counter of log records by topic and outcome.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -105,8 +105,15 @@
     pub address: SocketAddr,
     /// Time within which an endpoint that is leaving must get no more requests, in milliseconds.
     pub drain_max_ms: u64,
-    /// Time for which a connection that fell silent may go unnoticed, in milliseconds.
-    pub silence_max_ms: u64,
+    /// Time within which a change of the configuration must be in force, in milliseconds.
+    pub change_max_ms: u64,
+}
+
+impl LogService {
+    /// Returns the time within which any change must be in force, in milliseconds.
+    pub(crate) fn to_bound_ms(&self) -> u64 {
+        self.drain_max_ms.min(self.change_max_ms)
+    }
 }
 
 /// Choice of endpoints.
@@ -277,9 +284,9 @@
             findings
                 .push("log_service.drain_max_ms is below 500; reads would be too many".to_owned());
         }
-        if self.log_service.silence_max_ms < 1_500 {
+        if self.log_service.change_max_ms < 500 {
             findings
-                .push("log_service.silence_max_ms is below 1500; a read takes longer".to_owned());
+                .push("log_service.change_max_ms is below 500; reads would be too many".to_owned());
         }
         if self.directory.ttl_max_s == 0 {
             findings.push("directory.ttl_max_s is 0; use a number of seconds".to_owned());
--- a/crates/gateway/tests/settings_findings.rs
+++ b/crates/gateway/tests/settings_findings.rs
@@ -26,7 +26,7 @@
 [log_service]
 address = "127.0.0.1:8004"
 drain_max_ms = 2000
-silence_max_ms = 3000
+change_max_ms = 2000
 "#;
 
 /// Sections with defaults may be left out.
--- a/crates/wire/src/advert.rs
+++ b/crates/wire/src/advert.rs
@@ -37,6 +37,9 @@
 /// Result of decoding an advert.
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// Endpoint hash, runs, unread tokens as pairs of level and number; levels without any are left out.
+type WireDemand = (u64, u32, Vec<(usize, u64)>);
+
 /// The advert as it travels; short names keep it within one datagram.
 #[derive(Debug, Serialize, Deserialize)]
 struct Wire {
@@ -49,8 +52,7 @@
     data_centre: String,
     ready: bool,
     configuration: u64,
-    /// Endpoint hash, runs, unread tokens as pairs of level and number; levels without any are left out.
-    demands: Vec<(u64, u32, Vec<(usize, u64)>)>,
+    demands: Vec<WireDemand>,
     /// Hash of a service's name, prompt tokens that arrive for each lane in a millisecond.
     asked: Vec<(u64, Rates)>,
     /// Content hash in base64, endpoint that was lost if any, age in milliseconds.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod platform;
 pub mod settings_api;
 pub mod settings_record;
+pub mod view;
 
 /// Code generated from `peer.capnp`.
 #[rustfmt::skip]
--- /dev/null
+++ b/crates/wire/src/view.rs
@@ -0,0 +1,224 @@
+//! Questions to VMs that read the log service for others, and their answers: one JSON object each.
+
+use serde::Deserialize;
+use serde::Serialize;
+use waxwing_core::Name;
+use waxwing_core::fleet::view;
+use waxwing_core::forwarding::endpoints::Entry;
+
+/// Version of the messages; others are refused.
+const VERSION: u8 = 1;
+
+/// Why a message cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// It is not JSON of the expected shape.
+    #[error("the message cannot be decoded: {0}")]
+    Json(#[from] serde_json::Error),
+    /// Its version is not known here.
+    #[error("the message has version {0}; this build speaks version {VERSION}")]
+    Version(u8),
+    /// A field holds a value that is not allowed.
+    #[error("the message field `{0}` is invalid")]
+    Field(&'static str),
+}
+
+/// Result of coding a message.
+pub type Result<T> = std::result::Result<T, Error>;
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireQuestion {
+    v: u8,
+    known: Option<(u64, u64)>,
+    configuration: u64,
+    wait_ms: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireExtent {
+    offset: u64,
+    age_ms: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireEntry {
+    id: String,
+    service: String,
+    address: String,
+    data_centre: String,
+    slots: u32,
+    draining: bool,
+    cold_ms: u64,
+    born_ms: Option<u64>,
+    sequence: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireView {
+    v: u8,
+    incarnation: u64,
+    waited_ms: u64,
+    endpoints: WireExtent,
+    revision: u64,
+    whole: bool,
+    removed: Vec<String>,
+    entries: Vec<WireEntry>,
+    configuration: WireExtent,
+    version: u64,
+    document: Option<String>,
+}
+
+impl From<view::Extent> for WireExtent {
+    fn from(extent: view::Extent) -> Self {
+        Self {
+            offset: extent.offset,
+            age_ms: extent.age_ms,
+        }
+    }
+}
+
+impl From<WireExtent> for view::Extent {
+    fn from(wire: WireExtent) -> Self {
+        Self {
+            offset: wire.offset,
+            age_ms: wire.age_ms,
+        }
+    }
+}
+
+impl From<&Entry> for WireEntry {
+    fn from(entry: &Entry) -> Self {
+        Self {
+            id: entry.id.as_str().to_owned(),
+            service: entry.service.as_str().to_owned(),
+            address: entry.address.to_string(),
+            data_centre: entry.data_centre.as_str().to_owned(),
+            slots: entry.slots,
+            draining: entry.is_draining,
+            cold_ms: entry.cold_ms,
+            born_ms: entry.born_ms,
+            sequence: entry.sequence,
+        }
+    }
+}
+
+impl TryFrom<WireEntry> for Entry {
+    type Error = Error;
+
+    fn try_from(wire: WireEntry) -> Result<Self> {
+        Ok(Self {
+            id: Name::from(wire.id),
+            service: Name::from(wire.service),
+            address: wire.address.parse().map_err(|_| Error::Field("address"))?,
+            data_centre: Name::from(wire.data_centre),
+            slots: wire.slots,
+            is_draining: wire.draining,
+            cold_ms: wire.cold_ms,
+            born_ms: wire.born_ms,
+            sequence: wire.sequence,
+        })
+    }
+}
+
+impl From<&view::View> for WireView {
+    fn from(view: &view::View) -> Self {
+        let endpoints = &view.endpoints;
+        let removed = endpoints.removed.iter();
+        Self {
+            v: VERSION,
+            incarnation: view.incarnation,
+            waited_ms: view.waited_ms,
+            endpoints: endpoints.extent.into(),
+            revision: endpoints.revision,
+            whole: endpoints.is_whole,
+            removed: removed.map(|id| id.as_str().to_owned()).collect(),
+            entries: endpoints.entries.iter().map(WireEntry::from).collect(),
+            configuration: view.configuration.extent.into(),
+            version: view.configuration.version,
+            document: view.configuration.document.clone(),
+        }
+    }
+}
+
+impl TryFrom<WireView> for view::View {
+    type Error = Error;
+
+    fn try_from(wire: WireView) -> Result<Self> {
+        check_version(wire.v)?;
+        let mut entries = Vec::new();
+        for entry in wire.entries {
+            entries.push(Entry::try_from(entry)?);
+        }
+        Ok(Self {
+            incarnation: wire.incarnation,
+            waited_ms: wire.waited_ms,
+            endpoints: view::EndpointsView {
+                extent: wire.endpoints.into(),
+                revision: wire.revision,
+                is_whole: wire.whole,
+                removed: wire.removed.into_iter().map(Name::from).collect(),
+                entries,
+            },
+            configuration: view::ConfigurationView {
+                extent: wire.configuration.into(),
+                version: wire.version,
+                document: wire.document,
+            },
+        })
+    }
+}
+
+fn check_version(version: u8) -> Result<()> {
+    if version != VERSION {
+        return Err(Error::Version(version));
+    }
+    Ok(())
+}
+
+/// Encodes a question.
+///
+/// # Errors
+///
+/// Fails if the JSON encoder does.
+pub fn to_question_bytes(question: &view::Question) -> Result<Vec<u8>> {
+    Ok(serde_json::to_vec(&WireQuestion {
+        v: VERSION,
+        known: question.known,
+        configuration: question.configuration_version,
+        wait_ms: question.wait_ms,
+    })?)
+}
+
+/// Decodes a question.
+///
+/// # Errors
+///
+/// Fails if the message is not a question of this version.
+pub fn to_question(bytes: &[u8]) -> Result<view::Question> {
+    let wire: WireQuestion = serde_json::from_slice(bytes)?;
+    check_version(wire.v)?;
+    Ok(view::Question {
+        known: wire.known,
+        configuration_version: wire.configuration,
+        wait_ms: wire.wait_ms,
+    })
+}
+
+/// Encodes an answer.
+///
+/// # Errors
+///
+/// Fails if the JSON encoder does.
+pub fn to_view_bytes(view: &view::View) -> Result<Vec<u8>> {
+    Ok(serde_json::to_vec(&WireView::from(view))?)
+}
+
+/// Decodes an answer.
+///
+/// # Errors
+///
+/// Fails if the message is not an answer of this version or a field is invalid.
+pub fn to_view(bytes: &[u8]) -> Result<view::View> {
+    let wire: WireView = serde_json::from_slice(bytes)?;
+    view::View::try_from(wire)
+}
--- /dev/null
+++ b/crates/wire/tests/view.rs
@@ -0,0 +1,89 @@
+//! Questions and answers between VMs: what is sent is what is heard, and nothing else is taken.
+
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::proptest;
+use waxwing_core::Name;
+use waxwing_core::fleet::view::ConfigurationView;
+use waxwing_core::fleet::view::EndpointsView;
+use waxwing_core::fleet::view::Extent;
+use waxwing_core::fleet::view::Question;
+use waxwing_core::fleet::view::View;
+use waxwing_core::forwarding::endpoints::Entry;
+use waxwing_wire::view;
+use waxwing_wire::view::Error;
+
+fn sample(numbers: &[u64], text: &str) -> View {
+    let number = |index: usize| numbers.get(index).copied().unwrap_or(7);
+    let entry = Entry {
+        id: Name::from(text),
+        service: Name::from("pool"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: Name::from("a"),
+        slots: 12,
+        is_draining: number(0) % 2 == 0,
+        cold_ms: number(1),
+        born_ms: (number(2) % 2 == 0).then(|| number(3)),
+        sequence: number(4),
+    };
+    let extent = |index| Extent {
+        offset: number(index),
+        age_ms: number(index + 1),
+    };
+    View {
+        incarnation: number(5),
+        waited_ms: number(6),
+        endpoints: EndpointsView {
+            extent: extent(7),
+            revision: number(9),
+            is_whole: number(10) % 2 == 0,
+            removed: vec![Name::from(text)],
+            entries: vec![entry],
+        },
+        configuration: ConfigurationView {
+            extent: extent(11),
+            version: number(13),
+            document: (number(14) % 2 == 0).then(|| text.to_owned()),
+        },
+    }
+}
+
+proptest! {
+    /// Every field must arrive as it was sent.
+    #[test]
+    fn round_trip(numbers in vec(any::<u64>(), 0..16), text in ".*") {
+        let sent = sample(&numbers, &text);
+        let bytes = view::to_view_bytes(&sent).unwrap();
+        assert_eq!(view::to_view(&bytes).unwrap(), sent);
+        let question = Question {
+            known: numbers.first().map(|number| (*number, 1)),
+            configuration_version: 5,
+            wait_ms: 800,
+        };
+        let bytes = view::to_question_bytes(&question).unwrap();
+        assert_eq!(view::to_question(&bytes).unwrap(), question);
+    }
+
+    /// Bytes of any kind must give an error and no panic.
+    #[test]
+    fn any_bytes(bytes in vec(any::<u8>(), 0..200), cut in any::<usize>()) {
+        assert!(view::to_view(&bytes).is_err());
+        assert!(view::to_question(&bytes).is_err());
+        let whole = view::to_view_bytes(&sample(&[], "e1")).unwrap();
+        assert!(view::to_view(&whole[..cut % whole.len()]).is_err());
+    }
+}
+
+/// Another version and an address that is none must be refused and not half understood.
+#[test]
+fn refused_views() {
+    let text = String::from_utf8(view::to_view_bytes(&sample(&[], "e1")).unwrap()).unwrap();
+    let newer = text.replace("\"v\":1", "\"v\":2");
+    assert!(matches!(
+        view::to_view(newer.as_bytes()),
+        Err(Error::Version(2))
+    ));
+    let unaddressed = text.replace("127.0.0.1:1", "nowhere");
+    let result = view::to_view(unaddressed.as_bytes());
+    assert!(matches!(result, Err(Error::Field("address"))), "{result:?}");
+}
