--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -7,10 +7,12 @@
 pub mod belief;
 pub mod readers;
 pub mod revisions;
+pub mod summary;
 pub mod view;
 
 pub use belief::Belief;
 pub use belief::Role;
 pub use belief::Timing;
 pub use readers::Member;
+pub use summary::Summary;
 pub use view::Feed;
--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -636,6 +636,20 @@
         }
     }
 
+    /// Returns the load that this VM and some others together put on endpoints, by the hashes of their ids.
+    pub fn to_demands_with<'a>(
+        &self,
+        others: impl IntoIterator<Item = &'a Name>,
+    ) -> Vec<(u64, Demand)> {
+        let mut sums: HashMap<u64, Demand> = self.to_own_demands().into_iter().collect();
+        for vm in others {
+            for (hash, demand) in self.peer_demand.get(vm).into_iter().flatten() {
+                *sums.entry(*hash).or_default() += *demand;
+            }
+        }
+        sums.into_iter().collect()
+    }
+
     /// Returns the load that all VMs together put on an endpoint, as far as known.
     pub fn to_demand(&self, endpoint: &Endpoint) -> Demand {
         let mut sum = endpoint.own;
--- a/crates/core/src/forwarding/lanes.rs
+++ b/crates/core/src/forwarding/lanes.rs
@@ -5,6 +5,7 @@
 //! lane that is short of engines takes some from the others while these have more than they need.
 
 use std::collections::HashMap;
+use std::ops::AddAssign;
 
 use crate::Name;
 use crate::hash::mix;
@@ -15,6 +16,9 @@
 /// Time over which the demand of a lane is averaged, in milliseconds.
 const AVERAGE_MS: f64 = 3_000.0;
 
+/// Weight of the newest answer in the moving average of their times.
+const ANSWER_WEIGHT: f64 = 0.1;
+
 /// Shares and limits of the division.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
@@ -42,21 +46,46 @@
     pub count: usize,
 }
 
-/// Prompt tokens that arrive for each lane, in tokens per millisecond.
-pub type Rates = [f64; LANES_MAX];
+/// What callers ask of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Asked {
+    /// Prompt tokens that arrive for each lane, in tokens per millisecond.
+    pub tokens_per_ms: [f64; LANES_MAX],
+    /// Slots that the requests of each lane occupy on average while their answers are made.
+    pub slots: [f64; LANES_MAX],
+}
+
+impl Asked {
+    fn scale(self, factor: f64) -> Self {
+        Self {
+            tokens_per_ms: self.tokens_per_ms.map(|value| value * factor),
+            slots: self.slots.map(|value| value * factor),
+        }
+    }
+}
+
+impl AddAssign for Asked {
+    fn add_assign(&mut self, other: Self) {
+        for lane in 0..LANES_MAX {
+            self.tokens_per_ms[lane] += other.tokens_per_ms[lane];
+            self.slots[lane] += other.slots[lane];
+        }
+    }
+}
 
-/// Rates that decay with time, so that a burst is forgotten.
+/// Averages that decay with time, so that a burst is forgotten.
 #[derive(Clone, Copy, Debug, Default)]
 struct Meter {
-    rates: Rates,
+    asked: Asked,
     at_ms: u64,
+    /// Time for which an answer of each lane occupies a slot, as moving averages in milliseconds.
+    answer_ms: [f64; LANES_MAX],
 }
 
 impl Meter {
-    fn to_rates(self, now_ms: u64) -> Rates {
+    fn to_asked(self, now_ms: u64) -> Asked {
         let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
-        let weight = (-age_ms / AVERAGE_MS).exp();
-        self.rates.map(|rate| rate * weight)
+        self.asked.scale((-age_ms / AVERAGE_MS).exp())
     }
 }
 
@@ -64,21 +93,32 @@
 #[derive(Debug, Default)]
 pub struct ReadingDemand {
     own: HashMap<u64, Meter>,
-    peers: HashMap<Name, Vec<(u64, Rates)>>,
+    peers: HashMap<Name, Vec<(u64, Asked)>>,
 }
 
 impl ReadingDemand {
-    /// Counts prompt tokens that a caller of this VM asks an engine to read.
+    /// Counts a request of a caller of this VM by the prompt tokens that it asks an engine to read.
     pub fn add(&mut self, service: u64, lane: Lane, tokens: u64, now_ms: u64) {
+        let lane = lane.index.min(LANES_MAX - 1);
         let meter = self.own.entry(service).or_default();
-        meter.rates = meter.to_rates(now_ms);
+        meter.asked = meter.to_asked(now_ms);
         meter.at_ms = now_ms;
-        meter.rates[lane.index.min(LANES_MAX - 1)] += tokens as f64 / AVERAGE_MS;
+        meter.asked.tokens_per_ms[lane] += tokens as f64 / AVERAGE_MS;
+        meter.asked.slots[lane] += meter.answer_ms[lane] / AVERAGE_MS;
+    }
+
+    /// Learns for how long an answer occupied a slot after its first byte.
+    pub fn note_answer(&mut self, service: u64, lane: Lane, answer_ms: u64) {
+        let meter = self.own.entry(service).or_default();
+        let average_ms = &mut meter.answer_ms[lane.index.min(LANES_MAX - 1)];
+        let is_first = *average_ms == 0.0;
+        let weight = if is_first { 1.0 } else { ANSWER_WEIGHT };
+        *average_ms += (answer_ms as f64 - *average_ms) * weight;
     }
 
-    /// Replaces what another VM says of its callers.
-    pub fn set_peer(&mut self, peer: Name, rates: Vec<(u64, Rates)>) {
-        self.peers.insert(peer, rates);
+    /// Replaces what another VM, or a summary, says of its callers.
+    pub fn set_peer(&mut self, peer: Name, asked: Vec<(u64, Asked)>) {
+        self.peers.insert(peer, asked);
     }
 
     /// Forgets a VM that is gone.
@@ -87,23 +127,37 @@
     }
 
     /// Returns what the callers of this VM ask.
-    pub fn to_own(&self, now_ms: u64) -> Vec<(u64, Rates)> {
+    pub fn to_own(&self, now_ms: u64) -> Vec<(u64, Asked)> {
         let meters = self.own.iter();
         meters
-            .map(|(service, meter)| (*service, meter.to_rates(now_ms)))
+            .map(|(service, meter)| (*service, meter.to_asked(now_ms)))
             .collect()
     }
 
+    /// Returns what the callers of this VM and of some others ask together.
+    pub fn to_sum<'a>(
+        &self,
+        others: impl IntoIterator<Item = &'a Name>,
+        now_ms: u64,
+    ) -> Vec<(u64, Asked)> {
+        let mut sums: HashMap<u64, Asked> = self.to_own(now_ms).into_iter().collect();
+        for (service, asked) in others
+            .into_iter()
+            .filter_map(|vm| self.peers.get(vm))
+            .flatten()
+        {
+            *sums.entry(*service).or_default() += *asked;
+        }
+        sums.into_iter().collect()
+    }
+
     /// Returns what the callers of all VMs ask of a service, as far as known.
-    pub fn to_rates(&self, service: u64, now_ms: u64) -> Rates {
+    pub fn to_asked(&self, service: u64, now_ms: u64) -> Asked {
         let own = self.own.get(&service);
-        let mut sum = own.map_or(Rates::default(), |meter| meter.to_rates(now_ms));
-        for (other, rates) in self.peers.values().flatten() {
-            if *other != service {
-                continue;
-            }
-            for (sum, rate) in sum.iter_mut().zip(rates) {
-                *sum += rate;
+        let mut sum = own.map_or(Asked::default(), |meter| meter.to_asked(now_ms));
+        for (other, asked) in self.peers.values().flatten() {
+            if *other == service {
+                sum += *asked;
             }
         }
         sum
@@ -125,7 +179,7 @@
         config: &Config,
         mut hashes: Vec<u64>,
         count: usize,
-        rates: &Rates,
+        asked: &Asked,
         tokens_per_ms: f64,
     ) -> Self {
         if hashes.is_empty() {
@@ -135,7 +189,7 @@
         hashes.sort_unstable();
         let count = count.clamp(1, LANES_MAX);
         let count = if hashes.len() < count { 1 } else { count };
-        let sizes = to_sizes(config, hashes.len(), count, rates, tokens_per_ms);
+        let sizes = to_sizes(config, hashes.len(), count, asked, tokens_per_ms);
         let mut ends = Vec::new();
         let mut sum = 0.0;
         for (index, size) in sizes.iter().enumerate() {
@@ -205,7 +259,7 @@
     config: &Config,
     engines: usize,
     count: usize,
-    rates: &Rates,
+    asked: &Asked,
     tokens_per_ms: f64,
 ) -> Vec<f64> {
     let engines = engines as f64;
@@ -215,7 +269,8 @@
         sizes.push(engines * share / total);
     }
     let mut needs = Vec::new();
-    for (rate, reading_share) in rates[..count].iter().zip(&config.reading_shares) {
+    let rates = &asked.tokens_per_ms[..count];
+    for (rate, reading_share) in rates.iter().zip(&config.reading_shares) {
         needs.push(rate / (tokens_per_ms * reading_share));
     }
     let needed: f64 = needs.iter().sum();
--- a/crates/core/src/forwarding/peers.rs
+++ b/crates/core/src/forwarding/peers.rs
@@ -5,8 +5,11 @@
 
 use crate::Name;
 use crate::fleet::Member;
+use crate::fleet::Summary;
+use crate::fleet::summary::VmState;
+use crate::fleet::summary::to_speaker;
 use crate::forwarding::endpoints::Demand;
-use crate::forwarding::lanes::Rates;
+use crate::forwarding::lanes::Asked;
 use crate::state::evidence::Finding;
 
 /// Pause between adverts, in milliseconds.
@@ -15,6 +18,13 @@
 /// Silence after which a VM counts as dead: four lost adverts in a row, in milliseconds.
 const SILENCE_MS: u64 = 1_300;
 
+/// The same for a VM that is heard through summaries: time for another VM of its data centre to notice that the one which
+/// wrote them is gone, and to write the next one, in milliseconds.
+const REMOTE_SILENCE_MS: u64 = 2 * SILENCE_MS;
+
+/// Rounds of adverts of which one goes to VMs that are silent.
+const SILENT_ROUNDS: u64 = 5;
+
 /// Time for which VMs that fell silent are still named if no VM is heard at all, in milliseconds.
 const ISOLATED_MS: u64 = 3_000;
 
@@ -42,8 +52,8 @@
     pub configuration_version: u64,
     /// Load that it puts on endpoints, by the hashes of their ids.
     pub demands: Vec<(u64, Demand)>,
-    /// Prompt tokens that its callers ask for, by the hashes of the services' names.
-    pub asked: Vec<(u64, Rates)>,
+    /// What its callers ask for, by the hashes of the services' names.
+    pub asked: Vec<(u64, Asked)>,
     /// Contents that crashed endpoints.
     pub findings: Vec<Finding>,
 }
@@ -63,6 +73,19 @@
     known: Option<Known>,
     address: SocketAddr,
     heard_at_ms: Option<u64>,
+    /// Silence after which it counts as dead, in milliseconds.
+    silence_max_ms: u64,
+}
+
+/// Where a VM stands, and up to how many VMs tell each other directly.
+#[derive(Clone, Copy, Debug)]
+pub struct Scope<'a> {
+    /// Name of the VM.
+    pub vm: &'a Name,
+    /// Data centre that it stands in.
+    pub data_centre: &'a Name,
+    /// Number of VMs up to which each sends adverts to each; beyond, data centres tell each other by summaries.
+    pub direct_vms_max: usize,
 }
 
 /// Changes among the other VMs.
@@ -92,6 +115,7 @@
             known: None,
             address,
             heard_at_ms: None,
+            silence_max_ms: SILENCE_MS,
         });
         if peer.heard_at_ms.is_none() {
             peer.address = address;
@@ -117,6 +141,7 @@
         let was_alive = is_alive(peer, now_ms);
         peer.address = advert.peer;
         peer.heard_at_ms = Some(now_ms);
+        peer.silence_max_ms = SILENCE_MS;
         let change = (!was_alive).then(|| Change::Seen(advert.vm.clone()));
         peer.known = Some(Known {
             order,
@@ -138,18 +163,121 @@
         lost
     }
 
-    /// Returns the addresses that get adverts: all VMs, silent ones in one round of `SILENT_ROUNDS`.
-    pub fn to_recipients(&self, round: u64, now_ms: u64) -> Vec<SocketAddr> {
-        const SILENT_ROUNDS: u64 = 5;
+    /// Takes in what a summary says of VMs of another data centre; returns the changes that it makes.
+    pub fn hear_summary(&mut self, summary: &Summary, now_ms: u64) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for state in &summary.vms {
+            self.add(state.vm.clone(), state.peer);
+            let Some(peer) = self.peers.get_mut(&state.vm) else {
+                continue;
+            };
+            let order = (state.incarnation, state.sequence);
+            let known = peer.known.as_ref();
+            if known.is_some_and(|known| order <= known.order) {
+                continue;
+            }
+            let was_alive = is_alive(peer, now_ms);
+            peer.address = state.peer;
+            peer.heard_at_ms = Some(now_ms.saturating_sub(state.age_ms));
+            peer.silence_max_ms = REMOTE_SILENCE_MS;
+            peer.known = Some(Known {
+                order,
+                front: state.front,
+                data_centre: summary.data_centre.clone(),
+                is_ready: state.is_ready,
+            });
+            if !was_alive && is_alive(peer, now_ms) {
+                changes.push(Change::Seen(state.vm.clone()));
+            }
+        }
+        changes
+    }
+
+    /// Returns whether so many VMs are known that data centres tell each other by summaries.
+    pub fn is_wide(&self, scope: Scope<'_>) -> bool {
+        self.peers.len() + 1 > scope.direct_vms_max
+    }
+
+    /// Returns the addresses that get adverts: all VMs, or those of the own data centre if there are many; silent ones
+    /// in one round of `SILENT_ROUNDS`.
+    pub fn to_recipients(&self, scope: Scope<'_>, round: u64, now_ms: u64) -> Vec<SocketAddr> {
+        let is_wide = self.is_wide(scope);
         let mut recipients = Vec::new();
         for peer in self.peers.values() {
-            if is_alive(peer, now_ms) || round.is_multiple_of(SILENT_ROUNDS) {
+            let is_due = match is_alive(peer, now_ms) {
+                true => !is_wide || stands_in(peer, scope.data_centre),
+                false => round.is_multiple_of(SILENT_ROUNDS),
+            };
+            if is_due {
                 recipients.push(peer.address);
             }
         }
         recipients
     }
 
+    /// Returns the other VMs of the own data centre that are heard, with their addresses.
+    pub fn to_neighbours(&self, scope: Scope<'_>, now_ms: u64) -> Vec<(&Name, SocketAddr)> {
+        let mut neighbours = Vec::new();
+        for (vm, peer) in &self.peers {
+            if is_alive(peer, now_ms) && stands_in(peer, scope.data_centre) {
+                neighbours.push((vm, peer.address));
+            }
+        }
+        neighbours
+    }
+
+    /// Returns whether this VM writes the summary of its data centre.
+    pub fn is_speaker(&self, scope: Scope<'_>, now_ms: u64) -> bool {
+        let neighbours = self.to_neighbours(scope, now_ms);
+        let vms = neighbours.into_iter().map(|(vm, _)| vm);
+        to_speaker(vms.chain([scope.vm])) == Some(scope.vm)
+    }
+
+    /// Returns the addresses of the VMs that speak for the other data centres.
+    pub fn to_speakers(&self, scope: Scope<'_>, now_ms: u64) -> Vec<SocketAddr> {
+        let mut by_data_centre: HashMap<&Name, Vec<&Name>> = HashMap::new();
+        for (vm, peer) in &self.peers {
+            let Some(known) = peer.known.as_ref().filter(|_| is_alive(peer, now_ms)) else {
+                continue;
+            };
+            if known.data_centre != *scope.data_centre {
+                by_data_centre
+                    .entry(&known.data_centre)
+                    .or_default()
+                    .push(vm);
+            }
+        }
+        let mut addresses = Vec::new();
+        for vms in by_data_centre.into_values() {
+            let speaker = to_speaker(vms).and_then(|vm| self.peers.get(vm));
+            addresses.extend(speaker.map(|peer| peer.address));
+        }
+        addresses
+    }
+
+    /// Returns what a summary says of the other VMs of the own data centre.
+    pub fn to_states(&self, scope: Scope<'_>, now_ms: u64) -> Vec<VmState> {
+        let mut states = Vec::new();
+        for (vm, peer) in &self.peers {
+            let Some(known) = peer.known.as_ref().filter(|_| is_alive(peer, now_ms)) else {
+                continue;
+            };
+            if known.data_centre != *scope.data_centre {
+                continue;
+            }
+            states.push(VmState {
+                vm: vm.clone(),
+                incarnation: known.order.0,
+                sequence: known.order.1,
+                front: known.front,
+                peer: peer.address,
+                is_ready: known.is_ready,
+                age_ms: now_ms.saturating_sub(peer.heard_at_ms.unwrap_or(0)),
+            });
+        }
+        states
+    }
+
     /// Returns the addresses of the VMs that take callers, those in `data_centre` first.
     ///
     /// If no VM is heard at all, this VM is more likely cut off than alone, so the ones known before are named.
@@ -211,5 +339,10 @@
 
 fn is_alive(peer: &Peer, now_ms: u64) -> bool {
     let heard = peer.heard_at_ms;
-    heard.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < SILENCE_MS)
+    heard.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < peer.silence_max_ms)
+}
+
+fn stands_in(peer: &Peer, data_centre: &Name) -> bool {
+    let known = peer.known.as_ref();
+    known.is_some_and(|known| known.data_centre == *data_centre)
 }
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -11,10 +11,10 @@
 use crate::forwarding::endpoints::Level;
 use crate::forwarding::endpoints::Trust;
 use crate::forwarding::lanes;
+use crate::forwarding::lanes::Asked;
 use crate::forwarding::lanes::Homes;
 use crate::forwarding::lanes::Lane;
 use crate::forwarding::lanes::Lanes;
-use crate::forwarding::lanes::Rates;
 use crate::forwarding::prompt::Prompt;
 use crate::hash::mix;
 
@@ -78,7 +78,7 @@
     /// Rank of its gap target among those of the service.
     pub lane: Lane,
     /// What callers ask of the service in each lane.
-    pub rates: Rates,
+    pub asked: Asked,
     /// How urgent it is.
     pub level: Level,
     /// Whether it may run more than once, so that it can try an endpoint that failed lately.
@@ -223,7 +223,7 @@
             &config.lanes,
             hashes,
             request.lane.count,
-            &request.rates,
+            &request.asked,
             config.read_tokens_per_ms,
         );
         let shared_tokens = prompt.to_shared_tokens();
--- a/crates/core/tests/lane_sizes.rs
+++ b/crates/core/tests/lane_sizes.rs
@@ -1,10 +1,11 @@
 //! Division of engines into lanes: fixed shares in calm times, engines for the lane that is short of them in a burst.
 
 use waxwing_core::Name;
+use waxwing_core::forwarding::lanes::Asked;
 use waxwing_core::forwarding::lanes::Config;
+use waxwing_core::forwarding::lanes::LANES_MAX;
 use waxwing_core::forwarding::lanes::Lane;
 use waxwing_core::forwarding::lanes::Lanes;
-use waxwing_core::forwarding::lanes::Rates;
 use waxwing_core::forwarding::lanes::ReadingDemand;
 use waxwing_core::hash::mix;
 
@@ -18,12 +19,19 @@
     hashes
 }
 
-fn sizes(engines: u64, count: usize, rates: Rates) -> Vec<usize> {
+fn to_asked(tokens_per_ms: [f64; LANES_MAX]) -> Asked {
+    Asked {
+        tokens_per_ms,
+        ..Asked::default()
+    }
+}
+
+fn sizes(engines: u64, count: usize, rates: [f64; LANES_MAX]) -> Vec<usize> {
     let lanes = Lanes::new(
         &Config::default(),
         hashes(engines),
         count,
-        &rates,
+        &to_asked(rates),
         TOKENS_PER_MS,
     );
     let mut sizes = vec![0; lanes.to_last() + 1];
@@ -76,14 +84,17 @@
     for now_ms in 0..10_000 {
         demand.add(7, drafts, 40, now_ms);
     }
-    let own = demand.to_rates(7, 10_000);
+    let own = demand.to_asked(7, 10_000).tokens_per_ms;
     assert!((38.0..42.0).contains(&own[1]), "{own:?}");
-    assert_eq!(demand.to_rates(8, 10_000), [0.0; 3]);
+    assert_eq!(demand.to_asked(8, 10_000), Asked::default());
     let peer = Name::from("vm-2");
-    demand.set_peer(peer.clone(), vec![(7, [1.0, 2.0, 3.0]), (8, [9.0; 3])]);
-    assert!((demand.to_rates(7, 10_000)[1] - own[1] - 2.0).abs() < 1e-9);
+    demand.set_peer(
+        peer.clone(),
+        vec![(7, to_asked([1.0, 2.0, 3.0])), (8, to_asked([9.0; 3]))],
+    );
+    assert!((demand.to_asked(7, 10_000).tokens_per_ms[1] - own[1] - 2.0).abs() < 1e-9);
     demand.drop_peer(&peer);
-    assert!(demand.to_rates(7, 30_000)[1] < 0.1);
+    assert!(demand.to_asked(7, 30_000).tokens_per_ms[1] < 0.1);
 }
 
 /// The homes of a part must be the first two of its lane in rendezvous order.
@@ -91,7 +102,13 @@
 fn ranked_homes() {
     let config = Config::default();
     for engines in [1, 2, 3, 9, 60] {
-        let lanes = Lanes::new(&config, hashes(engines), 3, &[0.0; 3], TOKENS_PER_MS);
+        let lanes = Lanes::new(
+            &config,
+            hashes(engines),
+            3,
+            &Asked::default(),
+            TOKENS_PER_MS,
+        );
         for part_id in 0..50 {
             let homes = lanes.to_homes(part_id);
             assert_eq!(homes.len(), lanes.to_last() + 1);
--- a/crates/core/tests/peer_adverts.rs
+++ b/crates/core/tests/peer_adverts.rs
@@ -1,9 +1,13 @@
 //! What VMs know of each other: who takes callers, who is silent, who shares budgets.
 
 use waxwing_core::Name;
+use waxwing_core::fleet::Summary;
+use waxwing_core::fleet::summary::Summaries;
+use waxwing_core::fleet::summary::VmState;
 use waxwing_core::forwarding::peers::Advert;
 use waxwing_core::forwarding::peers::Change;
 use waxwing_core::forwarding::peers::Peers;
+use waxwing_core::forwarding::peers::Scope;
 
 fn advert(vm: &str, incarnation: u64, sequence: u64, port: u16) -> Advert {
     Advert {
@@ -83,6 +87,136 @@
 fn found_vm() {
     let mut peers = Peers::new();
     peers.add(Name::from("v"), "127.0.0.1:1001".parse().unwrap());
-    assert_eq!(peers.to_recipients(5, 0).len(), 1);
+    let (own, a) = (Name::from(OWN), Name::from("a"));
+    assert_eq!(peers.to_recipients(scope(&own, &a), 5, 0).len(), 1);
     assert!(peers.to_fronts(&Name::from("a"), 0).is_empty());
 }
+
+const OWN: &str = "own";
+
+fn scope<'a>(vm: &'a Name, data_centre: &'a Name) -> Scope<'a> {
+    Scope {
+        vm,
+        data_centre,
+        direct_vms_max: 2,
+    }
+}
+
+/// Returns a summary of data centre `b` that names VMs with the given ages.
+fn summary(vms: &[(&str, u64)], sequence: u64) -> Summary {
+    let mut states = Vec::new();
+    for (index, (vm, age_ms)) in vms.iter().enumerate() {
+        let heard = advert(vm, 1, sequence, 2_000 + 2 * index as u16);
+        states.push(VmState {
+            vm: heard.vm,
+            incarnation: 1,
+            sequence,
+            front: heard.front,
+            peer: heard.peer,
+            is_ready: true,
+            age_ms: *age_ms,
+        });
+    }
+    Summary {
+        data_centre: Name::from("b"),
+        vm: Name::from(vms[0].0),
+        incarnation: 1,
+        sequence,
+        part: 0,
+        parts: 1,
+        is_remote: true,
+        vms: states,
+        demands: Vec::new(),
+        asked: Vec::new(),
+        findings: Vec::new(),
+    }
+}
+
+/// With many VMs adverts must stay within the data centre, so that their number does not grow with the square.
+#[test]
+fn adverts_within() {
+    let (own, a) = (Name::from(OWN), Name::from("a"));
+    let mut peers = Peers::new();
+    peers.hear(&advert("near", 1, 1, 1_000), 0);
+    assert!(!peers.is_wide(scope(&own, &a)));
+    peers.hear_summary(&summary(&[("far-1", 0), ("far-2", 0)], 1), 0);
+    assert!(peers.is_wide(scope(&own, &a)));
+    let near = vec!["127.0.0.1:1001".parse().unwrap()];
+    assert_eq!(peers.to_recipients(scope(&own, &a), 5, 100), near);
+    assert_eq!(peers.to_fronts(&a, 100).len(), 3);
+    assert_eq!(peers.to_vm_count(100), 4);
+    assert_eq!(peers.to_members(100).len(), 3);
+    // One VM speaks for the other data centre, whichever of the two it is.
+    assert_eq!(peers.to_speakers(scope(&own, &a), 100).len(), 1);
+}
+
+/// A VM of another data centre that fell silent there must fall silent here, though summaries go on.
+#[test]
+fn silent_far_vm() {
+    let a = Name::from("a");
+    let mut peers = Peers::new();
+    let mut age_ms = 0;
+    for (sequence, now_ms) in (1..).zip((0..6_000).step_by(300)) {
+        let mut heard = summary(&[("far-1", 0), ("far-2", age_ms)], sequence);
+        // The adverts of the second VM have stopped.
+        heard.vms[1].sequence = 1;
+        peers.hear_summary(&heard, now_ms);
+        age_ms += 300;
+    }
+    let fronts = peers.to_fronts(&a, 6_000);
+    assert_eq!(fronts, vec!["127.0.0.1:2000".parse().unwrap()]);
+    // It may be cut off from there only, so it gets adverts again.
+    let own = Name::from(OWN);
+    assert_eq!(peers.to_recipients(scope(&own, &a), 5, 6_000).len(), 1);
+}
+
+/// When the VM that speaks for a data centre dies, exactly one of the others must take over, and nobody be lost by that.
+#[test]
+fn next_speaker() {
+    let vms = ["v1", "v2", "v3", "v4"].map(Name::from);
+    let a = Name::from("a");
+    let mut views: Vec<Peers> = Vec::new();
+    for vm in &vms {
+        let mut peers = Peers::new();
+        for other in vms.iter().filter(|other| *other != vm) {
+            peers.hear(&advert(other.as_str(), 1, 1, 1_000), 0);
+        }
+        views.push(peers);
+    }
+    let speakers = |views: &[Peers], now_ms| -> Vec<usize> {
+        let all = 0..vms.len();
+        all.filter(|i| views[*i].is_speaker(scope(&vms[*i], &a), now_ms))
+            .collect()
+    };
+    let first = speakers(&views, 100);
+    assert_eq!(first.len(), 1);
+    for (index, peers) in views.iter_mut().enumerate() {
+        for (other, vm) in vms.iter().enumerate() {
+            if other != index && other != first[0] {
+                peers.hear(&advert(vm.as_str(), 1, 2, 1_000), 1_400);
+            }
+        }
+    }
+    let mut next = speakers(&views, 1_400);
+    next.retain(|index| *index != first[0]);
+    assert_eq!(next.len(), 1);
+    // Meanwhile the other data centres heard nothing, and still name all VMs.
+    let mut far = Peers::new();
+    far.hear_summary(&summary(&[("far-1", 0), ("far-2", 299)], 1), 0);
+    assert_eq!(far.to_fronts(&a, 1_400 + 600).len(), 2);
+}
+
+/// What one VM wrote earlier must not replace what it wrote later, and silence must end the account of its load.
+#[test]
+fn late_summary() {
+    let mut summaries = Summaries::default();
+    let b = Name::from("b");
+    assert!(summaries.hear(&summary(&[("far-1", 0)], 2), 0));
+    assert!(!summaries.hear(&summary(&[("far-1", 0)], 1), 100));
+    assert!(summaries.hear(&summary(&[("far-2", 0)], 1), 200));
+    assert!(summaries.covers(&b, 1_000));
+    assert!(summaries.expire(1_000).is_empty());
+    let source = summary(&[("far-1", 0)], 1).to_source();
+    assert_eq!(summaries.expire(1_600), vec![source]);
+    assert!(!summaries.covers(&b, 1_600));
+}
--- a/crates/core/tests/prompt_placement.rs
+++ b/crates/core/tests/prompt_placement.rs
@@ -11,8 +11,8 @@
 use waxwing_core::forwarding::endpoints::LEVELS;
 use waxwing_core::forwarding::endpoints::Level;
 use waxwing_core::forwarding::endpoints::Load;
+use waxwing_core::forwarding::lanes::Asked;
 use waxwing_core::forwarding::lanes::Lane;
-use waxwing_core::forwarding::lanes::Rates;
 use waxwing_core::forwarding::placement;
 use waxwing_core::forwarding::prompt::Part;
 use waxwing_core::forwarding::prompt::Prompt;
@@ -66,7 +66,7 @@
             service: &self.service,
             prompt: Some(prompt),
             lane,
-            rates: Rates::default(),
+            asked: Asked::default(),
             level,
             is_repeatable: true,
             data_centre: &self.data_centre,
@@ -280,7 +280,7 @@
         service: &vm.service,
         prompt: Some(&prompt),
         lane: LONG,
-        rates: Rates::default(),
+        asked: Asked::default(),
         level: Level::default(),
         is_repeatable: true,
         data_centre: &vm.data_centre,
--- a/crates/gateway/src/adverts.rs
+++ b/crates/gateway/src/adverts.rs
@@ -1,4 +1,4 @@
-//! Adverts between VMs over UDP.
+//! Adverts between VMs, and summaries between data centres, over UDP.
 
 use std::net::SocketAddr;
 use std::net::UdpSocket;
@@ -8,10 +8,15 @@
 use async_io::Async;
 use async_io::Timer;
 use futures::future::join;
+use waxwing_core::Name;
+use waxwing_core::fleet::Summary;
+use waxwing_core::fleet::summary::VmState;
 use waxwing_core::forwarding::peers::ADVERT_INTERVAL_MS;
 use waxwing_core::forwarding::peers::Advert;
 use waxwing_core::forwarding::peers::Change;
+use waxwing_core::state::evidence::Finding;
 use waxwing_wire::advert;
+use waxwing_wire::advert::Datagram;
 
 use crate::error::Error;
 use crate::error::Result;
@@ -54,32 +59,55 @@
         note_lost(&gateway, checked_at_ms, now_ms);
         checked_at_ms = now_ms;
         sequence += 1;
-        let recipients = gateway.peers.borrow().to_recipients(sequence, now_ms);
-        if recipients.is_empty() {
-            continue;
+        let scope = gateway.to_scope();
+        let recipients = gateway
+            .peers
+            .borrow()
+            .to_recipients(scope, sequence, now_ms);
+        if !recipients.is_empty() {
+            let advert = to_advert(&gateway, sequence);
+            send_to(&socket, &Datagram::Advert(advert), &recipients).await;
         }
-        let bytes = match advert::to_bytes(&to_advert(&gateway, sequence)) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                log::error!(event = "advert_not_encoded"; "{error}");
-                continue;
-            }
+        let speakers = {
+            let peers = gateway.peers.borrow();
+            let is_speaker = peers.is_wide(scope) && peers.is_speaker(scope, now_ms);
+            is_speaker.then(|| peers.to_speakers(scope, now_ms))
         };
-        for address in recipients {
-            let sent = socket.send_to(&bytes, address).await;
-            let outcome = if sent.is_ok() { "sent" } else { "send_failed" };
-            metrics::counter!(metric::ADVERTS, "outcome" => outcome).increment(1);
+        for part in speakers
+            .iter()
+            .flat_map(|_| to_summary(&gateway, sequence).split())
+        {
+            let speakers = speakers.as_deref().unwrap_or_default();
+            send_to(&socket, &Datagram::Summary(part), speakers).await;
         }
     }
 }
 
-fn to_advert(gateway: &Gateway, sequence: u64) -> Advert {
-    let mut findings = gateway
-        .evidence
-        .borrow()
-        .to_findings(gateway.clock.now_ms());
+async fn send_to(socket: &Async<UdpSocket>, datagram: &Datagram, recipients: &[SocketAddr]) {
+    let bytes = match advert::to_bytes(datagram) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            log::error!(event = "advert_not_encoded"; "{error}");
+            return;
+        }
+    };
+    for address in recipients {
+        let sent = socket.send_to(&bytes, *address).await;
+        let outcome = if sent.is_ok() { "sent" } else { "send_failed" };
+        metrics::counter!(metric::ADVERTS, "outcome" => outcome).increment(1);
+    }
+}
+
+fn to_findings(gateway: &Gateway) -> Vec<Finding> {
+    let now_ms = gateway.clock.now_ms();
+    let mut findings = gateway.evidence.borrow().to_findings(now_ms);
     findings.sort_by_key(|finding| finding.age_ms);
     findings.truncate(FINDINGS_MAX);
+    findings
+}
+
+fn to_advert(gateway: &Gateway, sequence: u64) -> Advert {
+    let now_ms = gateway.clock.now_ms();
     Advert {
         vm: gateway.vm.clone(),
         incarnation: gateway.incarnation,
@@ -90,11 +118,42 @@
         is_ready: gateway.is_ready(),
         configuration_version: gateway.to_configuration_version(),
         demands: gateway.endpoints.borrow().to_own_demands(),
-        asked: gateway
-            .reading_demand
+        asked: gateway.reading_demand.borrow().to_own(now_ms),
+        findings: to_findings(gateway),
+    }
+}
+
+/// Returns what this VM tells the other data centres of its own.
+fn to_summary(gateway: &Gateway, sequence: u64) -> Summary {
+    let now_ms = gateway.clock.now_ms();
+    let scope = gateway.to_scope();
+    let peers = gateway.peers.borrow();
+    let mut vms = peers.to_states(scope, now_ms);
+    vms.push(VmState {
+        vm: gateway.vm.clone(),
+        incarnation: gateway.incarnation,
+        sequence,
+        front: gateway.settings.listen.front,
+        peer: gateway.settings.listen.peers,
+        is_ready: gateway.is_ready(),
+        age_ms: 0,
+    });
+    let names: Vec<&Name> = vms.iter().map(|state| &state.vm).collect();
+    Summary {
+        data_centre: gateway.data_centre.clone(),
+        vm: gateway.vm.clone(),
+        incarnation: gateway.incarnation,
+        sequence,
+        part: 0,
+        parts: 1,
+        is_remote: true,
+        demands: gateway
+            .endpoints
             .borrow()
-            .to_own(gateway.clock.now_ms()),
-        findings,
+            .to_demands_with(names.iter().copied()),
+        asked: gateway.reading_demand.borrow().to_sum(names, now_ms),
+        findings: to_findings(gateway),
+        vms,
     }
 }
 
@@ -103,10 +162,13 @@
     for change in lost {
         if let Change::Lost(vm) = change {
             log::warn!(event = "peer_lost", peer = vm.as_str(); "no advert for too long");
-            gateway.endpoints.borrow_mut().drop_peer(&vm);
-            gateway.reading_demand.borrow_mut().drop_peer(&vm);
+            gateway.drop_peer_load(&vm);
         }
     }
+    for source in gateway.summaries.borrow_mut().expire(now_ms) {
+        log::warn!(event = "summary_lost", source = source.as_str(); "no summary for too long");
+        gateway.drop_peer_load(&source);
+    }
     let alive = gateway.peers.borrow().to_alive_count(now_ms);
     metrics::gauge!(metric::PEERS).set(alive as f64);
 }
@@ -123,7 +185,11 @@
             }
         };
         let outcome = match advert::from_bytes(&buffer[..length]) {
-            Ok(advert) => hear(&gateway, advert),
+            Ok(Datagram::Advert(advert)) => hear(&gateway, advert),
+            Ok(Datagram::Summary(summary)) => {
+                pass_on(&gateway, &socket, &summary).await;
+                hear_summary(&gateway, summary)
+            }
             Err(error) => {
                 log::warn!(event = "advert_undecodable"; "{error}");
                 "undecodable"
@@ -133,30 +199,72 @@
     }
 }
 
+/// Passes a summary that came from another data centre on to the VMs of this one.
+async fn pass_on(gateway: &Gateway, socket: &Async<UdpSocket>, summary: &Summary) {
+    if !summary.is_remote || summary.data_centre == gateway.data_centre {
+        return;
+    }
+    let now_ms = gateway.clock.now_ms();
+    let recipients: Vec<SocketAddr> = {
+        let peers = gateway.peers.borrow();
+        let neighbours = peers.to_neighbours(gateway.to_scope(), now_ms);
+        neighbours.into_iter().map(|(_, address)| address).collect()
+    };
+    let passed_on = Summary {
+        is_remote: false,
+        ..summary.clone()
+    };
+    send_to(socket, &Datagram::Summary(passed_on), &recipients).await;
+}
+
+fn note_changes(changes: impl IntoIterator<Item = Change>) {
+    for change in changes {
+        if let Change::Seen(peer) = change {
+            log::info!(event = "peer_seen", peer = peer.as_str(); "hears adverts");
+        }
+    }
+}
+
 fn hear(gateway: &Gateway, advert: Advert) -> &'static str {
     if advert.vm == gateway.vm {
         return "old";
     }
     let now_ms = gateway.clock.now_ms();
     let (is_news, change) = gateway.peers.borrow_mut().hear(&advert, now_ms);
-    if let Some(Change::Seen(peer)) = change {
-        log::info!(event = "peer_seen", peer = peer.as_str(); "hears adverts");
-    }
+    note_changes(change);
     if !is_news {
         return "old";
     }
-    let vm = advert.vm;
     gateway
-        .reading_demand
-        .borrow_mut()
-        .set_peer(vm.clone(), advert.asked);
-    gateway
-        .endpoints
+        .evidence
         .borrow_mut()
-        .set_peer_demand(vm, advert.demands);
+        .merge(&advert.findings, now_ms);
+    // The load of a VM must not count twice.
+    let is_covered = gateway
+        .summaries
+        .borrow()
+        .covers(&advert.data_centre, now_ms);
+    if !is_covered {
+        gateway.set_peer_load(advert.vm, advert.demands, advert.asked);
+    }
+    "news"
+}
+
+fn hear_summary(gateway: &Gateway, summary: Summary) -> &'static str {
+    let now_ms = gateway.clock.now_ms();
+    let is_own = summary.data_centre == gateway.data_centre;
+    if is_own || !gateway.summaries.borrow_mut().hear(&summary, now_ms) {
+        return "old";
+    }
+    let changes = gateway.peers.borrow_mut().hear_summary(&summary, now_ms);
+    note_changes(changes);
+    for state in &summary.vms {
+        gateway.drop_peer_load(&state.vm);
+    }
     gateway
         .evidence
         .borrow_mut()
-        .merge(&advert.findings, now_ms);
+        .merge(&summary.findings, now_ms);
+    gateway.set_peer_load(summary.to_source(), summary.demands, summary.asked);
     "news"
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -450,7 +450,7 @@
             service: &self.service,
             prompt: self.intent.prompt.as_ref(),
             lane: self.lane,
-            rates: gateway.reading_demand.borrow().to_rates(service, now_ms),
+            asked: gateway.reading_demand.borrow().to_asked(service, now_ms),
             level: self.level,
             is_repeatable: self.route.is_repeatable(),
             data_centre: &gateway.data_centre,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,15 +18,19 @@
 use waxwing_core::fleet::Belief;
 use waxwing_core::fleet::Feed;
 use waxwing_core::fleet::Role;
+use waxwing_core::fleet::summary::Summaries;
 use waxwing_core::fleet::view::EndpointsView;
 use waxwing_core::forwarding::Configuration;
 use waxwing_core::forwarding::EndpointKey;
 use waxwing_core::forwarding::Endpoints;
 use waxwing_core::forwarding::admission;
 use waxwing_core::forwarding::endpoints::Change;
+use waxwing_core::forwarding::endpoints::Demand;
 use waxwing_core::forwarding::endpoints::Entry;
+use waxwing_core::forwarding::lanes::Asked;
 use waxwing_core::forwarding::lanes::ReadingDemand;
 use waxwing_core::forwarding::peers::Peers;
+use waxwing_core::forwarding::peers::Scope;
 use waxwing_core::forwarding::placement;
 use waxwing_core::forwarding::repeat_budget;
 use waxwing_core::forwarding::repeat_budget::RepeatBudget;
@@ -107,6 +111,7 @@
     pub(crate) reading_demand: RefCell<ReadingDemand>,
     pub(crate) budget: RefCell<RepeatBudget>,
     pub(crate) peers: RefCell<Peers>,
+    pub(crate) summaries: RefCell<Summaries>,
     pub(crate) evidence: RefCell<Evidence>,
     pub(crate) fleet: Fleet,
     pub(crate) in_progress: Cell<u32>,
@@ -147,6 +152,7 @@
             reading_demand: RefCell::new(ReadingDemand::default()),
             budget: RefCell::new(RepeatBudget::new(budget, clock.now_ms())),
             peers: RefCell::new(Peers::new()),
+            summaries: RefCell::default(),
             evidence: RefCell::new(Evidence::new(EVIDENCE_LIFETIME_MS, EVIDENCE_MAX)),
             fleet: Fleet::new(settings.log_service.to_bound_ms()),
             in_progress: Cell::new(0),
@@ -369,6 +375,34 @@
         }
     }
 
+    /// Returns where this VM stands among the others.
+    pub(crate) fn to_scope(&self) -> Scope<'_> {
+        Scope {
+            vm: &self.vm,
+            data_centre: &self.data_centre,
+            direct_vms_max: self.settings.fleet.direct_vms_max,
+        }
+    }
+
+    /// Replaces what another VM, or a summary, says of the load that it stands for.
+    pub(crate) fn set_peer_load(
+        &self,
+        source: Name,
+        demands: Vec<(u64, Demand)>,
+        asked: Vec<(u64, Asked)>,
+    ) {
+        let mut reading_demand = self.reading_demand.borrow_mut();
+        reading_demand.set_peer(source.clone(), asked);
+        let mut endpoints = self.endpoints.borrow_mut();
+        endpoints.set_peer_demand(source, demands);
+    }
+
+    /// Forgets the load of a VM or summary that is not heard any more.
+    pub(crate) fn drop_peer_load(&self, source: &Name) {
+        self.endpoints.borrow_mut().drop_peer(source);
+        self.reading_demand.borrow_mut().drop_peer(source);
+    }
+
     /// Returns the address of this VM for adverts of others.
     pub fn to_peer_address(&self) -> SocketAddr {
         self.settings.listen.peers
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -29,6 +29,9 @@
     pub directory: Directory,
     /// The log service.
     pub log_service: LogService,
+    /// Messages between VMs.
+    #[serde(default)]
+    pub fleet: Fleet,
     /// Choice of endpoints.
     #[serde(default)]
     pub placement: Placement,
@@ -116,6 +119,20 @@
     }
 }
 
+/// Messages between VMs.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default)]
+pub struct Fleet {
+    /// Number of VMs up to which each sends adverts to each; beyond, data centres tell each other by summaries.
+    pub direct_vms_max: usize,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Self { direct_vms_max: 16 }
+    }
+}
+
 /// Choice of endpoints.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default)]
--- a/crates/wire/src/advert.rs
+++ b/crates/wire/src/advert.rs
@@ -1,172 +1,370 @@
-//! Adverts between VMs that forward by route: one JSON object a datagram.
+//! Datagrams between VMs that forward by route: the advert of a VM, or a part of the summary of a data centre.
+//!
+//! They are coded by `postcard`, which writes small numbers as one byte.
+
+use std::net::SocketAddr;
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD_NO_PAD;
 use serde::Deserialize;
 use serde::Serialize;
 use waxwing_core::Name;
+use waxwing_core::fleet::Summary;
+use waxwing_core::fleet::summary::VmState;
 use waxwing_core::forwarding::endpoints::Demand;
 use waxwing_core::forwarding::endpoints::LEVELS;
-use waxwing_core::forwarding::lanes::Rates;
-use waxwing_core::forwarding::peers;
+use waxwing_core::forwarding::lanes::Asked;
+use waxwing_core::forwarding::lanes::LANES_MAX;
+use waxwing_core::forwarding::peers::Advert;
+use waxwing_core::state::evidence::Content;
 use waxwing_core::state::evidence::Finding;
 
-/// Version of the message; adverts of other versions are refused.
-const VERSION: u8 = 3;
+/// Version of the datagrams, their first byte; others are refused.
+const VERSION: u8 = 4;
 
-/// Most prompt tokens that one VM can have in progress at an endpoint at one level; sums over all VMs must not overflow.
+/// Most prompt tokens of one datagram at an endpoint at one level; sums over all VMs must not overflow.
 const TOKENS_MAX: u64 = 1 << 40;
 
-/// Most requests that one VM can have in progress at an endpoint; it has fewer descriptors.
+/// Most requests of one datagram at an endpoint; a VM has fewer descriptors.
 const RUNS_MAX: u32 = 1 << 20;
 
-/// Why a datagram is not an advert.
+/// Why a datagram cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    /// It is not JSON of the expected shape.
-    #[error("the advert cannot be decoded: {0}")]
-    Json(#[from] serde_json::Error),
+    /// It is not of the expected shape.
+    #[error("the datagram cannot be decoded: {0}")]
+    Shape(#[from] postcard::Error),
+    /// It is empty.
+    #[error("the datagram is empty")]
+    Empty,
     /// Its version is not known here.
-    #[error("the advert has version {0}; this build speaks version {VERSION}")]
+    #[error("the datagram has version {0}; this build speaks version {VERSION}")]
     Version(u8),
     /// A field holds a value that is not allowed.
-    #[error("the advert field `{0}` is invalid")]
+    #[error("the datagram field `{0}` is invalid")]
     Field(&'static str),
 }
 
-/// Result of decoding an advert.
+/// Result of coding a datagram.
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// Endpoint hash, runs, unread tokens as pairs of level and number; levels without any are left out.
-type WireDemand = (u64, u32, Vec<(usize, u64)>);
+/// A datagram between VMs.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Datagram {
+    /// What a VM tells of itself.
+    Advert(Advert),
+    /// What a VM tells of its data centre.
+    Summary(Summary),
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+enum Wire {
+    Advert(WireAdvert),
+    Summary(WireSummary),
+}
 
-/// The advert as it travels; short names keep it within one datagram.
 #[derive(Debug, Serialize, Deserialize)]
-struct Wire {
-    v: u8,
+struct WireAdvert {
     vm: String,
     incarnation: u64,
     sequence: u64,
-    front: String,
-    peer: String,
+    front: SocketAddr,
+    peer: SocketAddr,
     data_centre: String,
     ready: bool,
     configuration: u64,
+    load: WireLoad,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireSummary {
+    data_centre: String,
+    vm: String,
+    incarnation: u64,
+    sequence: u64,
+    part: u16,
+    parts: u16,
+    remote: bool,
+    vms: Vec<WireVm>,
+    load: WireLoad,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireVm {
+    vm: String,
+    incarnation: u64,
+    sequence: u64,
+    front: SocketAddr,
+    peer: SocketAddr,
+    ready: bool,
+    age_ms: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireLoad {
     demands: Vec<WireDemand>,
-    /// Hash of a service's name, prompt tokens that arrive for each lane in a millisecond.
-    asked: Vec<(u64, Rates)>,
-    /// Content hash in base64, endpoint that was lost if any, age in milliseconds.
-    findings: Vec<(String, Option<String>, u64)>,
-}
-
-impl From<&peers::Advert> for Wire {
-    fn from(advert: &peers::Advert) -> Self {
-        let mut demands = Vec::new();
-        for (hash, demand) in &advert.demands {
-            let levels = demand.unread_tokens.iter().copied().enumerate();
-            let unread_tokens = levels.filter(|(_, tokens)| *tokens > 0).collect();
-            demands.push((*hash, demand.runs, unread_tokens));
+    asked: Vec<WireAsked>,
+    findings: Vec<WireFinding>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireDemand {
+    /// Hash of the endpoint's id, in little-endian order; as a number it would take ten bytes.
+    endpoint: [u8; 8],
+    runs: u32,
+    /// Pairs of level and unread tokens; levels without any are left out.
+    unread_tokens: Vec<(u8, u64)>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireAsked {
+    /// Hash of the service's name, in little-endian order.
+    service: [u8; 8],
+    tokens_per_ms: [f32; LANES_MAX],
+    slots: [f32; LANES_MAX],
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireFinding {
+    content: Content,
+    endpoint: Option<String>,
+    age_ms: u64,
+}
+
+/// The load in an advert or a summary.
+struct Load {
+    demands: Vec<(u64, Demand)>,
+    asked: Vec<(u64, Asked)>,
+    findings: Vec<Finding>,
+}
+
+impl WireLoad {
+    fn new(demands: &[(u64, Demand)], asked: &[(u64, Asked)], findings: &[Finding]) -> Self {
+        Self {
+            demands: demands.iter().map(WireDemand::from).collect(),
+            asked: asked.iter().map(WireAsked::from).collect(),
+            findings: findings.iter().map(WireFinding::from).collect(),
         }
-        let mut findings = Vec::new();
-        for finding in &advert.findings {
-            let endpoint = finding
-                .endpoint
-                .as_ref()
-                .map(|name| name.as_str().to_owned());
-            let content = STANDARD_NO_PAD.encode(finding.content);
-            findings.push((content, endpoint, finding.age_ms));
+    }
+}
+
+impl TryFrom<WireLoad> for Load {
+    type Error = Error;
+
+    fn try_from(wire: WireLoad) -> Result<Self> {
+        let demands = wire.demands.into_iter().map(TryFrom::try_from);
+        let asked = wire.asked.into_iter().map(TryFrom::try_from);
+        Ok(Self {
+            demands: demands.collect::<Result<_>>()?,
+            asked: asked.collect::<Result<_>>()?,
+            findings: wire.findings.into_iter().map(Finding::from).collect(),
+        })
+    }
+}
+
+impl From<&(u64, Demand)> for WireDemand {
+    fn from((endpoint, demand): &(u64, Demand)) -> Self {
+        let mut unread_tokens = Vec::new();
+        for (level, tokens) in (0..).zip(demand.unread_tokens) {
+            if tokens > 0 {
+                unread_tokens.push((level, tokens));
+            }
         }
         Self {
-            v: VERSION,
-            vm: advert.vm.as_str().to_owned(),
-            incarnation: advert.incarnation,
-            sequence: advert.sequence,
-            front: advert.front.to_string(),
-            peer: advert.peer.to_string(),
-            data_centre: advert.data_centre.as_str().to_owned(),
-            ready: advert.is_ready,
-            configuration: advert.configuration_version,
-            demands,
-            asked: advert.asked.clone(),
-            findings,
+            endpoint: endpoint.to_le_bytes(),
+            runs: demand.runs,
+            unread_tokens,
         }
     }
 }
 
-impl TryFrom<Wire> for peers::Advert {
+impl TryFrom<WireDemand> for (u64, Demand) {
     type Error = Error;
 
-    fn try_from(wire: Wire) -> Result<Self> {
-        if wire.v != VERSION {
-            return Err(Error::Version(wire.v));
+    fn try_from(wire: WireDemand) -> Result<Self> {
+        if wire.runs > RUNS_MAX {
+            return Err(Error::Field("runs"));
         }
-        let mut demands = Vec::new();
-        for (hash, runs, levels) in wire.demands {
-            if runs > RUNS_MAX {
-                return Err(Error::Field("demands"));
+        let mut unread_tokens = [0; LEVELS];
+        for (level, tokens) in wire.unread_tokens {
+            if tokens > TOKENS_MAX {
+                return Err(Error::Field("unread_tokens"));
             }
-            let mut unread_tokens = [0; LEVELS];
-            for (level, tokens) in levels {
-                if tokens > TOKENS_MAX {
-                    return Err(Error::Field("demands"));
-                }
-                let known = unread_tokens.get_mut(level);
-                *known.ok_or(Error::Field("demands"))? = tokens;
-            }
-            let demand = Demand {
-                runs,
-                unread_tokens,
-            };
-            demands.push((hash, demand));
+            let known = unread_tokens.get_mut(usize::from(level));
+            *known.ok_or(Error::Field("unread_tokens"))? = tokens;
         }
-        let mut findings = Vec::new();
-        for (content, endpoint, age_ms) in wire.findings {
-            let bytes = STANDARD_NO_PAD.decode(content);
-            let bytes = bytes.map_err(|_| Error::Field("findings"))?;
-            findings.push(Finding {
-                content: bytes.try_into().map_err(|_| Error::Field("findings"))?,
-                endpoint: endpoint.map(Name::from),
-                age_ms,
-            });
+        let demand = Demand {
+            runs: wire.runs,
+            unread_tokens,
+        };
+        Ok((u64::from_le_bytes(wire.endpoint), demand))
+    }
+}
+
+impl From<&(u64, Asked)> for WireAsked {
+    fn from((service, asked): &(u64, Asked)) -> Self {
+        Self {
+            service: service.to_le_bytes(),
+            tokens_per_ms: asked.tokens_per_ms.map(|value| value as f32),
+            slots: asked.slots.map(|value| value as f32),
         }
-        let rates = wire.asked.iter().flat_map(|(_, rates)| rates);
-        if rates
-            .into_iter()
-            .any(|rate| !rate.is_finite() || *rate < 0.0)
-        {
+    }
+}
+
+impl TryFrom<WireAsked> for (u64, Asked) {
+    type Error = Error;
+
+    fn try_from(wire: WireAsked) -> Result<Self> {
+        let mut values = wire.tokens_per_ms.iter().chain(&wire.slots);
+        if values.any(|value| !value.is_finite() || *value < 0.0) {
             return Err(Error::Field("asked"));
         }
-        Ok(Self {
+        let asked = Asked {
+            tokens_per_ms: wire.tokens_per_ms.map(f64::from),
+            slots: wire.slots.map(f64::from),
+        };
+        Ok((u64::from_le_bytes(wire.service), asked))
+    }
+}
+
+impl From<&Finding> for WireFinding {
+    fn from(finding: &Finding) -> Self {
+        let endpoint = finding.endpoint.as_ref();
+        Self {
+            content: finding.content,
+            endpoint: endpoint.map(|name| name.as_str().to_owned()),
+            age_ms: finding.age_ms,
+        }
+    }
+}
+
+impl From<WireFinding> for Finding {
+    fn from(wire: WireFinding) -> Self {
+        Self {
+            content: wire.content,
+            endpoint: wire.endpoint.map(Name::from),
+            age_ms: wire.age_ms,
+        }
+    }
+}
+
+impl From<&VmState> for WireVm {
+    fn from(state: &VmState) -> Self {
+        Self {
+            vm: state.vm.as_str().to_owned(),
+            incarnation: state.incarnation,
+            sequence: state.sequence,
+            front: state.front,
+            peer: state.peer,
+            ready: state.is_ready,
+            age_ms: state.age_ms,
+        }
+    }
+}
+
+impl From<WireVm> for VmState {
+    fn from(wire: WireVm) -> Self {
+        Self {
             vm: Name::from(wire.vm),
             incarnation: wire.incarnation,
             sequence: wire.sequence,
-            front: wire.front.parse().map_err(|_| Error::Field("front"))?,
-            peer: wire.peer.parse().map_err(|_| Error::Field("peer"))?,
-            data_centre: Name::from(wire.data_centre),
+            front: wire.front,
+            peer: wire.peer,
             is_ready: wire.ready,
-            configuration_version: wire.configuration,
-            demands,
-            asked: wire.asked,
-            findings,
-        })
+            age_ms: wire.age_ms,
+        }
+    }
+}
+
+impl From<&Datagram> for Wire {
+    fn from(datagram: &Datagram) -> Self {
+        match datagram {
+            Datagram::Advert(advert) => Wire::Advert(WireAdvert {
+                vm: advert.vm.as_str().to_owned(),
+                incarnation: advert.incarnation,
+                sequence: advert.sequence,
+                front: advert.front,
+                peer: advert.peer,
+                data_centre: advert.data_centre.as_str().to_owned(),
+                ready: advert.is_ready,
+                configuration: advert.configuration_version,
+                load: WireLoad::new(&advert.demands, &advert.asked, &advert.findings),
+            }),
+            Datagram::Summary(summary) => Wire::Summary(WireSummary {
+                data_centre: summary.data_centre.as_str().to_owned(),
+                vm: summary.vm.as_str().to_owned(),
+                incarnation: summary.incarnation,
+                sequence: summary.sequence,
+                part: summary.part as u16,
+                parts: summary.parts as u16,
+                remote: summary.is_remote,
+                vms: summary.vms.iter().map(WireVm::from).collect(),
+                load: WireLoad::new(&summary.demands, &summary.asked, &summary.findings),
+            }),
+        }
+    }
+}
+
+impl TryFrom<Wire> for Datagram {
+    type Error = Error;
+
+    fn try_from(wire: Wire) -> Result<Self> {
+        match wire {
+            Wire::Advert(wire) => {
+                let load = Load::try_from(wire.load)?;
+                Ok(Datagram::Advert(Advert {
+                    vm: Name::from(wire.vm),
+                    incarnation: wire.incarnation,
+                    sequence: wire.sequence,
+                    front: wire.front,
+                    peer: wire.peer,
+                    data_centre: Name::from(wire.data_centre),
+                    is_ready: wire.ready,
+                    configuration_version: wire.configuration,
+                    demands: load.demands,
+                    asked: load.asked,
+                    findings: load.findings,
+                }))
+            }
+            Wire::Summary(wire) => {
+                if wire.part >= wire.parts {
+                    return Err(Error::Field("part"));
+                }
+                let load = Load::try_from(wire.load)?;
+                Ok(Datagram::Summary(Summary {
+                    data_centre: Name::from(wire.data_centre),
+                    vm: Name::from(wire.vm),
+                    incarnation: wire.incarnation,
+                    sequence: wire.sequence,
+                    part: usize::from(wire.part),
+                    parts: usize::from(wire.parts),
+                    is_remote: wire.remote,
+                    vms: wire.vms.into_iter().map(VmState::from).collect(),
+                    demands: load.demands,
+                    asked: load.asked,
+                    findings: load.findings,
+                }))
+            }
+        }
     }
 }
 
-/// Encodes an advert.
+/// Encodes a datagram.
 ///
 /// # Errors
 ///
-/// Fails if the JSON encoder does.
-pub fn to_bytes(advert: &peers::Advert) -> Result<Vec<u8>> {
-    Ok(serde_json::to_vec(&Wire::from(advert))?)
+/// Fails if the encoder does.
+pub fn to_bytes(datagram: &Datagram) -> Result<Vec<u8>> {
+    Ok(postcard::to_extend(&Wire::from(datagram), vec![VERSION])?)
 }
 
-/// Decodes an advert.
+/// Decodes a datagram.
 ///
 /// # Errors
 ///
-/// Fails if the datagram is not an advert of this version or a field is invalid.
-pub fn from_bytes(bytes: &[u8]) -> Result<peers::Advert> {
-    let wire: Wire = serde_json::from_slice(bytes)?;
-    peers::Advert::try_from(wire)
+/// Fails if it is not a datagram of this version or a field is invalid.
+pub fn from_bytes(bytes: &[u8]) -> Result<Datagram> {
+    let (version, rest) = bytes.split_first().ok_or(Error::Empty)?;
+    if *version != VERSION {
+        return Err(Error::Version(*version));
+    }
+    Datagram::try_from(postcard::from_bytes::<Wire>(rest)?)
 }
--- a/crates/wire/tests/advert.rs
+++ b/crates/wire/tests/advert.rs
@@ -1,16 +1,34 @@
-//! Adverts on the wire: what is sent is what is heard, and what is not an advert is refused.
+//! Datagrams between VMs: what is sent is what is heard, and nothing else is taken.
 
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::proptest;
 use waxwing_core::Name;
+use waxwing_core::fleet::Summary;
+use waxwing_core::fleet::summary::VmState;
 use waxwing_core::forwarding::endpoints::Demand;
+use waxwing_core::forwarding::lanes::Asked;
 use waxwing_core::forwarding::peers::Advert;
+use waxwing_core::state::evidence::Finding;
 use waxwing_wire::advert;
+use waxwing_wire::advert::Datagram;
 use waxwing_wire::advert::Error;
 
-fn sample() -> Advert {
-    let demand = Demand {
+fn to_demand() -> Demand {
+    Demand {
         runs: 3,
         unread_tokens: [1, 20, 300, 0, 0, 0, 0, 0, 0, 4_000],
-    };
+    }
+}
+
+fn to_asked() -> Asked {
+    Asked {
+        tokens_per_ms: [0.5, 1.0, 2.5],
+        slots: [8.0, 0.0, 0.25],
+    }
+}
+
+fn to_advert() -> Advert {
     Advert {
         vm: Name::from("vm-1"),
         incarnation: 7,
@@ -20,42 +38,134 @@
         data_centre: Name::from("a"),
         is_ready: true,
         configuration_version: 9,
-        demands: vec![(u64::MAX, demand)],
-        asked: vec![(5, [0.5, 1.0, 2.5])],
+        demands: vec![(u64::MAX, to_demand())],
+        asked: vec![(5, to_asked())],
+        findings: vec![Finding {
+            content: [7; 32],
+            endpoint: Some(Name::from("e1")),
+            age_ms: 100,
+        }],
+    }
+}
+
+fn to_summary() -> Summary {
+    let state = VmState {
+        vm: Name::from("vm-2"),
+        incarnation: 1,
+        sequence: 2,
+        front: "127.0.0.1:1".parse().unwrap(),
+        peer: "127.0.0.1:2".parse().unwrap(),
+        is_ready: false,
+        age_ms: 299,
+    };
+    Summary {
+        data_centre: Name::from("a"),
+        vm: Name::from("vm-1"),
+        incarnation: 3,
+        sequence: 4,
+        part: 1,
+        parts: 2,
+        is_remote: true,
+        vms: vec![state],
+        demands: vec![(1, to_demand()), (2, Demand::default())],
+        asked: vec![(5, to_asked())],
         findings: Vec::new(),
     }
 }
 
+fn samples() -> [Datagram; 2] {
+    [
+        Datagram::Advert(to_advert()),
+        Datagram::Summary(to_summary()),
+    ]
+}
+
 /// Every field must arrive as it was sent.
 #[test]
 fn round_trip() {
-    let bytes = advert::to_bytes(&sample()).unwrap();
-    assert_eq!(advert::from_bytes(&bytes).unwrap(), sample());
+    for datagram in samples() {
+        let bytes = advert::to_bytes(&datagram).unwrap();
+        assert_eq!(advert::from_bytes(&bytes).unwrap(), datagram);
+    }
+}
+
+/// A datagram of another version, or cut off, must be refused and not half understood.
+#[test]
+fn refused_datagrams() {
+    for datagram in samples() {
+        let bytes = advert::to_bytes(&datagram).unwrap();
+        let mut older = bytes.clone();
+        older[0] = 3;
+        assert!(matches!(advert::from_bytes(&older), Err(Error::Version(3))));
+        for length in 0..bytes.len() {
+            assert!(advert::from_bytes(&bytes[..length]).is_err());
+        }
+    }
+    assert!(matches!(advert::from_bytes(&[]), Err(Error::Empty)));
 }
 
-/// An advert of another version, with a rate that is no rate, or cut off, must be refused and not half understood.
+/// Rates that are none, numbers whose sums over all VMs would overflow, and parts that do not exist must be refused.
 #[test]
-fn refused_adverts() {
-    let text = String::from_utf8(advert::to_bytes(&sample()).unwrap()).unwrap();
-    let older = text.replace("\"v\":3", "\"v\":1");
-    assert!(matches!(
-        advert::from_bytes(older.as_bytes()),
-        Err(Error::Version(1))
-    ));
-    let negative = text.replace("[0.5,", "[-0.5,");
-    let result = advert::from_bytes(negative.as_bytes());
-    assert!(matches!(result, Err(Error::Field("asked"))), "{result:?}");
-    // A level that no endpoint knows, and numbers whose sums over all VMs would overflow.
-    for (sent, other) in [
-        ("[9,4000]", "[10,4000]"),
-        ("[9,4000]", "[9,18446744073709551615]"),
-        (",3,[[", ",4294967295,[["),
-    ] {
-        assert!(text.contains(sent), "{text}");
-        let result = advert::from_bytes(text.replace(sent, other).as_bytes());
-        assert!(matches!(result, Err(Error::Field("demands"))), "{result:?}");
-    }
-    for length in 0..text.len() {
-        assert!(advert::from_bytes(&text.as_bytes()[..length]).is_err());
+fn refused_fields() {
+    let refused = |change: fn(&mut Advert, &mut Summary), field: &str| {
+        let (mut sent, mut summary) = (to_advert(), to_summary());
+        change(&mut sent, &mut summary);
+        let changed = [Datagram::Advert(sent), Datagram::Summary(summary)];
+        let refused = changed.iter().any(|datagram| {
+            let bytes = advert::to_bytes(datagram).unwrap();
+            matches!(advert::from_bytes(&bytes), Err(Error::Field(found)) if found == field)
+        });
+        assert!(refused, "{field}");
+    };
+    refused(|sent, _| sent.asked[0].1.tokens_per_ms[0] = -0.5, "asked");
+    refused(|sent, _| sent.asked[0].1.slots[2] = f64::NAN, "asked");
+    refused(|sent, _| sent.demands[0].1.runs = u32::MAX, "runs");
+    refused(
+        |sent, _| sent.demands[0].1.unread_tokens[9] = u64::MAX,
+        "unread_tokens",
+    );
+    refused(|_, summary| summary.part = 2, "part");
+}
+
+/// A summary of the planned size must fit into datagrams, and no VM or load may get lost between the parts.
+#[test]
+fn large_summary() {
+    let mut summary = to_summary();
+    for index in 0..60 {
+        let mut state = summary.vms[0].clone();
+        state.vm = Name::from(format!("front-of-a-data-centre-{index}"));
+        summary.vms.push(state);
+    }
+    for index in 0..1_600 {
+        summary.demands.push((index, to_demand()));
+    }
+    let (vms, demands) = (summary.vms.len(), summary.demands.len());
+    let parts = summary.split();
+    let (mut vms_found, mut demands_found) = (0, 0);
+    for part in parts {
+        let bytes = advert::to_bytes(&Datagram::Summary(part)).unwrap();
+        assert!(bytes.len() <= 8_192, "{} bytes", bytes.len());
+        let Datagram::Summary(part) = advert::from_bytes(&bytes).unwrap() else {
+            panic!("another kind of datagram");
+        };
+        vms_found += part.vms.len();
+        demands_found += part.demands.len();
+    }
+    assert_eq!((vms_found, demands_found), (vms, demands));
+}
+
+proptest! {
+    /// Bytes of any kind must give an error or a datagram, and no panic.
+    #[test]
+    fn any_bytes(bytes in vec(any::<u8>(), 0..400), at in any::<usize>(), byte in any::<u8>()) {
+        let mut versioned = bytes;
+        versioned.insert(0, 4);
+        let _ = advert::from_bytes(&versioned);
+        for datagram in samples() {
+            let mut changed = advert::to_bytes(&datagram).unwrap();
+            let length = changed.len();
+            changed[at % length] = byte;
+            let _ = advert::from_bytes(&changed);
+        }
     }
 }
