Bound what an endpoint in trouble can send, and tell answers on kept connections apart

Could happen, mended: - A chunk size of zeros without end kept the only thread of the process for itself: hyper reads on while bytes are there. endless_chunk_size failed with "other work stands still". Streams are read in turns of 256 KiB now. - A stream whose engine sends a comment or a piece of an event now and then counted as alive. Only whole events end the silence now (dripping_stream, comments_only). A body that drips is given up like a silent one. - An event without end was passed on in pieces; the run counts as lost now, and an answer that is no stream ends at 64 MiB. Both are logged and counted (endless_bytes). - An answer without an id on a kept connection was taken for the answer to the present request. It must have the id there.

Could not happen, shown: bytes without end in a head, interim answers, a body with chunks or without a length, trailers, after a whole answer; a second answer half a second late on a kept connection, met at eight distances.

--- a/crates/core/src/forwarding/event_stream.rs
+++ b/crates/core/src/forwarding/event_stream.rs
@@ -1,6 +1,6 @@
 //! Splits a `text/event-stream` body into whole events.
 
-/// Longest event, in bytes; a longer one is passed on in pieces.
+/// Longest event, in bytes; what is longer is taken for bytes that are no events.
 const EVENT_MAX_BYTES: usize = 262_144;
 
 /// Holds back the incomplete last event of a stream and tracks the ids of the events passed on.
@@ -31,24 +31,30 @@
         }
     }
 
-    /// Adds bytes and returns the events that they complete.
+    /// Adds bytes and returns the events and comments that they complete.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
         self.pending.extend_from_slice(bytes);
         let mut end = 0;
         while let Some(length) = to_event_length(&self.pending[end..]) {
-            if let Some(id) = to_event_id(&self.pending[end..end + length]) {
+            let block = &self.pending[end..end + length];
+            end += length;
+            if is_comment(block) {
+                continue;
+            }
+            if let Some(id) = to_event_id(block) {
                 self.last_id = Some(id);
             }
             self.events += 1;
-            end += length;
-        }
-        if end == 0 && self.pending.len() > EVENT_MAX_BYTES {
-            end = self.pending.len();
         }
         let rest = self.pending.split_off(end);
         std::mem::replace(&mut self.pending, rest)
     }
 
+    /// Returns whether the incomplete event is longer than any event may be.
+    pub fn is_overlong(&self) -> bool {
+        self.pending.len() > EVENT_MAX_BYTES
+    }
+
     /// Returns the bytes after the last whole event, for a body that ended properly.
     pub fn take_rest(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.pending)
@@ -64,7 +70,7 @@
         self.last_id.as_deref()
     }
 
-    /// Returns how many events were passed on.
+    /// Returns how many events were passed on; comments are none.
     pub fn events(&self) -> u64 {
         self.events
     }
@@ -86,6 +92,12 @@
     None
 }
 
+/// Returns whether a block holds comments only, which keep a connection busy without any event.
+fn is_comment(block: &[u8]) -> bool {
+    let mut lines = block.split(|byte| *byte == b'\n');
+    lines.all(|line| line.is_empty() || line == b"\r" || line.starts_with(b":"))
+}
+
 fn to_event_id(event: &[u8]) -> Option<String> {
     for line in event.split(|byte| *byte == b'\n') {
         let Some(value) = line.strip_prefix(b"id:") else {
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -23,6 +23,7 @@
 
 use crate::error::Error;
 use crate::error::Result;
+use crate::turns::Turns;
 
 /// Time for which sent data may stay unacknowledged before a connection counts as broken, in milliseconds.
 const UNACKNOWLEDGED_MAX_MS: u64 = 2_000;
@@ -71,7 +72,7 @@
             .map_err(connect)?;
         set_options(&stream, UNACKNOWLEDGED_MAX_MS);
         let handshake = http1::Builder::new()
-            .handshake(FuturesIo::new(stream))
+            .handshake(FuturesIo::new(Turns::new(stream)))
             .await;
         let (sender, connection) =
             handshake.map_err(|error| connect(std::io::Error::other(error)))?;
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -90,6 +90,8 @@
     pub(crate) connection: Connection,
     pub(crate) response: Response<Incoming>,
     pub(crate) verdict: Verdict,
+    /// Whether the connection had carried an answer before.
+    is_kept: bool,
 }
 
 impl Exchange {
@@ -123,7 +125,7 @@
             key: Some(run_key),
         };
         let answered = self.exchange_heads(&run, last_event_id).await;
-        let (connection, response) = match answered {
+        let (connection, response, is_kept) = match answered {
             Ok(answered) => answered,
             Err(end) => {
                 self.note_end(&mut run, end, "");
@@ -147,6 +149,7 @@
             connection,
             response,
             verdict,
+            is_kept,
         };
         self.check_verdict(sent)
     }
@@ -157,7 +160,9 @@
         let status = sent.response.status();
         let is_other = match (&verdict.request_id, &self.intent.request_id) {
             (Some(answered), Some(asked)) => answered != asked,
-            _ => false,
+            // What an earlier request left on a kept connection may come without an id.
+            (None, Some(_)) => sent.is_kept,
+            (_, None) => false,
         };
         let end = if is_other {
             Some((End::Lost, "(answer to another request)"))
@@ -211,7 +216,7 @@
         &self,
         run: &RunGuard,
         last_event_id: Option<&str>,
-    ) -> Result<(Connection, Response<Incoming>), End> {
+    ) -> Result<(Connection, Response<Incoming>, bool), End> {
         let gateway = &self.gateway;
         // On a kept connection a reset leaves open whether the request ran, which only some requests can bear.
         let kept = match self.route.is_repeatable() {
@@ -221,7 +226,9 @@
         if let Some(connection) = kept {
             match self.exchange_on(connection, run, last_event_id).await {
                 Err(End::NotWritten) => {}
-                outcome => return outcome,
+                outcome => {
+                    return outcome.map(|(connection, response)| (connection, response, true));
+                }
             }
         }
         let limit_ms = CONNECT_MS.min(self.to_left_ms());
@@ -229,7 +236,8 @@
         let outcome = if opened.is_ok() { "made" } else { "failed" };
         metrics::counter!(metric::CONNECTS, "outcome" => outcome).increment(1);
         let connection = opened.map_err(|_| End::Unreachable)?;
-        self.exchange_on(connection, run, last_event_id).await
+        let outcome = self.exchange_on(connection, run, last_event_id).await;
+        outcome.map(|(connection, response)| (connection, response, false))
     }
 
     async fn exchange_on(
@@ -245,7 +253,8 @@
         let request = self.to_request(run, left_ms, last_event_id);
         let patience = self.to_first_patience(run);
         let sending = connection.sender.try_send_request(request);
-        match self.watch(run, patience, sending).await? {
+        let since_ms = self.gateway.clock.now_ms();
+        match self.watch(run, patience, since_ms, sending).await? {
             Ok(response) => Ok((connection, response)),
             // The request comes back only if nothing of it was written.
             Err(mut error) => match error.take_message() {
@@ -264,16 +273,21 @@
         Patience::before_first_byte(&self.route, typical_ms, reading_ms)
     }
 
-    /// Waits for something from a run, until the time limit or until another endpoint should take over.
+    /// Waits for something from a run, until the time limit or until another endpoint should take over; the run has been
+    /// silent since `since_ms`.
     pub(crate) async fn watch<F: Future>(
         &self,
         run: &RunGuard,
         patience: Patience,
+        since_ms: u64,
         future: F,
     ) -> Result<F::Output, End> {
         futures::pin_mut!(future);
         let clock = self.gateway.clock;
-        let since_ms = clock.now_ms();
+        // Bytes that arrive all the time must not put the decision off.
+        if patience.is_over(clock.now_ms() - since_ms, true) && self.can_go_elsewhere() {
+            return Err(End::Stalled);
+        }
         loop {
             let silence_ms = clock.now_ms() - since_ms;
             let mut limit_ms = self.to_left_ms() + LIMIT_SLACK_MS;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod headers;
 mod relay;
 mod trace;
+mod turns;
 
 pub use dialect::Dialect;
 pub use error::Error;
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -21,6 +21,8 @@
 pub const CONNECTS: &str = "waxwing_gateway_connects_total";
 /// Counter of callers' connections closed since too many were open.
 pub const CONNECTIONS_REFUSED: &str = "waxwing_gateway_connections_refused_total";
+/// Counter of answers that were cut since they had more bytes than any has, by place.
+pub const ENDLESS_BYTES: &str = "waxwing_gateway_endless_bytes_total";
 /// Counter of endpoint changes by kind.
 pub const ENDPOINT_CHANGES: &str = "waxwing_gateway_endpoint_changes_total";
 /// Gauge of endpoints known.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -20,11 +20,15 @@
 use crate::exchange::RunGuard;
 use crate::exchange::Sent;
 use crate::headers;
+use crate::metric;
 
 /// Answers up to this size are read whole before the first byte goes to the caller, in bytes, so that a broken one
 /// can still be replaced.
 const WHOLE_MAX_BYTES: usize = 65_536;
 
+/// Longest answer that is no stream of events, in bytes; an endpoint in trouble may send bytes without end.
+const ANSWER_MAX_BYTES: usize = 67_108_864;
+
 /// The rest of an endpoint's answer.
 struct Source {
     run: RunGuard,
@@ -96,11 +100,16 @@
     source.run.saw_first_byte();
     exchange.trace.saw_first_byte();
     let mut bytes = Vec::new();
-    let left_ms = exchange.to_left_ms();
-    let end = match within(left_ms, read_whole(&mut source.body, &mut bytes)).await {
-        None => Some(End::Expired),
-        Some(Err(_)) => Some(End::Lost),
-        Some(Ok(())) => None,
+    let patience = exchange.to_first_patience(&source.run);
+    let since_ms = exchange.gateway.clock.now_ms();
+    let reading = read_whole(&mut source.body, &mut bytes);
+    let end = match exchange
+        .watch(&source.run, patience, since_ms, reading)
+        .await
+    {
+        Err(end) => Some(end),
+        Ok(Err(_)) => Some(End::Lost),
+        Ok(Ok(())) => None,
     };
     if let Some(end) = end {
         exchange.note_end(&mut source.run, end, "(in body)");
@@ -149,14 +158,17 @@
 
 async fn pump_long(mut exchange: Exchange, mut source: Source, first: Bytes, pieces: PieceSender) {
     let mut next = Some(first);
+    let mut passed_bytes = 0;
     loop {
-        if let Some(data) = next.take()
-            && pieces.send_async(Ok(data)).await.is_err()
-        {
-            return;
+        if let Some(data) = next.take() {
+            passed_bytes += data.len();
+            if pieces.send_async(Ok(data)).await.is_err() {
+                return;
+            }
         }
         let left_ms = exchange.to_left_ms();
         let end = match within(left_ms, source.body.frame()).await {
+            _ if passed_bytes > ANSWER_MAX_BYTES => to_overlong(&source, "body"),
             Some(Some(Ok(frame))) => {
                 next = frame.into_data().ok();
                 continue;
@@ -203,6 +215,14 @@
     exchange.trace.finish("answered", 200, Execution::Ran);
 }
 
+/// Records bytes without end; the connection is closed with the run.
+fn to_overlong(source: &Source, place: &'static str) -> End {
+    let endpoint = source.run.endpoint_id.as_str();
+    log::warn!(event = "endless_bytes", endpoint = endpoint, place = place; "more bytes than any answer has");
+    metrics::counter!(metric::ENDLESS_BYTES, "place" => place).increment(1);
+    End::Lost
+}
+
 /// Breaks an answer off, so that it cannot look whole.
 async fn cut(exchange: &mut Exchange, pieces: &PieceSender) {
     let error = std::io::Error::other("the answer broke off");
@@ -218,10 +238,13 @@
     splitter: &mut EventSplitter,
     pieces: &PieceSender,
 ) -> Result<(), Broken> {
+    // Bytes that complete no event are silence, however many there are.
+    let mut since_ms = exchange.gateway.clock.now_ms();
+    let mut events_before = splitter.events();
     loop {
         let patience = to_patience(exchange, source);
         let frame = source.body.frame();
-        let events = match exchange.watch(&source.run, patience, frame).await {
+        let events = match exchange.watch(&source.run, patience, since_ms, frame).await {
             Ok(Some(Ok(frame))) => match frame.into_data() {
                 Ok(data) => splitter.push(&data),
                 Err(_) => continue,
@@ -236,10 +259,17 @@
             Ok(Some(Err(_))) => return Err(Broken::Run(End::Lost)),
             Err(end) => return Err(Broken::Run(end)),
         };
+        if splitter.is_overlong() {
+            return Err(Broken::Run(to_overlong(source, "event")));
+        }
         if events.is_empty() {
             continue;
         }
-        if !source.has_events {
+        if splitter.events() > events_before {
+            events_before = splitter.events();
+            since_ms = exchange.gateway.clock.now_ms();
+        }
+        if !source.has_events && splitter.events() > 0 {
             source.has_events = true;
             source.run.saw_first_byte();
             exchange.trace.saw_first_byte();
