--- a/crates/gateway/src/adverts.rs
+++ b/crates/gateway/src/adverts.rs
@@ -73,12 +73,11 @@
             let is_speaker = peers.is_wide(scope) && peers.is_speaker(scope, now_ms);
             is_speaker.then(|| peers.to_speakers(scope, now_ms))
         };
-        for part in speakers
-            .iter()
-            .flat_map(|_| to_summary(&gateway, sequence).split())
-        {
-            let speakers = speakers.as_deref().unwrap_or_default();
-            send_to(&socket, &Datagram::Summary(part), speakers).await;
+        let Some(speakers) = speakers else {
+            continue;
+        };
+        for part in to_summary(&gateway, sequence).split() {
+            send_to(&socket, &Datagram::Summary(part), &speakers).await;
         }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,11 +15,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use waxwing_core::Name;
-use waxwing_core::fleet::Belief;
 use waxwing_core::fleet::Feed;
-use waxwing_core::fleet::Role;
 use waxwing_core::fleet::summary::Summaries;
-use waxwing_core::fleet::view::EndpointsView;
 use waxwing_core::forwarding::Configuration;
 use waxwing_core::forwarding::EndpointKey;
 use waxwing_core::forwarding::Endpoints;
@@ -85,17 +82,6 @@
 /// Kept connections to one endpoint.
 const IDLE_PER_ENDPOINT_MAX: usize = 8;
 
-/// How to read a topic.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Read {
-    /// Offset to read from; `None` asks for a list of everything.
-    pub offset: Option<u64>,
-    /// Time for which the read waits for records, in milliseconds.
-    pub wait_ms: u64,
-    /// Steady time at which it begins, in milliseconds.
-    pub began_ms: u64,
-}
-
 /// The state that all tasks of a process share.
 pub struct Gateway {
     pub(crate) executor: &'static LocalExecutor<'static>,
@@ -233,72 +219,6 @@
         belief.to_age_ms(self.clock.now_ms()).unwrap_or(u64::MAX)
     }
 
-    /// Waits until this VM has to read a topic itself, and returns how.
-    pub async fn next_read(&self, feed: Feed) -> Read {
-        let timing = self.fleet.timing();
-        let draw = self.draw();
-        let role = loop {
-            let (role, _) = fleet::to_role(self);
-            let due_ms = self.fleet.belief(feed).to_due_ms(timing, role, draw);
-            let left_ms = due_ms.saturating_sub(self.clock.now_ms());
-            if left_ms == 0 {
-                break role;
-            }
-            // The role may change meanwhile.
-            let pause_ms = left_ms.min(timing.to_period_ms());
-            Timer::after(Duration::from_millis(pause_ms)).await;
-        };
-        let began_ms = self.clock.now_ms();
-        self.fleet.update(feed, |belief| belief.begin(began_ms));
-        Read {
-            offset: self.fleet.belief(feed).offset(),
-            wait_ms: match role {
-                Role::Reader => timing.to_period_ms(),
-                Role::Follower => 0,
-            },
-            began_ms,
-        }
-    }
-
-    /// Records that a read succeeded and that nothing beyond `offset` existed at a time; `take` applies what it brought.
-    pub fn finish_read(&self, feed: Feed, offset: u64, as_of_ms: u64, take: impl FnOnce()) {
-        if self.fleet.update(feed, Belief::succeed) {
-            log::info!(event = "log_service_regained", feed:? = feed; "reads succeed again");
-        }
-        // A reader may have told something newer meanwhile.
-        if self.fleet.belief(feed).accepts(offset) {
-            take();
-            self.fleet.confirm(feed, offset, as_of_ms);
-        }
-    }
-
-    /// Records that a read failed; returns whether it is the first one in a row.
-    pub fn fail_read(&self, feed: Feed) -> bool {
-        self.fleet.update(feed, Belief::fail)
-    }
-
-    /// Lets the next read list everything, since records are missing.
-    pub fn lose_offset(&self, feed: Feed) {
-        self.fleet.update(feed, Belief::lose_offset);
-    }
-
-    /// Takes in what a reader knows of the endpoints.
-    pub(crate) fn take_endpoints(&self, view: EndpointsView) {
-        // The reader answers only when it holds no removal back, so its removals are current.
-        self.regain_endpoint_source(usize::MAX);
-        for id in &view.removed {
-            self.remove_endpoint(id);
-        }
-        let mut listed = Vec::new();
-        for entry in view.entries {
-            listed.push(entry.id.clone());
-            self.update_endpoint(entry);
-        }
-        if view.is_whole {
-            self.retain_endpoints(&listed);
-        }
-    }
-
     /// Adds or updates an endpoint.
     pub fn update_endpoint(&self, entry: Entry) {
         let id = entry.id.clone();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,6 @@
 pub use dialect::Dialect;
 pub use error::Error;
 pub use error::Result;
+pub use fleet::Read;
 pub use gateway::Gateway;
-pub use gateway::Read;
 pub use settings::Settings;
