Derive whether a connection was kept, and choose readers without copies

Found on reading the change again; no change in behaviour. A connection has an idle time only if it carried an answer, so the flag that three functions passed on is not needed. next_read copied and ordered the readers only to learn its role; the order is made where it is used. The states of a summary use the check that recipients use.

--- a/crates/core/src/fleet/readers.rs
+++ b/crates/core/src/fleet/readers.rs
@@ -48,13 +48,16 @@
 }
 
 /// Orders readers for a VM that asks: those of its own data centre first, then spread by its name.
-pub fn order_for<'a>(readers: Vec<&'a Member>, vm: &Name, data_centre: &Name) -> Vec<&'a Member> {
+pub fn order_for<'a>(
+    mut readers: Vec<&'a Member>,
+    vm: &Name,
+    data_centre: &Name,
+) -> Vec<&'a Member> {
     let own = to_hash(vm.as_str());
-    let mut ordered = readers;
-    ordered.retain(|member| member.vm != *vm);
-    ordered.sort_by_key(|member| {
+    readers.retain(|member| member.vm != *vm);
+    readers.sort_by_key(|member| {
         let is_remote = member.data_centre != *data_centre;
         (is_remote, mix(own ^ to_hash(member.vm.as_str())))
     });
-    ordered
+    readers
 }
--- a/crates/core/src/forwarding/peers.rs
+++ b/crates/core/src/forwarding/peers.rs
@@ -259,12 +259,10 @@
     pub fn to_states(&self, scope: Scope<'_>, now_ms: u64) -> Vec<VmState> {
         let mut states = Vec::new();
         for (vm, peer) in &self.peers {
-            let Some(known) = peer.known.as_ref().filter(|_| is_alive(peer, now_ms)) else {
+            let is_neighbour = is_alive(peer, now_ms) && stands_in(peer, scope.data_centre);
+            let Some(known) = peer.known.as_ref().filter(|_| is_neighbour) else {
                 continue;
             };
-            if known.data_centre != *scope.data_centre {
-                continue;
-            }
             states.push(VmState {
                 vm: vm.clone(),
                 incarnation: known.order.0,
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -48,7 +48,7 @@
 pub struct Connection {
     /// Sends requests, one at a time.
     pub sender: SendRequest<Full<Bytes>>,
-    /// Steady time at which its last answer ended, in milliseconds.
+    /// Steady time at which its last answer ended, in milliseconds; 0 before the first one.
     pub idle_since_ms: u64,
     idle_limit_ms: u64,
     driver: Task<()>,
@@ -99,6 +99,11 @@
         self.idle_limit_ms
     }
 
+    /// Returns whether the connection carried an answer before; only then it was ever idle.
+    pub fn is_kept(&self) -> bool {
+        self.idle_since_ms > 0
+    }
+
     /// Returns whether the connection can take a request.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready() && !self.driver.is_finished()
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -90,8 +90,6 @@
     pub(crate) connection: Connection,
     pub(crate) response: Response<Incoming>,
     pub(crate) verdict: Verdict,
-    /// Whether the connection had carried an answer before.
-    is_kept: bool,
 }
 
 impl Exchange {
@@ -125,7 +123,7 @@
             key: Some(run_key),
         };
         let answered = self.exchange_heads(&run, last_event_id).await;
-        let (connection, response, is_kept) = match answered {
+        let (connection, response) = match answered {
             Ok(answered) => answered,
             Err(end) => {
                 self.note_end(&mut run, end, "");
@@ -149,7 +147,6 @@
             connection,
             response,
             verdict,
-            is_kept,
         };
         self.check_verdict(sent)
     }
@@ -161,7 +158,7 @@
         let is_other = match (&verdict.request_id, &self.intent.request_id) {
             (Some(answered), Some(asked)) => answered != asked,
             // What an earlier request left on a kept connection may come without an id.
-            (None, Some(_)) => sent.is_kept,
+            (None, Some(_)) => sent.connection.is_kept(),
             (_, None) => false,
         };
         let end = if is_other {
@@ -216,7 +213,7 @@
         &self,
         run: &RunGuard,
         last_event_id: Option<&str>,
-    ) -> Result<(Connection, Response<Incoming>, bool), End> {
+    ) -> Result<(Connection, Response<Incoming>), End> {
         let gateway = &self.gateway;
         // On a kept connection a reset leaves open whether the request ran, which only some requests can bear.
         let kept = match self.route.is_repeatable() {
@@ -226,9 +223,7 @@
         if let Some(connection) = kept {
             match self.exchange_on(connection, run, last_event_id).await {
                 Err(End::NotWritten) => {}
-                outcome => {
-                    return outcome.map(|(connection, response)| (connection, response, true));
-                }
+                outcome => return outcome,
             }
         }
         let limit_ms = CONNECT_MS.min(self.to_left_ms());
@@ -236,8 +231,7 @@
         let outcome = if opened.is_ok() { "made" } else { "failed" };
         metrics::counter!(metric::CONNECTS, "outcome" => outcome).increment(1);
         let connection = opened.map_err(|_| End::Unreachable)?;
-        let outcome = self.exchange_on(connection, run, last_event_id).await;
-        outcome.map(|(connection, response)| (connection, response, false))
+        self.exchange_on(connection, run, last_event_id).await
     }
 
     async fn exchange_on(
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -119,8 +119,8 @@
     pub began_ms: u64,
 }
 
-/// Returns whether this VM reads for others, and the readers that it may ask itself.
-pub(crate) fn to_role(gateway: &Gateway) -> (Role, Vec<Member>) {
+/// Returns the VMs that are ready and heard, this one included.
+fn to_members(gateway: &Gateway) -> Vec<Member> {
     let mut members = gateway.peers.borrow().to_members(gateway.clock.now_ms());
     if gateway.is_ready() {
         members.push(Member {
@@ -129,15 +129,15 @@
             address: gateway.settings.listen.peers,
         });
     }
-    let readers = readers::choose(&members);
-    let is_reader = readers.iter().any(|member| member.vm == gateway.vm);
-    let role = if is_reader {
-        Role::Reader
-    } else {
-        Role::Follower
-    };
-    let ordered = readers::order_for(readers, &gateway.vm, &gateway.data_centre);
-    (role, ordered.into_iter().cloned().collect())
+    members
+}
+
+/// Returns whether this VM is among the readers.
+fn to_role(gateway: &Gateway, readers: &[&Member]) -> Role {
+    match readers.iter().any(|member| member.vm == gateway.vm) {
+        true => Role::Reader,
+        false => Role::Follower,
+    }
 }
 
 /// Returns whether this VM has to ask others; a reader that the log service turns away has to, too.
@@ -157,7 +157,7 @@
         let timing = self.fleet.timing();
         let draw = self.draw();
         let role = loop {
-            let (role, _) = to_role(self);
+            let role = to_role(self, &readers::choose(&to_members(self)));
             let due_ms = self.fleet.belief(feed).to_due_ms(timing, role, draw);
             let left_ms = due_ms.saturating_sub(self.clock.now_ms());
             if left_ms == 0 {
@@ -233,7 +233,10 @@
     let mut avoided: HashMap<Name, u64> = HashMap::new();
     let mut role = None;
     loop {
-        let (newer, readers) = to_role(&gateway);
+        let members = to_members(&gateway);
+        let readers = readers::choose(&members);
+        let newer = to_role(&gateway, &readers);
+        let readers = readers::order_for(readers, &gateway.vm, &gateway.data_centre);
         if role != Some(newer) {
             role = Some(newer);
             log::info!(event = "fleet_role", reads = newer == Role::Reader; "reads the log service for others or asks them");
