Send summaries to the next VM too, and wait longer for VMs heard through them

Cause (KNOWN-RED summarised_vms): when the VM that speaks for a data centre dies, the others sent their summaries to it alone for up to 2.6 s, so its data centre heard nothing; and a VM heard directly before the first summary still counted as dead after 1.3 s.

Tests heard_before_summaries and next_recipient show both parts without processes. The list takes its scope at creation, so that each question about silence answers by it.

--- a/crates/core/src/fleet/summary.rs
+++ b/crates/core/src/fleet/summary.rs
@@ -112,10 +112,11 @@
     Name::from(format!("data centre {}, part {part}", data_centre.as_str()))
 }
 
-/// Returns the VM that speaks for a data centre: the first of its VMs in rendezvous order.
-pub fn to_speaker<'a>(vms: impl IntoIterator<Item = &'a Name>) -> Option<&'a Name> {
-    let vms = vms.into_iter();
-    vms.min_by_key(|vm| (mix(!to_hash(vm.as_str())), *vm))
+/// Returns the VMs of a data centre in the order in which they speak for it: the first one does while it is heard.
+pub fn to_speakers<'a>(vms: impl IntoIterator<Item = &'a Name>) -> Vec<&'a Name> {
+    let mut vms: Vec<&Name> = vms.into_iter().collect();
+    vms.sort_by_key(|vm| (mix(!to_hash(vm.as_str())), *vm));
+    vms
 }
 
 /// The newest summary of each part of each other data centre.
--- a/crates/core/src/forwarding/peers.rs
+++ b/crates/core/src/forwarding/peers.rs
@@ -7,7 +7,7 @@
 use crate::fleet::Member;
 use crate::fleet::Summary;
 use crate::fleet::summary::VmState;
-use crate::fleet::summary::to_speaker;
+use crate::fleet::summary::to_speakers;
 use crate::forwarding::endpoints::Demand;
 use crate::forwarding::lanes::Asked;
 use crate::state::evidence::Finding;
@@ -73,17 +73,15 @@
     known: Option<Known>,
     address: SocketAddr,
     heard_at_ms: Option<u64>,
-    /// Silence after which it counts as dead, in milliseconds.
-    silence_max_ms: u64,
 }
 
 /// Where a VM stands, and up to how many VMs tell each other directly.
-#[derive(Clone, Copy, Debug)]
-pub struct Scope<'a> {
+#[derive(Clone, Debug)]
+pub struct Scope {
     /// Name of the VM.
-    pub vm: &'a Name,
+    pub vm: Name,
     /// Data centre that it stands in.
-    pub data_centre: &'a Name,
+    pub data_centre: Name,
     /// Number of VMs up to which each sends adverts to each; beyond, data centres tell each other by summaries.
     pub direct_vms_max: usize,
 }
@@ -97,16 +95,23 @@
     Lost(Name),
 }
 
+/// VMs of each other data centre that get its summaries: the one that passes them on, and the one that does if it is gone.
+const SUMMARY_RECIPIENTS: usize = 2;
+
 /// The other VMs.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Peers {
+    scope: Scope,
     peers: HashMap<Name, Peer>,
 }
 
 impl Peers {
-    /// Creates an empty list.
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates an empty list for the VM that `scope` describes.
+    pub fn new(scope: Scope) -> Self {
+        Self {
+            scope,
+            peers: HashMap::new(),
+        }
     }
 
     /// Adds a VM that was found, so that it gets adverts.
@@ -115,7 +120,6 @@
             known: None,
             address,
             heard_at_ms: None,
-            silence_max_ms: SILENCE_MS,
         });
         if peer.heard_at_ms.is_none() {
             peer.address = address;
@@ -127,6 +131,7 @@
     /// Adverts may overtake each other; one that is older than what is known is ignored.
     pub fn hear(&mut self, advert: &Advert, now_ms: u64) -> (bool, Option<Change>) {
         self.add(advert.vm.clone(), advert.peer);
+        let was_alive = self.is_heard(&advert.vm, now_ms);
         let Some(peer) = self.peers.get_mut(&advert.vm) else {
             return (false, None);
         };
@@ -138,10 +143,8 @@
         {
             return (false, None);
         }
-        let was_alive = is_alive(peer, now_ms);
         peer.address = advert.peer;
         peer.heard_at_ms = Some(now_ms);
-        peer.silence_max_ms = SILENCE_MS;
         let change = (!was_alive).then(|| Change::Seen(advert.vm.clone()));
         peer.known = Some(Known {
             order,
@@ -156,7 +159,10 @@
     pub fn to_lost(&self, before_ms: u64, now_ms: u64) -> Vec<Change> {
         let mut lost = Vec::new();
         for (vm, peer) in &self.peers {
-            if is_alive(peer, before_ms) && !is_alive(peer, now_ms) && peer.heard_at_ms.is_some() {
+            if self.is_alive(peer, before_ms)
+                && !self.is_alive(peer, now_ms)
+                && peer.heard_at_ms.is_some()
+            {
                 lost.push(Change::Lost(vm.clone()));
             }
         }
@@ -168,6 +174,7 @@
         let mut changes = Vec::new();
         for state in &summary.vms {
             self.add(state.vm.clone(), state.peer);
+            let was_alive = self.is_heard(&state.vm, now_ms);
             let Some(peer) = self.peers.get_mut(&state.vm) else {
                 continue;
             };
@@ -176,17 +183,15 @@
             if known.is_some_and(|known| order <= known.order) {
                 continue;
             }
-            let was_alive = is_alive(peer, now_ms);
             peer.address = state.peer;
             peer.heard_at_ms = Some(now_ms.saturating_sub(state.age_ms));
-            peer.silence_max_ms = REMOTE_SILENCE_MS;
             peer.known = Some(Known {
                 order,
                 front: state.front,
                 data_centre: summary.data_centre.clone(),
                 is_ready: state.is_ready,
             });
-            if !was_alive && is_alive(peer, now_ms) {
+            if !was_alive && self.is_heard(&state.vm, now_ms) {
                 changes.push(Change::Seen(state.vm.clone()));
             }
         }
@@ -194,18 +199,18 @@
     }
 
     /// Returns whether so many VMs are known that data centres tell each other by summaries.
-    pub fn is_wide(&self, scope: Scope<'_>) -> bool {
-        self.peers.len() + 1 > scope.direct_vms_max
+    pub fn is_wide(&self) -> bool {
+        self.peers.len() + 1 > self.scope.direct_vms_max
     }
 
     /// Returns the addresses that get adverts: all VMs, or those of the own data centre if there are many; silent ones
     /// in one round of `SILENT_ROUNDS`.
-    pub fn to_recipients(&self, scope: Scope<'_>, round: u64, now_ms: u64) -> Vec<SocketAddr> {
-        let is_wide = self.is_wide(scope);
+    pub fn to_recipients(&self, round: u64, now_ms: u64) -> Vec<SocketAddr> {
+        let is_wide = self.is_wide();
         let mut recipients = Vec::new();
         for peer in self.peers.values() {
-            let is_due = match is_alive(peer, now_ms) {
-                true => !is_wide || stands_in(peer, scope.data_centre),
+            let is_due = match self.is_alive(peer, now_ms) {
+                true => !is_wide || self.is_neighbour(peer),
                 false => round.is_multiple_of(SILENT_ROUNDS),
             };
             if is_due {
@@ -216,10 +221,10 @@
     }
 
     /// Returns the other VMs of the own data centre that are heard, with their addresses.
-    pub fn to_neighbours(&self, scope: Scope<'_>, now_ms: u64) -> Vec<(&Name, SocketAddr)> {
+    pub fn to_neighbours(&self, now_ms: u64) -> Vec<(&Name, SocketAddr)> {
         let mut neighbours = Vec::new();
         for (vm, peer) in &self.peers {
-            if is_alive(peer, now_ms) && stands_in(peer, scope.data_centre) {
+            if self.is_alive(peer, now_ms) && self.is_neighbour(peer) {
                 neighbours.push((vm, peer.address));
             }
         }
@@ -227,20 +232,21 @@
     }
 
     /// Returns whether this VM writes the summary of its data centre.
-    pub fn is_speaker(&self, scope: Scope<'_>, now_ms: u64) -> bool {
-        let neighbours = self.to_neighbours(scope, now_ms);
+    pub fn is_speaker(&self, now_ms: u64) -> bool {
+        let neighbours = self.to_neighbours(now_ms);
         let vms = neighbours.into_iter().map(|(vm, _)| vm);
-        to_speaker(vms.chain([scope.vm])) == Some(scope.vm)
+        to_speakers(vms.chain([&self.scope.vm])).first() == Some(&&self.scope.vm)
     }
 
-    /// Returns the addresses of the VMs that speak for the other data centres.
-    pub fn to_speakers(&self, scope: Scope<'_>, now_ms: u64) -> Vec<SocketAddr> {
+    /// Returns the addresses in other data centres that get the summaries of this one: in each the VM that speaks for it,
+    /// and the next one, which takes over if that VM is gone.
+    pub fn to_summary_recipients(&self, now_ms: u64) -> Vec<SocketAddr> {
         let mut by_data_centre: HashMap<&Name, Vec<&Name>> = HashMap::new();
         for (vm, peer) in &self.peers {
-            let Some(known) = peer.known.as_ref().filter(|_| is_alive(peer, now_ms)) else {
+            let Some(known) = peer.known.as_ref().filter(|_| self.is_alive(peer, now_ms)) else {
                 continue;
             };
-            if known.data_centre != *scope.data_centre {
+            if known.data_centre != self.scope.data_centre {
                 by_data_centre
                     .entry(&known.data_centre)
                     .or_default()
@@ -249,17 +255,18 @@
         }
         let mut addresses = Vec::new();
         for vms in by_data_centre.into_values() {
-            let speaker = to_speaker(vms).and_then(|vm| self.peers.get(vm));
-            addresses.extend(speaker.map(|peer| peer.address));
+            for vm in to_speakers(vms).into_iter().take(SUMMARY_RECIPIENTS) {
+                addresses.extend(self.peers.get(vm).map(|peer| peer.address));
+            }
         }
         addresses
     }
 
     /// Returns what a summary says of the other VMs of the own data centre.
-    pub fn to_states(&self, scope: Scope<'_>, now_ms: u64) -> Vec<VmState> {
+    pub fn to_states(&self, now_ms: u64) -> Vec<VmState> {
         let mut states = Vec::new();
         for (vm, peer) in &self.peers {
-            let is_neighbour = is_alive(peer, now_ms) && stands_in(peer, scope.data_centre);
+            let is_neighbour = self.is_alive(peer, now_ms) && self.is_neighbour(peer);
             let Some(known) = peer.known.as_ref().filter(|_| is_neighbour) else {
                 continue;
             };
@@ -280,14 +287,14 @@
     ///
     /// If no VM is heard at all, this VM is more likely cut off than alone, so the ones known before are named.
     pub fn to_fronts(&self, data_centre: &Name, now_ms: u64) -> Vec<SocketAddr> {
-        let is_isolated = !self.peers.values().any(|peer| is_alive(peer, now_ms));
+        let is_isolated = !self.peers.values().any(|peer| self.is_alive(peer, now_ms));
         let mut fronts = Vec::new();
         for peer in self.peers.values() {
             let Some(known) = peer.known.as_ref().filter(|known| known.is_ready) else {
                 continue;
             };
             let silence_ms = now_ms.saturating_sub(peer.heard_at_ms.unwrap_or(0));
-            if is_alive(peer, now_ms) || (is_isolated && silence_ms < ISOLATED_MS) {
+            if self.is_alive(peer, now_ms) || (is_isolated && silence_ms < ISOLATED_MS) {
                 fronts.push((known.data_centre != *data_centre, known.front));
             }
         }
@@ -302,7 +309,7 @@
             let Some(known) = peer.known.as_ref().filter(|known| known.is_ready) else {
                 continue;
             };
-            if !is_alive(peer, now_ms) {
+            if !self.is_alive(peer, now_ms) {
                 continue;
             }
             members.push(Member {
@@ -330,17 +337,29 @@
     pub fn to_alive_count(&self, now_ms: u64) -> usize {
         self.peers
             .values()
-            .filter(|peer| is_alive(peer, now_ms))
+            .filter(|peer| self.is_alive(peer, now_ms))
             .count()
     }
-}
 
-fn is_alive(peer: &Peer, now_ms: u64) -> bool {
-    let heard = peer.heard_at_ms;
-    heard.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < peer.silence_max_ms)
-}
+    fn is_heard(&self, vm: &Name, now_ms: u64) -> bool {
+        let peer = self.peers.get(vm);
+        peer.is_some_and(|peer| self.is_alive(peer, now_ms))
+    }
+
+    fn is_alive(&self, peer: &Peer, now_ms: u64) -> bool {
+        // A VM that was heard directly before there were many is heard through summaries from then on.
+        let is_summarised = self.is_wide() && !self.is_neighbour(peer);
+        let silence_max_ms = if is_summarised {
+            REMOTE_SILENCE_MS
+        } else {
+            SILENCE_MS
+        };
+        let heard = peer.heard_at_ms;
+        heard.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < silence_max_ms)
+    }
 
-fn stands_in(peer: &Peer, data_centre: &Name) -> bool {
-    let known = peer.known.as_ref();
-    known.is_some_and(|known| known.data_centre == *data_centre)
+    fn is_neighbour(&self, peer: &Peer) -> bool {
+        let known = peer.known.as_ref();
+        known.is_some_and(|known| known.data_centre == self.scope.data_centre)
+    }
 }
--- a/crates/core/tests/peer_adverts.rs
+++ b/crates/core/tests/peer_adverts.rs
@@ -28,7 +28,7 @@
 /// Adverts overtake each other; an older one must not bring an old state back.
 #[test]
 fn late_advert() {
-    let mut peers = Peers::new();
+    let mut peers = start(OWN);
     peers.hear(&advert("v", 1, 5, 1_000), 100);
     let mut stopping = advert("v", 1, 6, 1_000);
     stopping.is_ready = false;
@@ -45,7 +45,7 @@
 /// A VM that fell silent must not be named to callers while others are heard.
 #[test]
 fn silent_vm() {
-    let mut peers = Peers::new();
+    let mut peers = start(OWN);
     peers.hear(&advert("v", 1, 1, 1_000), 0);
     peers.hear(&advert("w", 1, 1, 2_000), 0);
     peers.hear(&advert("w", 1, 2, 2_000), 1_500);
@@ -66,7 +66,7 @@
 /// A VM that hears nobody is more likely cut off than alone, for a while.
 #[test]
 fn isolated_vm() {
-    let mut peers = Peers::new();
+    let mut peers = start(OWN);
     peers.hear(&advert("v", 1, 1, 1_000), 0);
     assert_eq!(peers.to_fronts(&Name::from("a"), 2_000).len(), 1);
     assert!(peers.to_fronts(&Name::from("a"), 4_000).is_empty());
@@ -75,7 +75,7 @@
 /// Callers connect to the first address that suits them, so those of their own data centre come first.
 #[test]
 fn nearest_first() {
-    let mut peers = Peers::new();
+    let mut peers = start(OWN);
     peers.hear(&advert("far", 1, 1, 2_000), 0);
     peers.hear(&advert("near", 1, 1, 1_000), 0);
     let fronts = peers.to_fronts(&Name::from("a"), 0);
@@ -85,21 +85,21 @@
 /// VMs that were only found in the log service get adverts, but callers are not sent there.
 #[test]
 fn found_vm() {
-    let mut peers = Peers::new();
+    let mut peers = start(OWN);
     peers.add(Name::from("v"), "127.0.0.1:1001".parse().unwrap());
-    let (own, a) = (Name::from(OWN), Name::from("a"));
-    assert_eq!(peers.to_recipients(scope(&own, &a), 5, 0).len(), 1);
+    assert_eq!(peers.to_recipients(5, 0).len(), 1);
     assert!(peers.to_fronts(&Name::from("a"), 0).is_empty());
 }
 
 const OWN: &str = "own";
 
-fn scope<'a>(vm: &'a Name, data_centre: &'a Name) -> Scope<'a> {
-    Scope {
-        vm,
-        data_centre,
+/// Returns what a VM of data centre `a` knows at its start; beyond two VMs data centres tell each other by summaries.
+fn start(vm: &str) -> Peers {
+    Peers::new(Scope {
+        vm: Name::from(vm),
+        data_centre: Name::from("a"),
         direct_vms_max: 2,
-    }
+    })
 }
 
 /// Returns a summary of data centre `b` that names VMs with the given ages.
@@ -135,26 +135,26 @@
 /// With many VMs adverts must stay within the data centre, so that their number does not grow with the square.
 #[test]
 fn adverts_within() {
-    let (own, a) = (Name::from(OWN), Name::from("a"));
-    let mut peers = Peers::new();
+    let a = Name::from("a");
+    let mut peers = start(OWN);
     peers.hear(&advert("near", 1, 1, 1_000), 0);
-    assert!(!peers.is_wide(scope(&own, &a)));
+    assert!(!peers.is_wide());
     peers.hear_summary(&summary(&[("far-1", 0), ("far-2", 0)], 1), 0);
-    assert!(peers.is_wide(scope(&own, &a)));
+    assert!(peers.is_wide());
     let near = vec!["127.0.0.1:1001".parse().unwrap()];
-    assert_eq!(peers.to_recipients(scope(&own, &a), 5, 100), near);
+    assert_eq!(peers.to_recipients(5, 100), near);
     assert_eq!(peers.to_fronts(&a, 100).len(), 3);
     assert_eq!(peers.to_vm_count(100), 4);
     assert_eq!(peers.to_members(100).len(), 3);
-    // One VM speaks for the other data centre, whichever of the two it is.
-    assert_eq!(peers.to_speakers(scope(&own, &a), 100).len(), 1);
+    // The VM that speaks for the other data centre, and the next one.
+    assert_eq!(peers.to_summary_recipients(100).len(), 2);
 }
 
 /// A VM of another data centre that fell silent there must fall silent here, though summaries go on.
 #[test]
 fn silent_far_vm() {
     let a = Name::from("a");
-    let mut peers = Peers::new();
+    let mut peers = start(OWN);
     let mut age_ms = 0;
     for (sequence, now_ms) in (1..).zip((0..6_000).step_by(300)) {
         let mut heard = summary(&[("far-1", 0), ("far-2", age_ms)], sequence);
@@ -166,8 +166,7 @@
     let fronts = peers.to_fronts(&a, 6_000);
     assert_eq!(fronts, vec!["127.0.0.1:2000".parse().unwrap()]);
     // It may be cut off from there only, so it gets adverts again.
-    let own = Name::from(OWN);
-    assert_eq!(peers.to_recipients(scope(&own, &a), 5, 6_000).len(), 1);
+    assert_eq!(peers.to_recipients(5, 6_000).len(), 1);
 }
 
 /// When the VM that speaks for a data centre dies, exactly one of the others must take over, and nobody be lost by that.
@@ -177,7 +176,7 @@
     let a = Name::from("a");
     let mut views: Vec<Peers> = Vec::new();
     for vm in &vms {
-        let mut peers = Peers::new();
+        let mut peers = start(vm.as_str());
         for other in vms.iter().filter(|other| *other != vm) {
             peers.hear(&advert(other.as_str(), 1, 1, 1_000), 0);
         }
@@ -185,8 +184,7 @@
     }
     let speakers = |views: &[Peers], now_ms| -> Vec<usize> {
         let all = 0..vms.len();
-        all.filter(|i| views[*i].is_speaker(scope(&vms[*i], &a), now_ms))
-            .collect()
+        all.filter(|i| views[*i].is_speaker(now_ms)).collect()
     };
     let first = speakers(&views, 100);
     assert_eq!(first.len(), 1);
@@ -201,11 +199,42 @@
     next.retain(|index| *index != first[0]);
     assert_eq!(next.len(), 1);
     // Meanwhile the other data centres heard nothing, and still name all VMs.
-    let mut far = Peers::new();
+    let mut far = start(OWN);
     far.hear_summary(&summary(&[("far-1", 0), ("far-2", 299)], 1), 0);
     assert_eq!(far.to_fronts(&a, 1_400 + 600).len(), 2);
 }
 
+/// VMs that were heard directly while there were few must not fall silent before the summaries take over.
+#[test]
+fn heard_before_summaries() {
+    let a = Name::from("a");
+    let mut peers = start(OWN);
+    peers.hear(&advert("far-1", 1, 1, 2_000), 0);
+    peers.hear(&advert("far-2", 1, 1, 2_002), 0);
+    assert!(peers.is_wide());
+    assert_eq!(peers.to_fronts(&a, 2_500).len(), 2);
+    assert!(peers.to_lost(0, 2_500).is_empty());
+    assert_eq!(peers.to_lost(2_500, 2_700).len(), 2);
+}
+
+/// Summaries must also reach the VM that takes over when the one that passes them on dies, and no third one.
+#[test]
+fn next_recipient() {
+    let mut peers = start(OWN);
+    for (index, vm) in ["far-1", "far-2", "far-3"].into_iter().enumerate() {
+        peers.hear(&advert(vm, 1, 1, 2_000 + 2 * index as u16), 0);
+    }
+    let before = peers.to_summary_recipients(100);
+    assert_eq!(before.len(), 2);
+    // The summaries no longer name the first one as alive.
+    let mut heard = summary(&[("far-1", 0), ("far-2", 0), ("far-3", 0)], 2);
+    heard.vms.retain(|state| state.peer != before[0]);
+    peers.hear_summary(&heard, 2_800);
+    let after = peers.to_summary_recipients(2_800);
+    assert_eq!(after.len(), 2);
+    assert_eq!(after[0], before[1], "the next one takes over");
+}
+
 /// What one VM wrote earlier must not replace what it wrote later, and silence must end the account of its load.
 #[test]
 fn late_summary() {
--- a/crates/gateway/src/adverts.rs
+++ b/crates/gateway/src/adverts.rs
@@ -59,25 +59,21 @@
         note_lost(&gateway, checked_at_ms, now_ms);
         checked_at_ms = now_ms;
         sequence += 1;
-        let scope = gateway.to_scope();
-        let recipients = gateway
-            .peers
-            .borrow()
-            .to_recipients(scope, sequence, now_ms);
+        let recipients = gateway.peers.borrow().to_recipients(sequence, now_ms);
         if !recipients.is_empty() {
             let advert = to_advert(&gateway, sequence);
             send_to(&socket, &Datagram::Advert(advert), &recipients).await;
         }
-        let speakers = {
+        let recipients = {
             let peers = gateway.peers.borrow();
-            let is_speaker = peers.is_wide(scope) && peers.is_speaker(scope, now_ms);
-            is_speaker.then(|| peers.to_speakers(scope, now_ms))
+            let is_speaker = peers.is_wide() && peers.is_speaker(now_ms);
+            is_speaker.then(|| peers.to_summary_recipients(now_ms))
         };
-        let Some(speakers) = speakers else {
+        let Some(recipients) = recipients else {
             continue;
         };
         for part in to_summary(&gateway, sequence).split() {
-            send_to(&socket, &Datagram::Summary(part), &speakers).await;
+            send_to(&socket, &Datagram::Summary(part), &recipients).await;
         }
     }
 }
@@ -125,9 +121,8 @@
 /// Returns what this VM tells the other data centres of its own.
 fn to_summary(gateway: &Gateway, sequence: u64) -> Summary {
     let now_ms = gateway.clock.now_ms();
-    let scope = gateway.to_scope();
     let peers = gateway.peers.borrow();
-    let mut vms = peers.to_states(scope, now_ms);
+    let mut vms = peers.to_states(now_ms);
     vms.push(VmState {
         vm: gateway.vm.clone(),
         incarnation: gateway.incarnation,
@@ -198,7 +193,7 @@
     }
 }
 
-/// Passes a summary that came from another data centre on to the VMs of this one.
+/// Passes a summary that came from another data centre on to the VMs of this one, if no VM that comes first does.
 async fn pass_on(gateway: &Gateway, socket: &Async<UdpSocket>, summary: &Summary) {
     if !summary.is_remote || summary.data_centre == gateway.data_centre {
         return;
@@ -206,7 +201,10 @@
     let now_ms = gateway.clock.now_ms();
     let recipients: Vec<SocketAddr> = {
         let peers = gateway.peers.borrow();
-        let neighbours = peers.to_neighbours(gateway.to_scope(), now_ms);
+        if !peers.is_speaker(now_ms) {
+            return;
+        }
+        let neighbours = peers.to_neighbours(now_ms);
         neighbours.into_iter().map(|(_, address)| address).collect()
     };
     let passed_on = Summary {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -125,11 +125,18 @@
             slack: settings.repeats.slack,
             window_ms: settings.repeats.window_s * 1_000,
         };
+        let vm = Name::from(settings.vm.name.as_str());
+        let data_centre = Name::from(settings.vm.data_centre.as_str());
+        let scope = Scope {
+            vm: vm.clone(),
+            data_centre: data_centre.clone(),
+            direct_vms_max: settings.fleet.direct_vms_max,
+        };
         Rc::new(Self {
             executor,
             clock,
-            vm: Name::from(settings.vm.name.as_str()),
-            data_centre: Name::from(settings.vm.data_centre.as_str()),
+            vm,
+            data_centre,
             incarnation: to_unix_ms(),
             dialect,
             admission: admission::Config::from(&settings.admission),
@@ -137,7 +144,7 @@
             endpoints: RefCell::new(Endpoints::new()),
             reading_demand: RefCell::new(ReadingDemand::default()),
             budget: RefCell::new(RepeatBudget::new(budget, clock.now_ms())),
-            peers: RefCell::new(Peers::new()),
+            peers: RefCell::new(Peers::new(scope)),
             summaries: RefCell::default(),
             evidence: RefCell::new(Evidence::new(EVIDENCE_LIFETIME_MS, EVIDENCE_MAX)),
             fleet: Fleet::new(settings.log_service.to_bound_ms()),
@@ -295,15 +302,6 @@
         }
     }
 
-    /// Returns where this VM stands among the others.
-    pub(crate) fn to_scope(&self) -> Scope<'_> {
-        Scope {
-            vm: &self.vm,
-            data_centre: &self.data_centre,
-            direct_vms_max: self.settings.fleet.direct_vms_max,
-        }
-    }
-
     /// Replaces what another VM, or a summary, says of the load that it stands for.
     pub(crate) fn set_peer_load(
         &self,
