Send nothing more to an endpoint that says that it leaves or asks for a pause

Leaving is final for an incarnation, since an entry that says ready may be older than the answer; adverts and summaries tell the other VMs (datagrams have version 5). A pause holds for the VM that was turned away only. An endpoint's Retry-After no longer reaches callers as the router's own, and a refusal names the moment at which the first of closed endpoints opens.

--- a/crates/core/src/fleet/summary.rs
+++ b/crates/core/src/fleet/summary.rs
@@ -8,6 +8,7 @@
 
 use crate::Name;
 use crate::forwarding::endpoints::Demand;
+use crate::forwarding::endpoints::notices::Incarnation;
 use crate::forwarding::lanes::Asked;
 use crate::hash::mix;
 use crate::hash::to_hash;
@@ -66,19 +67,22 @@
     pub asked: Vec<(u64, Asked)>,
     /// Contents that crashed endpoints.
     pub findings: Vec<Finding>,
+    /// Endpoints that said that they leave.
+    pub leaving: Vec<Incarnation>,
 }
 
 impl Summary {
-    /// Splits a summary into parts that fit into datagrams; findings and what callers ask go with the first.
-    pub fn split(self) -> Vec<Self> {
+    /// Splits a summary into parts that fit into datagrams; what does not grow with the fleet goes with the first.
+    pub fn split(mut self) -> Vec<Self> {
         let by_vms = self.vms.len().div_ceil(VMS_PER_PART);
         let by_demands = self.demands.len().div_ceil(DEMANDS_PER_PART);
         let parts = by_vms.max(by_demands).max(1);
-        let mut vms = self.vms.chunks(VMS_PER_PART);
-        let mut demands = self.demands.chunks(DEMANDS_PER_PART);
+        let all_vms = std::mem::take(&mut self.vms);
+        let all_demands = std::mem::take(&mut self.demands);
+        let mut vms = all_vms.chunks(VMS_PER_PART);
+        let mut demands = all_demands.chunks(DEMANDS_PER_PART);
         let mut split = Vec::new();
         for part in 0..parts {
-            let is_first = part == 0;
             split.push(Self {
                 data_centre: self.data_centre.clone(),
                 vm: self.vm.clone(),
@@ -86,16 +90,9 @@
                 parts,
                 vms: vms.next().unwrap_or_default().to_vec(),
                 demands: demands.next().unwrap_or_default().to_vec(),
-                asked: if is_first {
-                    self.asked.clone()
-                } else {
-                    Vec::new()
-                },
-                findings: if is_first {
-                    self.findings.clone()
-                } else {
-                    Vec::new()
-                },
+                asked: std::mem::take(&mut self.asked),
+                findings: std::mem::take(&mut self.findings),
+                leaving: std::mem::take(&mut self.leaving),
                 ..self
             });
         }
--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -13,11 +13,15 @@
 use crate::Name;
 use crate::fleet::revisions::Delta;
 use crate::fleet::revisions::Revisions;
+use crate::forwarding::endpoints::notices::Incarnation;
+use crate::forwarding::endpoints::notices::Notices;
 use crate::forwarding::prompt::KeptParts;
 use crate::forwarding::prompt::Prompt;
 use crate::forwarding::run::End;
 use crate::hash::to_hash;
 
+pub mod notices;
+
 new_key_type! {
     /// Key of an endpoint; a restarted endpoint gets a new one.
     pub struct EndpointKey;
@@ -200,6 +204,8 @@
     heard_at_ms: u64,
     load: Option<(Load, u64)>,
     is_misdirected: bool,
+    is_leaving: bool,
+    closed_until_ms: u64,
     losses: u32,
     suspicion_ms: u64,
     suspect_until_ms: u64,
@@ -212,9 +218,19 @@
         (now_ms.saturating_sub(at_ms) < LOAD_FRESH_MS).then_some(load)
     }
 
-    /// Returns whether new requests may be sent at all.
+    /// Returns whether the endpoint takes requests in general, if not at this moment.
     pub fn is_usable(&self) -> bool {
-        !self.entry.is_draining && !self.is_misdirected
+        !self.entry.is_draining && !self.is_misdirected && !self.is_leaving
+    }
+
+    /// Returns whether a request may be sent now.
+    pub fn is_open(&self, now_ms: u64) -> bool {
+        self.is_usable() && now_ms >= self.closed_until_ms
+    }
+
+    /// Returns the time until which the endpoint wants no requests; 0 if it has not said so.
+    pub fn to_closed_until_ms(&self) -> u64 {
+        self.closed_until_ms
     }
 
     /// Returns how far the endpoint can be relied on.
@@ -274,6 +290,7 @@
     backlog_since_ms: Option<u64>,
     is_source_lost: bool,
     revisions: Revisions,
+    notices: Notices,
 }
 
 /// Records of one endpoint that a source which was away cannot hold: one from before and one from after its return.
@@ -424,6 +441,7 @@
         let id = entry.id.clone();
         let service = entry.service.clone();
         self.revisions.note_change(&id);
+        let incarnation = Incarnation::from(&entry);
         let endpoint = Endpoint {
             hash: to_hash(id.as_str()),
             entry,
@@ -434,6 +452,8 @@
             heard_at_ms: 0,
             load: None,
             is_misdirected: false,
+            is_leaving: self.notices.is_leaving(incarnation),
+            closed_until_ms: self.notices.to_closed_until_ms(incarnation),
             losses: 0,
             suspicion_ms: 0,
             suspect_until_ms: 0,
@@ -565,6 +585,54 @@
         }
     }
 
+    /// Records that an endpoint said that it leaves; returns whether that is news.
+    pub fn saw_leaving(&mut self, key: EndpointKey) -> bool {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return false;
+        };
+        endpoint.is_leaving = true;
+        self.notices.add_leaving(Incarnation::from(&endpoint.entry))
+    }
+
+    /// Takes over from another VM which endpoints leave; returns those for which it is news.
+    pub fn hear_leaving(&mut self, incarnations: &[Incarnation]) -> Vec<EndpointKey> {
+        let mut news = Vec::new();
+        for incarnation in incarnations {
+            if !self.notices.add_leaving(*incarnation) {
+                continue;
+            }
+            // It may not be known yet; the notice holds for an entry that comes later.
+            for (key, endpoint) in &mut self.endpoints {
+                if Incarnation::from(&endpoint.entry) == *incarnation {
+                    endpoint.is_leaving = true;
+                    news.push(key);
+                }
+            }
+        }
+        news
+    }
+
+    /// Returns the endpoints of the list that said that they leave, at most `max`.
+    pub fn to_leaving(&self, max: usize) -> Vec<Incarnation> {
+        let endpoints = self.endpoints.values();
+        let leaving = endpoints.filter(|endpoint| endpoint.is_leaving);
+        leaving
+            .map(|endpoint| Incarnation::from(&endpoint.entry))
+            .take(max)
+            .collect()
+    }
+
+    /// Records that an endpoint wants no requests from this VM for a time.
+    pub fn close(&mut self, key: EndpointKey, for_ms: u64, now_ms: u64) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        let until_ms = now_ms.saturating_add(for_ms);
+        endpoint.closed_until_ms = endpoint.closed_until_ms.max(until_ms);
+        let incarnation = Incarnation::from(&endpoint.entry);
+        self.notices.close(incarnation, until_ms, now_ms);
+    }
+
     /// Releases a run whose caller left; it says nothing about the endpoint.
     pub fn release(&mut self, run: RunKey) {
         let Some(run) = self.runs.remove(run) else {
--- a/crates/core/src/forwarding/peers.rs
+++ b/crates/core/src/forwarding/peers.rs
@@ -9,6 +9,7 @@
 use crate::fleet::summary::VmState;
 use crate::fleet::summary::to_speakers;
 use crate::forwarding::endpoints::Demand;
+use crate::forwarding::endpoints::notices::Incarnation;
 use crate::forwarding::lanes::Asked;
 use crate::state::evidence::Finding;
 
@@ -56,6 +57,8 @@
     pub asked: Vec<(u64, Asked)>,
     /// Contents that crashed endpoints.
     pub findings: Vec<Finding>,
+    /// Endpoints that said that they leave.
+    pub leaving: Vec<Incarnation>,
 }
 
 /// What later answers need of the newest advert of a VM.
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -104,7 +104,7 @@
         .prompt
         .map(|prompt| (LaneView::new(config, endpoints, request, prompt), prompt));
     let mut best: Option<((u8, f64), EndpointKey)> = None;
-    for (key, endpoint) in to_candidates(endpoints, request.service, request.tried) {
+    for (key, endpoint) in to_candidates(endpoints, request.service, request.tried, now_ms) {
         let rank = to_rank(endpoint.to_trust(now_ms), request);
         let mut cost_ms = to_cost_ms(config, endpoints, endpoint, request, now_ms);
         if let Some((lanes, prompt)) = &lanes {
@@ -121,17 +121,38 @@
 }
 
 /// Returns whether any endpoint is left to choose.
-pub fn can_choose(endpoints: &Endpoints, service: &Name, tried: &[EndpointKey]) -> bool {
-    to_candidates(endpoints, service, tried).next().is_some()
+pub fn can_choose(
+    endpoints: &Endpoints,
+    service: &Name,
+    tried: &[EndpointKey],
+    now_ms: u64,
+) -> bool {
+    let mut candidates = to_candidates(endpoints, service, tried, now_ms);
+    candidates.next().is_some()
+}
+
+/// Returns the time until an endpoint that turned requests away for a time takes them again, in milliseconds, or `None`
+/// if there is no such endpoint.
+pub fn to_opening_ms(endpoints: &Endpoints, service: &Name, now_ms: u64) -> Option<u64> {
+    let mut opening_ms: Option<u64> = None;
+    for (_, endpoint) in endpoints.of_service(service) {
+        if !endpoint.is_usable() || endpoint.is_open(now_ms) {
+            continue;
+        }
+        let wait_ms = endpoint.to_closed_until_ms() - now_ms;
+        opening_ms = Some(opening_ms.map_or(wait_ms, |known| known.min(wait_ms)));
+    }
+    opening_ms
 }
 
 fn to_candidates<'a>(
     endpoints: &'a Endpoints,
     service: &Name,
     tried: &'a [EndpointKey],
+    now_ms: u64,
 ) -> impl Iterator<Item = (EndpointKey, &'a Endpoint)> {
     let known = endpoints.of_service(service);
-    known.filter(|(key, endpoint)| endpoint.is_usable() && !tried.contains(key))
+    known.filter(move |(key, endpoint)| endpoint.is_open(now_ms) && !tried.contains(key))
 }
 
 /// Returns the time until an endpoint has read the prompts that it reads before one of this level, in milliseconds.
--- /dev/null
+++ b/crates/core/tests/endpoint_notices.rs
@@ -0,0 +1,174 @@
+//! What endpoints say of themselves in answers: leaving is final for an incarnation, and a pause is kept.
+
+use waxwing_core::Name;
+use waxwing_core::forwarding::Endpoints;
+use waxwing_core::forwarding::endpoints::Entry;
+use waxwing_core::forwarding::endpoints::Level;
+use waxwing_core::forwarding::lanes::Asked;
+use waxwing_core::forwarding::lanes::Lane;
+use waxwing_core::forwarding::placement;
+use waxwing_core::forwarding::placement::Request;
+
+fn entry(id: &str, born_ms: u64, sequence: u64) -> Entry {
+    Entry {
+        id: Name::from(id),
+        service: Name::from("pool"),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        data_centre: Name::from("a"),
+        slots: 4,
+        is_draining: false,
+        cold_ms: 0,
+        born_ms: Some(born_ms),
+        sequence,
+    }
+}
+
+/// Returns the id of the endpoint that a request goes to.
+fn choose(endpoints: &Endpoints, now_ms: u64) -> Option<String> {
+    let config = placement::Config::default();
+    let (service, data_centre) = (Name::from("pool"), Name::from("a"));
+    let request = Request {
+        service: &service,
+        prompt: None,
+        lane: Lane::default(),
+        asked: Asked::default(),
+        level: Level::default(),
+        is_repeatable: true,
+        data_centre: &data_centre,
+        tried: &[],
+        draw: 1,
+    };
+    let key = placement::choose(&config, endpoints, &request, now_ms)?;
+    Some(endpoints.get(key)?.entry.id.as_str().to_owned())
+}
+
+/// An endpoint that said that it leaves must get nothing, also if its entry says otherwise or lapses and comes back.
+#[test]
+fn leaving_is_final() {
+    let mut endpoints = Endpoints::new();
+    endpoints.update(entry("e", 1, 1));
+    let id = Name::from("e");
+    let key = endpoints.find(&id).unwrap();
+    assert!(endpoints.saw_leaving(key));
+    assert!(!endpoints.saw_leaving(key), "the second answer is no news");
+    assert_eq!(choose(&endpoints, 0), None);
+    endpoints.update(entry("e", 1, 2));
+    assert_eq!(choose(&endpoints, 0), None, "a later entry");
+    endpoints.remove(&id, 0);
+    endpoints.update(entry("e", 1, 3));
+    assert_eq!(
+        choose(&endpoints, 0),
+        None,
+        "the entry lapsed and came back"
+    );
+    endpoints.update(entry("e", 2, 1));
+    assert_eq!(choose(&endpoints, 0), Some("e".to_owned()), "a new start");
+}
+
+/// What one VM learned must hold at the others, whichever comes first there, the notice or the entry.
+#[test]
+fn leaving_is_told() {
+    let mut teller = Endpoints::new();
+    teller.update(entry("e", 1, 1));
+    let key = teller.find(&Name::from("e")).unwrap();
+    teller.saw_leaving(key);
+    let told = teller.to_leaving(8);
+    assert_eq!(told.len(), 1);
+    let mut knows = Endpoints::new();
+    knows.update(entry("e", 1, 1));
+    assert_eq!(knows.hear_leaving(&told).len(), 1);
+    assert!(knows.hear_leaving(&told).is_empty());
+    let mut learns = Endpoints::new();
+    learns.hear_leaving(&told);
+    learns.update(entry("e", 1, 1));
+    for endpoints in [&knows, &learns] {
+        assert_eq!(choose(endpoints, 0), None);
+        assert_eq!(endpoints.to_leaving(8), told, "it is told on");
+    }
+}
+
+/// A pause must be kept to its end, whatever else would choose the endpoint, and not be cut short by a second answer.
+#[test]
+fn pause_is_kept() {
+    let mut endpoints = Endpoints::new();
+    endpoints.update(entry("e", 1, 1));
+    let id = Name::from("e");
+    let key = endpoints.find(&id).unwrap();
+    endpoints.close(key, 2_000, 100);
+    endpoints.close(key, 500, 200);
+    assert_eq!(choose(&endpoints, 2_099), None, "the only endpoint left");
+    assert_eq!(
+        placement::to_opening_ms(&endpoints, &Name::from("pool"), 2_000),
+        Some(100)
+    );
+    endpoints.remove(&id, 300);
+    endpoints.update(entry("e", 1, 2));
+    assert_eq!(choose(&endpoints, 2_099), None, "the entry lapsed");
+    assert_eq!(choose(&endpoints, 2_100), Some("e".to_owned()));
+    // The longest pause must not overflow.
+    let key = endpoints.find(&id).unwrap();
+    endpoints.close(key, u64::MAX, 3_000);
+    assert_eq!(choose(&endpoints, 1 << 60), None);
+    endpoints.update(entry("e", 2, 1));
+    assert_eq!(choose(&endpoints, 3_000), Some("e".to_owned()));
+}
+
+/// A pause must not move the other engines between lanes, which would make shared parts be read again.
+#[test]
+fn pause_keeps_lanes() {
+    let mut endpoints = Endpoints::new();
+    endpoints.update(entry("e", 1, 1));
+    let key = endpoints.find(&Name::from("e")).unwrap();
+    endpoints.close(key, 2_000, 0);
+    let endpoint = endpoints.get(key).unwrap();
+    assert!(endpoint.is_usable() && !endpoint.is_open(0));
+}
+
+/// Moments of entries and notices in any order must never open an incarnation that said that it leaves.
+#[test]
+fn random_orders() {
+    use rand::Rng;
+    use rand::SeedableRng;
+    for seed in 0..200 {
+        let mut random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+        let mut endpoints = Endpoints::new();
+        let mut left = [false; 3];
+        let id = Name::from("e");
+        for step in 0..40 {
+            let born = random.random_range(0..3usize);
+            match random.random_range(0..4) {
+                0 => {
+                    endpoints.update(entry("e", born as u64, step));
+                }
+                1 => {
+                    endpoints.remove(&id, step);
+                }
+                2 => {
+                    let Some(key) = endpoints.find(&id) else {
+                        continue;
+                    };
+                    let born_ms = endpoints.get(key).unwrap().entry.born_ms.unwrap();
+                    endpoints.saw_leaving(key);
+                    left[born_ms as usize] = true;
+                }
+                _ => {
+                    let mut other = Endpoints::new();
+                    other.update(entry("e", born as u64, 1));
+                    other.saw_leaving(other.find(&id).unwrap());
+                    endpoints.hear_leaving(&other.to_leaving(1));
+                    left[born] = true;
+                }
+            }
+            let chosen = choose(&endpoints, step);
+            let Some(key) = endpoints.find(&id) else {
+                continue;
+            };
+            let born_ms = endpoints.get(key).unwrap().entry.born_ms.unwrap();
+            assert_eq!(
+                chosen.is_none(),
+                left[born_ms as usize],
+                "seed {seed}, step {step}"
+            );
+        }
+    }
+}
--- a/crates/core/tests/peer_adverts.rs
+++ b/crates/core/tests/peer_adverts.rs
@@ -22,6 +22,7 @@
         demands: Vec::new(),
         asked: Vec::new(),
         findings: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
@@ -129,6 +130,7 @@
         demands: Vec::new(),
         asked: Vec::new(),
         findings: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/crates/gateway/src/adverts.rs
+++ b/crates/gateway/src/adverts.rs
@@ -29,6 +29,9 @@
 /// Findings in one advert; newer ones come first in later rounds.
 const FINDINGS_MAX: usize = 8;
 
+/// Leaving endpoints in one datagram; a release takes fewer away at a time.
+const LEAVING_MAX: usize = 128;
+
 /// Pause after a failed receive, in milliseconds.
 const RECEIVE_PAUSE_MS: u64 = 50;
 
@@ -115,6 +118,7 @@
         demands: gateway.endpoints.borrow().to_own_demands(),
         asked: gateway.reading_demand.borrow().to_own(now_ms),
         findings: to_findings(gateway),
+        leaving: gateway.endpoints.borrow().to_leaving(LEAVING_MAX),
     }
 }
 
@@ -147,6 +151,7 @@
             .to_demands_with(names.iter().copied()),
         asked: gateway.reading_demand.borrow().to_sum(names, now_ms),
         findings: to_findings(gateway),
+        leaving: gateway.endpoints.borrow().to_leaving(LEAVING_MAX),
         vms,
     }
 }
@@ -236,6 +241,7 @@
         .evidence
         .borrow_mut()
         .merge(&advert.findings, now_ms);
+    gateway.hear_leaving(&advert.leaving, &advert.vm);
     // The load of a VM must not count twice.
     let is_covered = gateway
         .summaries
@@ -262,6 +268,7 @@
         .evidence
         .borrow_mut()
         .merge(&summary.findings, now_ms);
+    gateway.hear_leaving(&summary.leaving, &summary.vm);
     gateway.set_peer_load(summary.to_source(), summary.demands, summary.asked);
     "news"
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -51,6 +51,10 @@
     pub request_id: Option<String>,
     /// Load of the endpoint, if stated.
     pub load: Option<Load>,
+    /// The endpoint states that it is about to leave.
+    pub is_leaving: bool,
+    /// Time for which the endpoint wants no request from this VM, in milliseconds.
+    pub closed_ms: Option<u64>,
 }
 
 /// Headers of an outside system.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -479,7 +479,15 @@
         let refusal = match execution {
             Execution::NotRun => {
                 let message = "no endpoint took the request";
-                Refusal::not_run(reason, NO_ENDPOINT_RETRY_AFTER_MS, message)
+                let now_ms = self.gateway.clock.now_ms();
+                let endpoints = self.gateway.endpoints.borrow();
+                let opening_ms = match placement::can_choose(&endpoints, &self.service, &[], now_ms)
+                {
+                    true => None,
+                    false => placement::to_opening_ms(&endpoints, &self.service, now_ms),
+                };
+                let retry_after_ms = opening_ms.unwrap_or(0).max(NO_ENDPOINT_RETRY_AFTER_MS);
+                Refusal::not_run(reason, retry_after_ms, message)
             }
             Execution::Unknown | Execution::Ran => {
                 Refusal::unknown(reason, 0, "the endpoint gave no usable answer")
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -142,6 +142,15 @@
                 .borrow_mut()
                 .saw_load(key, load, now_ms);
         }
+        // What another endpoint at this address says does not concern this one.
+        if !verdict.is_misdirected {
+            if verdict.is_leaving {
+                self.gateway.saw_leaving(key);
+            }
+            if let Some(for_ms) = verdict.closed_ms {
+                self.gateway.close_endpoint(key, for_ms);
+            }
+        }
         let sent = Sent {
             run,
             connection,
@@ -206,7 +215,7 @@
         let endpoints = self.gateway.endpoints.borrow();
         self.can_repeat()
             && budget.covers(&self.service, vms, now_ms)
-            && placement::can_choose(&endpoints, &self.service, &self.tried)
+            && placement::can_choose(&endpoints, &self.service, &self.tried, now_ms)
     }
 
     async fn exchange_heads(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use waxwing_core::forwarding::endpoints::Change;
 use waxwing_core::forwarding::endpoints::Demand;
 use waxwing_core::forwarding::endpoints::Entry;
+use waxwing_core::forwarding::endpoints::notices::Incarnation;
 use waxwing_core::forwarding::lanes::Asked;
 use waxwing_core::forwarding::lanes::ReadingDemand;
 use waxwing_core::forwarding::peers::Peers;
@@ -295,6 +296,47 @@
         metrics::gauge!(metric::ENDPOINTS).set(count as f64);
     }
 
+    /// Records that an endpoint said in an answer that it leaves.
+    pub(crate) fn saw_leaving(&self, key: EndpointKey) {
+        if self.endpoints.borrow_mut().saw_leaving(key) {
+            self.note_leaving(key, "answer");
+        }
+    }
+
+    /// Takes over from another VM which endpoints leave.
+    pub(crate) fn hear_leaving(&self, incarnations: &[Incarnation], vm: &Name) {
+        let news = self.endpoints.borrow_mut().hear_leaving(incarnations);
+        for key in news {
+            self.note_leaving(key, vm.as_str());
+        }
+    }
+
+    fn note_leaving(&self, key: EndpointKey, source: &str) {
+        self.drop_idle(key);
+        let endpoints = self.endpoints.borrow();
+        let Some(endpoint) = endpoints.get(key) else {
+            return;
+        };
+        let (id, born_ms) = (endpoint.entry.id.as_str(), endpoint.entry.born_ms);
+        log::info!(
+            event = "endpoint_leaving", endpoint = id, born_ms = born_ms.unwrap_or(0), source = source;
+            "no further requests go to this incarnation"
+        );
+        metrics::counter!(metric::ENDPOINT_CHANGES, "change" => "leaving").increment(1);
+    }
+
+    /// Records that an endpoint turned a request away and wants none from this VM for a time.
+    pub(crate) fn close_endpoint(&self, key: EndpointKey, for_ms: u64) {
+        let mut endpoints = self.endpoints.borrow_mut();
+        endpoints.close(key, for_ms, self.clock.now_ms());
+        let Some(endpoint) = endpoints.get(key) else {
+            return;
+        };
+        let id = endpoint.entry.id.as_str();
+        log::info!(event = "endpoint_closed", endpoint = id, for_ms = for_ms; "it asked for a pause");
+        metrics::counter!(metric::ENDPOINT_CHANGES, "change" => "closed").increment(1);
+    }
+
     /// Adds a VM that was found, so that it gets adverts.
     pub fn add_peer(&self, vm: Name, address: SocketAddr) {
         if vm != self.vm {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,6 +4,7 @@
 use hyper::Response;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
+use hyper::header::RETRY_AFTER;
 use hyper::http::response::Parts;
 use waxwing_core::forwarding::Execution;
 use waxwing_core::forwarding::configuration::RouteKind;
@@ -54,6 +55,10 @@
             connection.set_idle_limit(seconds);
         }
         headers::strip_hop_by_hop(&mut head.headers);
+        // The endpoint speaks to this VM; when callers may come back is the router's to say.
+        if head.status.is_server_error() {
+            head.headers.remove(RETRY_AFTER);
+        }
         let source = Self {
             run,
             connection,
--- a/crates/wire/src/advert.rs
+++ b/crates/wire/src/advert.rs
@@ -11,6 +11,7 @@
 use waxwing_core::fleet::summary::VmState;
 use waxwing_core::forwarding::endpoints::Demand;
 use waxwing_core::forwarding::endpoints::LEVELS;
+use waxwing_core::forwarding::endpoints::notices::Incarnation;
 use waxwing_core::forwarding::lanes::Asked;
 use waxwing_core::forwarding::lanes::LANES_MAX;
 use waxwing_core::forwarding::peers::Advert;
@@ -18,7 +19,7 @@
 use waxwing_core::state::evidence::Finding;
 
 /// Version of the datagrams, their first byte; others are refused.
-const VERSION: u8 = 4;
+const VERSION: u8 = 5;
 
 /// Most prompt tokens of one datagram at an endpoint at one level; sums over all VMs must not overflow.
 const TOKENS_MAX: u64 = 1 << 40;
@@ -103,6 +104,8 @@
     demands: Vec<WireDemand>,
     asked: Vec<WireAsked>,
     findings: Vec<WireFinding>,
+    /// Incarnations of endpoints that leave, in little-endian order.
+    leaving: Vec<[u8; 8]>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -133,11 +136,19 @@
     demands: Vec<(u64, Demand)>,
     asked: Vec<(u64, Asked)>,
     findings: Vec<Finding>,
+    leaving: Vec<Incarnation>,
 }
 
 impl WireLoad {
-    fn new(demands: &[(u64, Demand)], asked: &[(u64, Asked)], findings: &[Finding]) -> Self {
+    fn new(
+        demands: &[(u64, Demand)],
+        asked: &[(u64, Asked)],
+        findings: &[Finding],
+        leaving: &[Incarnation],
+    ) -> Self {
+        let leaving = leaving.iter();
         Self {
+            leaving: leaving.map(|endpoint| endpoint.0.to_le_bytes()).collect(),
             demands: demands.iter().map(WireDemand::from).collect(),
             asked: asked.iter().map(WireAsked::from).collect(),
             findings: findings.iter().map(WireFinding::from).collect(),
@@ -151,7 +162,9 @@
     fn try_from(wire: WireLoad) -> Result<Self> {
         let demands = wire.demands.into_iter().map(TryFrom::try_from);
         let asked = wire.asked.into_iter().map(TryFrom::try_from);
+        let leaving = wire.leaving.into_iter().map(u64::from_le_bytes);
         Ok(Self {
+            leaving: leaving.map(Incarnation).collect(),
             demands: demands.collect::<Result<_>>()?,
             asked: asked.collect::<Result<_>>()?,
             findings: wire.findings.into_iter().map(Finding::from).collect(),
@@ -283,7 +296,12 @@
                 data_centre: advert.data_centre.as_str().to_owned(),
                 ready: advert.is_ready,
                 configuration: advert.configuration_version,
-                load: WireLoad::new(&advert.demands, &advert.asked, &advert.findings),
+                load: WireLoad::new(
+                    &advert.demands,
+                    &advert.asked,
+                    &advert.findings,
+                    &advert.leaving,
+                ),
             }),
             Datagram::Summary(summary) => Wire::Summary(WireSummary {
                 data_centre: summary.data_centre.as_str().to_owned(),
@@ -294,7 +312,12 @@
                 parts: summary.parts as u16,
                 remote: summary.is_remote,
                 vms: summary.vms.iter().map(WireVm::from).collect(),
-                load: WireLoad::new(&summary.demands, &summary.asked, &summary.findings),
+                load: WireLoad::new(
+                    &summary.demands,
+                    &summary.asked,
+                    &summary.findings,
+                    &summary.leaving,
+                ),
             }),
         }
     }
@@ -319,6 +342,7 @@
                     demands: load.demands,
                     asked: load.asked,
                     findings: load.findings,
+                    leaving: load.leaving,
                 }))
             }
             Wire::Summary(wire) => {
@@ -338,6 +362,7 @@
                     demands: load.demands,
                     asked: load.asked,
                     findings: load.findings,
+                    leaving: load.leaving,
                 }))
             }
         }
--- a/crates/wire/tests/advert.rs
+++ b/crates/wire/tests/advert.rs
@@ -7,6 +7,7 @@
 use waxwing_core::fleet::Summary;
 use waxwing_core::fleet::summary::VmState;
 use waxwing_core::forwarding::endpoints::Demand;
+use waxwing_core::forwarding::endpoints::notices::Incarnation;
 use waxwing_core::forwarding::lanes::Asked;
 use waxwing_core::forwarding::peers::Advert;
 use waxwing_core::state::evidence::Finding;
@@ -44,6 +45,7 @@
             endpoint: Some(Name::from("e1")),
             age_ms: 100,
         }],
+        leaving: vec![Incarnation(u64::MAX), Incarnation(0)],
     }
 }
 
@@ -69,6 +71,7 @@
         demands: vec![(1, to_demand()), (2, Demand::default())],
         asked: vec![(5, to_asked())],
         findings: Vec::new(),
+        leaving: Vec::new(),
     }
 }
 
