--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -15,6 +15,7 @@
 mod key_hash;
 mod key_new;
 mod load;
+mod outcomes;
 mod settings_apply;
 mod settings_check;
 mod settings_diff;
@@ -51,6 +52,7 @@
     status::COMMAND,
     drain::COMMAND,
     explain::COMMAND,
+    outcomes::COMMAND,
     load::COMMAND,
 ];
 
