Divide engines by what each lane needs, and leave spare ones to shared parts

Now each lane gets what it needs to read and hold at a calm pace, judged over minutes; engines beyond that go by the shared tokens asked for. In a burst of seconds lanes take engines beyond their share, those of the shortest gap targets first.

Log lines name a run that its caller left (unfinished). Engines can be told to fetch shared parts; that is off here.

--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -521,11 +521,12 @@
             .filter_map(|key| Some((*key, self.endpoints.get(*key)?)))
     }
 
-    /// Records the start of a run and returns its key.
+    /// Records the start of a run and returns its key; `fetched_tokens` of the prompt come from another engine.
     pub fn begin(
         &mut self,
         key: EndpointKey,
         prompt: Option<&Prompt>,
+        fetched_tokens: u64,
         memory_tokens: Option<u64>,
         level: Level,
         now_ms: u64,
@@ -533,8 +534,8 @@
         let mut unread_tokens = 0;
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             if let Some(prompt) = prompt {
-                unread_tokens =
-                    prompt.tokens - endpoint.kept.to_kept_tokens(prompt).min(prompt.tokens);
+                let known = endpoint.kept.to_kept_tokens(prompt).max(fetched_tokens);
+                unread_tokens = prompt.tokens.saturating_sub(known);
                 let memory = memory_tokens.unwrap_or(MEMORY_DEFAULT_TOKENS);
                 let capacity = (memory as f64 * CACHE_SHARE) as u64;
                 endpoint.kept.record(prompt, now_ms, capacity);
--- a/crates/core/src/forwarding/lanes.rs
+++ b/crates/core/src/forwarding/lanes.rs
@@ -1,38 +1,50 @@
 //! Divides the engines of a service between streams with unlike gap targets.
 //!
-//! Answers two load patterns. Reading a long prompt delays the tokens of the streams beside it, so streams that bear only
-//! short pauses get engines of their own. Callers of one kind that ask for more than its share of the engines reads, so a
-//! lane that is short of engines for long takes some from the others while these have more than they need.
+//! Answers three load patterns. Reading a long prompt delays the tokens of the streams beside it, so streams that bear only
+//! short pauses get engines of their own. Callers of one kind suddenly ask for more than its share of the engines can read
+//! or hold, for seconds or minutes, so a lane that is short of engines takes some from the others. Prompts that share long
+//! parts are cheap only where these parts are kept, so engines that nobody needs serve as memory for them.
 
 use std::collections::HashMap;
 use std::ops::AddAssign;
 
 use crate::Name;
+use crate::forwarding::prompt::Prompt;
 use crate::hash::mix;
 
 /// Most lanes of a service.
 pub const LANES_MAX: usize = 3;
 
-/// Time over which the demand of a lane is averaged, in milliseconds.
-///
-/// Lanes follow what callers ask for minutes, not bursts of seconds: each move of a lane makes shared parts be read again,
-/// and mixes long prompts with the streams that still run there.
-const AVERAGE_MS: f64 = 60_000.0;
+/// Time over which a burst is averaged, in milliseconds: bursts last for seconds.
+const BURST_MS: f64 = 3_000.0;
+
+/// Time over which the usual demand is averaged, in milliseconds: each move of a lane makes shared parts be read again.
+const USUAL_MS: f64 = 60_000.0;
 
 /// Shares and limits of the division.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
-    /// Shares of the engines for up to three lanes, the one of the shortest gap targets first.
+    /// Shares of the engines for up to three lanes while nothing is known of the demand, the one of the shortest gap targets
+    /// first.
     pub shares: [f64; LANES_MAX],
-    /// Parts of their time that engines of each lane may spend on reading before the lane takes more engines.
-    pub reading_shares: [f64; LANES_MAX],
+    /// Parts of their time that engines of each lane spend on reading in calm times.
+    pub calm_reading_shares: [f64; LANES_MAX],
+    /// Parts of their time that engines of each lane spend on reading in a burst.
+    pub burst_reading_shares: [f64; LANES_MAX],
+    /// Part of the slots of a lane's engines that are taken in a burst.
+    pub burst_slot_share: f64,
+    /// Part of its share that a lane keeps however much the others need.
+    pub kept_share: f64,
 }
 
 impl Default for Config {
     fn default() -> Self {
         Self {
             shares: [0.34, 0.14, 0.52],
-            reading_shares: [0.25, 0.4, 0.6],
+            calm_reading_shares: [0.12, 0.6, 0.6],
+            burst_reading_shares: [0.8, 0.9, 0.8],
+            burst_slot_share: 0.7,
+            kept_share: 0.3,
         }
     }
 }
@@ -46,58 +58,115 @@
     pub count: usize,
 }
 
-/// What callers ask of a service.
+/// What callers ask of a service, by lane.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Asked {
-    /// Prompt tokens that arrive for each lane, in tokens per millisecond.
-    pub tokens_per_ms: [f64; LANES_MAX],
-}
-
-impl Asked {
-    fn scale(self, factor: f64) -> Self {
-        Self {
-            tokens_per_ms: self.tokens_per_ms.map(|value| value * factor),
-        }
-    }
+    /// Prompt tokens that arrive now, without shared parts, in tokens per millisecond.
+    pub burst_tokens_per_ms: [f64; LANES_MAX],
+    /// The same over minutes.
+    pub usual_tokens_per_ms: [f64; LANES_MAX],
+    /// Tokens of shared parts that arrive over minutes, in tokens per millisecond.
+    pub usual_shared_tokens_per_ms: [f64; LANES_MAX],
+    /// Requests in progress.
+    pub streams: [f64; LANES_MAX],
 }
 
 impl AddAssign for Asked {
     fn add_assign(&mut self, other: Self) {
-        for (sum, value) in self.tokens_per_ms.iter_mut().zip(other.tokens_per_ms) {
-            *sum += value;
+        let sums = [
+            (&mut self.burst_tokens_per_ms, other.burst_tokens_per_ms),
+            (&mut self.usual_tokens_per_ms, other.usual_tokens_per_ms),
+            (
+                &mut self.usual_shared_tokens_per_ms,
+                other.usual_shared_tokens_per_ms,
+            ),
+            (&mut self.streams, other.streams),
+        ];
+        for (sum, values) in sums {
+            for (sum, value) in sum.iter_mut().zip(values) {
+                *sum += value;
+            }
         }
     }
 }
 
-/// Averages that decay with time, so that a burst is forgotten.
+/// A rate that is averaged over a time, also while less than that time has passed.
 #[derive(Clone, Copy, Debug, Default)]
-struct Meter {
-    asked: Asked,
-    at_ms: u64,
+struct Average {
+    /// Sum of what arrived, of which each part fades with its age.
+    faded: f64,
+    /// Milliseconds over which it arrived, faded alike.
+    faded_ms: f64,
+    /// Time of the newest addition, in milliseconds.
+    at_ms: Option<u64>,
 }
 
-impl Meter {
-    fn to_asked(self, now_ms: u64) -> Asked {
-        let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
-        self.asked.scale((-age_ms / AVERAGE_MS).exp())
+impl Average {
+    fn fade(self, over_ms: f64, now_ms: u64) -> Self {
+        let age_ms = now_ms.saturating_sub(self.at_ms.unwrap_or(now_ms)) as f64;
+        let left = (-age_ms / over_ms).exp();
+        Self {
+            faded: self.faded * left,
+            faded_ms: self.faded_ms * left + over_ms * (1.0 - left),
+            at_ms: Some(now_ms),
+        }
+    }
+
+    fn add(&mut self, amount: f64, over_ms: f64, now_ms: u64) {
+        *self = self.fade(over_ms, now_ms);
+        self.faded += amount;
+    }
+
+    fn to_rate(self, over_ms: f64, now_ms: u64) -> f64 {
+        let faded = self.fade(over_ms, now_ms);
+        faded.faded / faded.faded_ms.max(RATE_MIN_MS)
     }
 }
 
+/// Shortest time for which a rate is stated, in milliseconds; a single request says little.
+const RATE_MIN_MS: f64 = 500.0;
+
+/// What arrives in one lane.
+#[derive(Clone, Copy, Debug, Default)]
+struct Meter {
+    burst_tokens: Average,
+    usual_tokens: Average,
+    usual_shared_tokens: Average,
+    streams: f64,
+}
+
 /// What callers ask of each service, here and at the other VMs; services go by the hashes of their names.
 #[derive(Debug, Default)]
 pub struct ReadingDemand {
-    own: HashMap<u64, Meter>,
+    own: HashMap<u64, [Meter; LANES_MAX]>,
     peers: HashMap<Name, Vec<(u64, Asked)>>,
 }
 
 impl ReadingDemand {
-    /// Counts a request of a caller of this VM by the prompt tokens that it asks an engine to read.
-    pub fn add(&mut self, service: u64, lane: Lane, tokens: u64, now_ms: u64) {
-        let lane = lane.index.min(LANES_MAX - 1);
-        let meter = self.own.entry(service).or_default();
-        meter.asked = meter.to_asked(now_ms);
-        meter.at_ms = now_ms;
-        meter.asked.tokens_per_ms[lane] += tokens as f64 / AVERAGE_MS;
+    fn lane_mut(&mut self, service: u64, lane: Lane) -> &mut Meter {
+        let meters = self.own.entry(service).or_default();
+        &mut meters[lane.index.min(LANES_MAX - 1)]
+    }
+
+    /// Counts a request of a caller of this VM by the tokens of its prompt.
+    pub fn add(&mut self, service: u64, lane: Lane, prompt: &Prompt, now_ms: u64) {
+        let shared_tokens = prompt.to_shared_tokens();
+        let own_tokens = prompt.tokens.saturating_sub(shared_tokens) as f64;
+        let meter = self.lane_mut(service, lane);
+        meter.burst_tokens.add(own_tokens, BURST_MS, now_ms);
+        meter.usual_tokens.add(own_tokens, USUAL_MS, now_ms);
+        let shared = &mut meter.usual_shared_tokens;
+        shared.add(shared_tokens as f64, USUAL_MS, now_ms);
+    }
+
+    /// Counts a request in progress.
+    pub fn begin(&mut self, service: u64, lane: Lane) {
+        self.lane_mut(service, lane).streams += 1.0;
+    }
+
+    /// Ends the count of a request that [`ReadingDemand::begin`] counted.
+    pub fn end(&mut self, service: u64, lane: Lane) {
+        self.lane_mut(service, lane).streams -= 1.0;
     }
 
     /// Replaces what another VM, or a summary, says of its callers.
@@ -114,7 +183,7 @@
     pub fn to_own(&self, now_ms: u64) -> Vec<(u64, Asked)> {
         let meters = self.own.iter();
         meters
-            .map(|(service, meter)| (*service, meter.to_asked(now_ms)))
+            .map(|(service, meters)| (*service, to_asked(meters, now_ms)))
             .collect()
     }
 
@@ -138,7 +207,7 @@
     /// Returns what the callers of all VMs ask of a service, as far as known.
     pub fn to_asked(&self, service: u64, now_ms: u64) -> Asked {
         let own = self.own.get(&service);
-        let mut sum = own.map_or(Asked::default(), |meter| meter.to_asked(now_ms));
+        let mut sum = own.map_or(Asked::default(), |meters| to_asked(meters, now_ms));
         for (other, asked) in self.peers.values().flatten() {
             if *other == service {
                 sum += *asked;
@@ -148,6 +217,16 @@
     }
 }
 
+fn to_asked(meters: &[Meter; LANES_MAX], now_ms: u64) -> Asked {
+    Asked {
+        burst_tokens_per_ms: meters.map(|meter| meter.burst_tokens.to_rate(BURST_MS, now_ms)),
+        usual_tokens_per_ms: meters.map(|meter| meter.usual_tokens.to_rate(USUAL_MS, now_ms)),
+        usual_shared_tokens_per_ms: meters
+            .map(|meter| meter.usual_shared_tokens.to_rate(USUAL_MS, now_ms)),
+        streams: meters.map(|meter| meter.streams),
+    }
+}
+
 /// The engines of each lane; VMs that know the same engines and the same demand divide them alike.
 #[derive(Debug)]
 pub struct Lanes {
@@ -158,13 +237,13 @@
 }
 
 impl Lanes {
-    /// Divides engines, given by the hashes of their ids, of which each reads `tokens_per_ms`.
+    /// Divides engines, given by the hashes of their ids.
     pub fn new(
         config: &Config,
         mut hashes: Vec<u64>,
         count: usize,
         asked: &Asked,
-        tokens_per_ms: f64,
+        engine: Capacity,
     ) -> Self {
         if hashes.is_empty() {
             let ends = vec![0];
@@ -173,7 +252,7 @@
         hashes.sort_unstable();
         let count = count.clamp(1, LANES_MAX);
         let count = if hashes.len() < count { 1 } else { count };
-        let sizes = to_sizes(config, hashes.len(), count, asked, tokens_per_ms);
+        let sizes = to_sizes(config, hashes.len(), count, asked, engine);
         let mut ends = Vec::new();
         let mut sum = 0.0;
         for (index, size) in sizes.iter().enumerate() {
@@ -238,41 +317,81 @@
     }
 }
 
+/// What one engine can do.
+#[derive(Clone, Copy, Debug)]
+pub struct Capacity {
+    /// Prompt tokens that it reads in a millisecond.
+    pub tokens_per_ms: f64,
+    /// Requests that it works on at once.
+    pub slots: f64,
+}
+
 /// Returns the number of engines of each lane, not rounded.
 fn to_sizes(
     config: &Config,
     engines: usize,
     count: usize,
     asked: &Asked,
-    tokens_per_ms: f64,
+    engine: Capacity,
 ) -> Vec<f64> {
     let engines = engines as f64;
     let total: f64 = config.shares[..count].iter().sum();
-    let mut sizes = Vec::new();
-    for share in &config.shares[..count] {
-        sizes.push(engines * share / total);
+    let usual: f64 = asked.usual_tokens_per_ms[..count].iter().sum();
+    if usual == 0.0 {
+        return to_parts(engines, &config.shares[..count]);
     }
-    let mut needs = Vec::new();
-    let rates = &asked.tokens_per_ms[..count];
-    for (rate, reading_share) in rates.iter().zip(&config.reading_shares) {
-        needs.push(rate / (tokens_per_ms * reading_share));
+    // What each lane needs in a burst, and what it should have in calm times.
+    let mut burst = Vec::new();
+    let mut calm = Vec::new();
+    for lane in 0..count {
+        let reading = engine.tokens_per_ms * config.burst_reading_shares[lane];
+        let holding = engine.slots * config.burst_slot_share;
+        let need = asked.burst_tokens_per_ms[lane] / reading;
+        burst.push(need.max(asked.streams[lane] / holding));
+        let reading = engine.tokens_per_ms * config.calm_reading_shares[lane];
+        calm.push(burst[lane].max(asked.usual_tokens_per_ms[lane] / reading));
     }
-    let needed: f64 = needs.iter().sum();
-    if needed >= engines {
-        return needs.iter().map(|need| need * engines / needed).collect();
+    let (burst_sum, calm_sum): (f64, f64) = (burst.iter().sum(), calm.iter().sum());
+    if calm_sum <= engines {
+        // Engines that nobody needs keep shared parts.
+        let spare = to_parts(
+            engines - calm_sum,
+            &asked.usual_shared_tokens_per_ms[..count],
+        );
+        return calm
+            .iter()
+            .zip(spare)
+            .map(|(need, spare)| need + spare)
+            .collect();
     }
-    let mut missing = 0.0;
-    let mut spare = 0.0;
-    for (size, need) in sizes.iter().zip(&needs) {
-        missing += (need - size).max(0.0);
-        spare += (size - need).max(0.0);
+    if burst_sum <= engines {
+        let part = (engines - burst_sum) / (calm_sum - burst_sum);
+        let between = burst.iter().zip(&calm);
+        return between
+            .map(|(burst, calm)| burst + (calm - burst) * part)
+            .collect();
     }
-    for (size, need) in sizes.iter_mut().zip(&needs) {
-        if *size < *need {
-            *size = *need;
-        } else if spare > 0.0 {
-            *size -= (*size - need) * missing / spare;
-        }
+    // The lanes of the shortest gap targets come first: their streams suffer most beside those of others.
+    let mut sizes = Vec::new();
+    let mut left = engines;
+    for (lane, need) in burst.iter().enumerate().take(count - 1) {
+        let later: f64 = config.shares[lane + 1..count].iter().sum();
+        let kept = engines * later / total * config.kept_share;
+        let size = need.min(left - kept);
+        sizes.push(size);
+        left -= size;
     }
+    sizes.push(left);
     sizes
 }
+
+/// Splits a number of engines in proportion to weights; evenly if there are none.
+fn to_parts(engines: f64, weights: &[f64]) -> Vec<f64> {
+    let sum: f64 = weights.iter().sum();
+    let even = 1.0 / weights.len() as f64;
+    let share = |weight: &f64| if sum > 0.0 { weight / sum } else { even };
+    weights
+        .iter()
+        .map(|weight| engines * share(weight))
+        .collect()
+}
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -12,6 +12,7 @@
 use crate::forwarding::endpoints::Trust;
 use crate::forwarding::lanes;
 use crate::forwarding::lanes::Asked;
+use crate::forwarding::lanes::Capacity;
 use crate::forwarding::lanes::Homes;
 use crate::forwarding::lanes::Lane;
 use crate::forwarding::lanes::Lanes;
@@ -45,6 +46,8 @@
     pub looser_home_factor: f64,
     /// Shared prompts of fewer tokens are not worth a certain engine.
     pub shared_min_tokens: u64,
+    /// Whether an engine that gets a prompt away from its home fetches the shared part from there.
+    pub fetches_shared_parts: bool,
     /// Cost of a failure share of 1, in milliseconds.
     pub failure_cost_ms: f64,
 }
@@ -63,6 +66,7 @@
             second_home_factor: 8.0,
             looser_home_factor: 3.0,
             shared_min_tokens: 1_024,
+            fetches_shared_parts: false,
             failure_cost_ms: 400.0,
         }
     }
@@ -79,6 +83,8 @@
     pub lane: Lane,
     /// What callers ask of the service in each lane.
     pub asked: Asked,
+    /// Whether engines can fetch shared parts from each other.
+    pub can_fetch: bool,
     /// How urgent it is.
     pub level: Level,
     /// Whether it may run more than once, so that it can try an endpoint that failed lately.
@@ -91,6 +97,15 @@
     pub draw: u64,
 }
 
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The endpoint that runs it.
+    pub endpoint: EndpointKey,
+    /// The engine from which that endpoint fetches the shared part of the prompt, instead of reading it again.
+    pub source: Option<EndpointKey>,
+}
+
 /// Returns the endpoint with the least expected delay, or `None` if there is none to use.
 ///
 /// Endpoints under suspicion are used only if no other is left.
@@ -99,25 +114,34 @@
     endpoints: &Endpoints,
     request: &Request<'_>,
     now_ms: u64,
-) -> Option<EndpointKey> {
+) -> Option<Choice> {
     let lanes = request
         .prompt
         .map(|prompt| (LaneView::new(config, endpoints, request, prompt), prompt));
-    let mut best: Option<((u8, f64), EndpointKey)> = None;
+    let source = lanes
+        .as_ref()
+        .and_then(|(lanes, _)| lanes.find_source(config, endpoints, request, now_ms));
+    let mut best: Option<((u8, f64), Choice)> = None;
     for (key, endpoint) in to_candidates(endpoints, request.service, request.tried, now_ms) {
         let rank = to_rank(endpoint.to_trust(now_ms), request);
         let mut cost_ms = to_cost_ms(config, endpoints, endpoint, request, now_ms);
+        let mut choice = Choice {
+            endpoint: key,
+            source: None,
+        };
         if let Some((lanes, prompt)) = &lanes {
-            cost_ms += lanes.to_cost_ms(config, endpoint, prompt);
+            let (part_cost_ms, fetches) = lanes.to_cost_ms(config, endpoint, prompt);
+            cost_ms += part_cost_ms;
+            choice.source = source.filter(|_| fetches);
         }
         // A millionth of a millisecond decides between equals only.
         cost_ms += (mix(request.draw ^ endpoint.hash) % 1_000) as f64 * 1e-6;
         let score = (rank, cost_ms);
         if best.is_none_or(|(best, _)| score < best) {
-            best = Some((score, key));
+            best = Some((score, choice));
         }
     }
-    best.map(|(_, key)| key)
+    best.map(|(_, choice)| choice)
 }
 
 /// Returns whether any endpoint is left to choose.
@@ -235,17 +259,23 @@
 impl LaneView {
     fn new(config: &Config, endpoints: &Endpoints, request: &Request<'_>, prompt: &Prompt) -> Self {
         let mut hashes = Vec::new();
+        let mut slots = 0;
         for (_, endpoint) in endpoints.of_service(request.service) {
             if endpoint.is_usable() {
                 hashes.push(endpoint.hash);
+                slots += endpoint.entry.slots.max(1);
             }
         }
+        let engine = Capacity {
+            tokens_per_ms: config.read_tokens_per_ms,
+            slots: f64::from(slots.max(1)) / hashes.len().max(1) as f64,
+        };
         let lanes = Lanes::new(
             &config.lanes,
             hashes,
             request.lane.count,
             &request.asked,
-            config.read_tokens_per_ms,
+            engine,
         );
         let shared_tokens = prompt.to_shared_tokens();
         let homes = match prompt.to_shared_part() {
@@ -260,7 +290,24 @@
         }
     }
 
-    fn to_cost_ms(&self, config: &Config, endpoint: &Endpoint, prompt: &Prompt) -> f64 {
+    /// Returns the engine that other engines of the lane can fetch the shared part from: its home, if that can be relied on.
+    fn find_source(
+        &self,
+        config: &Config,
+        endpoints: &Endpoints,
+        request: &Request<'_>,
+        now_ms: u64,
+    ) -> Option<EndpointKey> {
+        let home = self.homes.get(self.own)?.first?;
+        let (key, endpoint) = endpoints
+            .of_service(request.service)
+            .find(|(_, endpoint)| endpoint.hash == home)?;
+        let is_reliable = endpoint.is_usable() && endpoint.to_trust(now_ms) == Trust::Full;
+        (config.fetches_shared_parts && request.can_fetch && is_reliable).then_some(key)
+    }
+
+    /// Returns what the lane and the shared part add to the cost of an endpoint, and whether it is to fetch that part.
+    fn to_cost_ms(&self, config: &Config, endpoint: &Endpoint, prompt: &Prompt) -> (f64, bool) {
         let lane = self.lanes.to_lane(endpoint.hash);
         let mut cost_ms = 0.0;
         if lane < self.own {
@@ -268,7 +315,7 @@
         }
         cost_ms += lane.saturating_sub(self.own) as f64 * config.looser_lane_cost_ms;
         let Some(homes) = self.homes.get(lane) else {
-            return cost_ms;
+            return (cost_ms, false);
         };
         let kept = endpoint.kept.to_kept_tokens(prompt);
         let unread = self.shared_tokens.saturating_sub(kept);
@@ -276,7 +323,8 @@
         // All VMs rank the engines of a lane alike for this part. The first one probably keeps it; the second one does
         // if the first was overloaded, and the first one of another lane if all of the own lane were.
         let hash = Some(endpoint.hash);
-        let factor = if hash == homes.first && lane == self.own {
+        let is_home = hash == homes.first && lane == self.own;
+        let factor = if is_home {
             0.0
         } else if hash == homes.first {
             config.looser_home_factor
@@ -285,6 +333,7 @@
         } else {
             config.reread_factor
         };
-        cost_ms + unread_ms * (factor - 1.0)
+        let fetches = !is_home && unread > 0;
+        (cost_ms + unread_ms * (factor - 1.0), fetches)
     }
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -1,5 +1,7 @@
 //! What an adapter tells the gateway about the headers of callers and endpoints.
 
+use std::net::SocketAddr;
+
 use hyper::HeaderMap;
 use hyper::StatusCode;
 use waxwing_core::Name;
@@ -36,6 +38,8 @@
     pub level: Option<Level>,
     /// Id of the event after which a stream goes on.
     pub last_event_id: Option<&'a str>,
+    /// Engine to fetch what it keeps of the prompt from.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// What the head of an endpoint's answer says.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -28,6 +28,7 @@
 use waxwing_core::forwarding::endpoints::Level;
 use waxwing_core::forwarding::lanes::Lane;
 use waxwing_core::forwarding::placement;
+use waxwing_core::forwarding::placement::Choice;
 use waxwing_core::forwarding::run::End;
 use waxwing_core::forwarding::run::Next;
 use waxwing_core::forwarding::run::Progress;
@@ -76,6 +77,7 @@
     pub(crate) organisation: Option<Name>,
     pub(crate) level: Level,
     pub(crate) memory_tokens: Option<u64>,
+    pub(crate) fetch_tokens_per_s: Option<u64>,
     pub(crate) lane: Lane,
     pub(crate) intent: Intent,
     pub(crate) head: Parts,
@@ -83,14 +85,18 @@
     pub(crate) content: Content,
     pub(crate) deadline_ms: u64,
     pub(crate) tried: Vec<EndpointKey>,
+    /// Engine from which the endpoint that was chosen last fetches the shared part of the prompt.
+    pub(crate) source: Option<EndpointKey>,
     pub(crate) progress: Progress,
-    _in_progress: InProgress,
+    in_progress: InProgress,
 }
 
 /// Counts a request for as long as it lives.
 struct InProgress {
     gateway: Rc<Gateway>,
     bytes: usize,
+    /// Service and lane, once it is known that engines are asked.
+    stream: Option<(u64, Lane)>,
 }
 
 impl InProgress {
@@ -99,9 +105,18 @@
         Self {
             gateway: Rc::clone(gateway),
             bytes: 0,
+            stream: None,
         }
     }
 
+    fn ask(&mut self, service: u64, lane: Lane) {
+        self.stream = Some((service, lane));
+        self.gateway
+            .reading_demand
+            .borrow_mut()
+            .begin(service, lane);
+    }
+
     fn hold(&mut self, bytes: usize) {
         self.bytes += bytes;
         let buffered = &self.gateway.buffered_bytes;
@@ -116,6 +131,9 @@
             .set(self.gateway.in_progress.get() - 1);
         let buffered = &self.gateway.buffered_bytes;
         buffered.set(buffered.get() - self.bytes);
+        if let Some((service, lane)) = self.stream {
+            self.gateway.reading_demand.borrow_mut().end(service, lane);
+        }
     }
 }
 
@@ -210,6 +228,7 @@
         trace,
         lane: lane.unwrap_or_default(),
         memory_tokens: known.and_then(|service| service.memory_tokens),
+        fetch_tokens_per_s: known.and_then(|service| service.fetch_tokens_per_s),
         content: to_content(organisation.as_ref(), &head, &body),
         route,
         service,
@@ -220,8 +239,9 @@
         body,
         deadline_ms,
         tried: Vec::new(),
+        source: None,
         progress: Progress::new(limit_ms),
-        _in_progress: in_progress,
+        in_progress,
     };
     if gateway.is_crashing(&exchange.content) {
         let message = "endpoints crashed on this content";
@@ -374,9 +394,10 @@
 
     /// Chooses an endpoint that the request was not sent to yet.
     fn take_endpoint(&mut self) -> Option<EndpointKey> {
-        let key = self.choose()?;
-        self.tried.push(key);
-        Some(key)
+        let choice = self.choose()?;
+        self.tried.push(choice.endpoint);
+        self.source = choice.source;
+        Some(choice.endpoint)
     }
 
     /// Chooses the endpoint for a repeat after a run ended; returns `None` if the request is to be given up.
@@ -409,15 +430,17 @@
         true
     }
 
-    /// Counts the request's own part of its prompt as demand of its lane; engines mostly keep the parts that it shares.
-    fn count_demand(&self, now_ms: u64) {
+    /// Counts the prompt as demand of its lane.
+    fn count_demand(&mut self, now_ms: u64) {
         let Some(prompt) = &self.intent.prompt else {
             return;
         };
-        let tokens = prompt.tokens.saturating_sub(prompt.to_shared_tokens());
         let service = to_hash(self.service.as_str());
-        let mut demand = self.gateway.reading_demand.borrow_mut();
-        demand.add(service, self.lane, tokens, now_ms);
+        self.gateway
+            .reading_demand
+            .borrow_mut()
+            .add(service, self.lane, prompt, now_ms);
+        self.in_progress.ask(service, self.lane);
     }
 
     /// Returns the refusal of a request whose prompt the chosen endpoint would read too late.
@@ -434,7 +457,7 @@
         self.trace
             .add_backlog(endpoint.entry.id.as_str(), backlog_ms);
         let message =
-            format!("the engines need {backlog_ms:.0} ms to read the prompts before this one");
+            format!("the engine needs {backlog_ms:.0} ms for the prompts before this one");
         Some(Refusal::not_run(
             Reason::DeadlineUnreachable,
             retry_after_ms,
@@ -442,21 +465,29 @@
         ))
     }
 
-    fn choose(&self) -> Option<EndpointKey> {
+    /// Returns the request as the placement sees it.
+    fn to_placed(&self, now_ms: u64) -> placement::Request<'_> {
         let gateway = &self.gateway;
-        let now_ms = gateway.clock.now_ms();
         let service = to_hash(self.service.as_str());
-        let request = placement::Request {
+        let demand = gateway.reading_demand.borrow();
+        placement::Request {
             service: &self.service,
             prompt: self.intent.prompt.as_ref(),
             lane: self.lane,
-            asked: gateway.reading_demand.borrow().to_asked(service, now_ms),
+            asked: demand.to_asked(service, now_ms),
+            can_fetch: self.fetch_tokens_per_s.is_some(),
             level: self.level,
             is_repeatable: self.route.is_repeatable(),
             data_centre: &gateway.data_centre,
             tried: &self.tried,
             draw: gateway.draw(),
-        };
+        }
+    }
+
+    fn choose(&self) -> Option<Choice> {
+        let gateway = &self.gateway;
+        let now_ms = gateway.clock.now_ms();
+        let request = self.to_placed(now_ms);
         let endpoints = gateway.endpoints.borrow();
         placement::choose(&gateway.placement, &endpoints, &request, now_ms)
     }
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -110,7 +110,18 @@
             };
             let address = endpoint.entry.address;
             let endpoint_id = endpoint.entry.id.clone();
-            let run = endpoints.begin(key, prompt, self.memory_tokens, self.level, now_ms);
+            let fetched_tokens = match (self.source, prompt) {
+                (Some(_), Some(prompt)) => prompt.to_shared_tokens(),
+                _ => 0,
+            };
+            let run = endpoints.begin(
+                key,
+                prompt,
+                fetched_tokens,
+                self.memory_tokens,
+                self.level,
+                now_ms,
+            );
             (address, endpoint_id, run)
         };
         let mut run = RunGuard {
@@ -122,6 +133,7 @@
             load: None,
             key: Some(run_key),
         };
+        self.trace.begin_run(&run.endpoint_id, now_ms);
         let answered = self.exchange_heads(&run, last_event_id).await;
         let (connection, response) = match answered {
             Ok(answered) => answered,
@@ -333,12 +345,20 @@
             organisation: self.organisation.as_ref(),
             level: self.intent.prompt.is_some().then_some(self.level),
             last_event_id,
+            fetch_from: self.to_source_address(),
         };
         self.gateway.dialect.instruct(&mut headers, &instructions);
         *request.headers_mut() = headers;
         request
     }
 
+    /// Returns the address of the engine that the prompt's shared part is fetched from.
+    fn to_source_address(&self) -> Option<SocketAddr> {
+        let endpoints = self.gateway.endpoints.borrow();
+        let source = endpoints.get(self.source?)?;
+        source.is_usable().then_some(source.entry.address)
+    }
+
     pub(crate) fn to_left_ms(&self) -> u64 {
         self.deadline_ms.saturating_sub(self.gateway.clock.now_ms())
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -145,10 +145,16 @@
     pub queued_cost_ms: f64,
     /// Cost of an endpoint in another data centre, in milliseconds.
     pub remote_cost_ms: f64,
-    /// Shares of the engines for lanes of ascending gap targets.
+    /// Shares of the engines for lanes of ascending gap targets while nothing is known of the demand.
     pub lane_shares: [f64; LANES_MAX],
-    /// Parts of their time that engines of each lane may spend on reading before the lane takes more engines.
-    pub lane_reading_shares: [f64; LANES_MAX],
+    /// Parts of their time that engines of each lane spend on reading in calm times.
+    pub lane_calm_reading_shares: [f64; LANES_MAX],
+    /// Parts of their time that engines of each lane spend on reading in a burst.
+    pub lane_burst_reading_shares: [f64; LANES_MAX],
+    /// Part of the slots of a lane's engines that are taken in a burst.
+    pub lane_burst_slot_share: f64,
+    /// Part of its share that a lane keeps however much the others need.
+    pub lane_kept_share: f64,
     /// Cost of an engine in a lane of shorter gap targets, in milliseconds.
     pub tighter_lane_cost_ms: f64,
     /// Cost of an engine in a lane of longer gap targets, in milliseconds for each lane between.
@@ -159,6 +165,8 @@
     pub second_home_factor: f64,
     /// The same for the engine that comes first in a lane of longer gap targets.
     pub looser_home_factor: f64,
+    /// Whether an engine that gets a prompt away from its home fetches the shared part from there.
+    pub fetches_shared_parts: bool,
 }
 
 impl Default for Placement {
@@ -170,12 +178,16 @@
             queued_cost_ms: usual.queued_cost_ms,
             remote_cost_ms: usual.remote_cost_ms,
             lane_shares: usual.lanes.shares,
-            lane_reading_shares: usual.lanes.reading_shares,
+            lane_calm_reading_shares: usual.lanes.calm_reading_shares,
+            lane_burst_reading_shares: usual.lanes.burst_reading_shares,
+            lane_burst_slot_share: usual.lanes.burst_slot_share,
+            lane_kept_share: usual.lanes.kept_share,
             tighter_lane_cost_ms: usual.tighter_lane_cost_ms,
             looser_lane_cost_ms: usual.looser_lane_cost_ms,
             reread_factor: usual.reread_factor,
             second_home_factor: usual.second_home_factor,
             looser_home_factor: usual.looser_home_factor,
+            fetches_shared_parts: usual.fetches_shared_parts,
         }
     }
 }
@@ -189,13 +201,17 @@
             remote_cost_ms: settings.remote_cost_ms,
             lanes: lanes::Config {
                 shares: settings.lane_shares,
-                reading_shares: settings.lane_reading_shares,
+                calm_reading_shares: settings.lane_calm_reading_shares,
+                burst_reading_shares: settings.lane_burst_reading_shares,
+                burst_slot_share: settings.lane_burst_slot_share,
+                kept_share: settings.lane_kept_share,
             },
             tighter_lane_cost_ms: settings.tighter_lane_cost_ms,
             looser_lane_cost_ms: settings.looser_lane_cost_ms,
             reread_factor: settings.reread_factor,
             second_home_factor: settings.second_home_factor,
             looser_home_factor: settings.looser_home_factor,
+            fetches_shared_parts: settings.fetches_shared_parts,
             ..Self::default()
         }
     }
@@ -314,9 +330,31 @@
             ("reread_factor", placement.reread_factor),
             ("second_home_factor", placement.second_home_factor),
             ("looser_home_factor", placement.looser_home_factor),
-            ("lane_reading_shares[0]", placement.lane_reading_shares[0]),
-            ("lane_reading_shares[1]", placement.lane_reading_shares[1]),
-            ("lane_reading_shares[2]", placement.lane_reading_shares[2]),
+            (
+                "lane_calm_reading_shares[0]",
+                placement.lane_calm_reading_shares[0],
+            ),
+            (
+                "lane_calm_reading_shares[1]",
+                placement.lane_calm_reading_shares[1],
+            ),
+            (
+                "lane_calm_reading_shares[2]",
+                placement.lane_calm_reading_shares[2],
+            ),
+            (
+                "lane_burst_reading_shares[0]",
+                placement.lane_burst_reading_shares[0],
+            ),
+            (
+                "lane_burst_reading_shares[1]",
+                placement.lane_burst_reading_shares[1],
+            ),
+            (
+                "lane_burst_reading_shares[2]",
+                placement.lane_burst_reading_shares[2],
+            ),
+            ("lane_burst_slot_share", placement.lane_burst_slot_share),
             ("lane_shares[0]", placement.lane_shares[0]),
             ("lane_shares[1]", placement.lane_shares[1]),
             ("lane_shares[2]", placement.lane_shares[2]),
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -22,6 +22,8 @@
     level: Option<u8>,
     configuration_version: u64,
     runs: String,
+    /// Endpoint of the run in progress, and the time of its start in milliseconds since the receipt.
+    unfinished: Option<(Name, u64)>,
     first_byte_ms: Option<u64>,
     is_finished: bool,
 }
@@ -38,6 +40,7 @@
             level: None,
             configuration_version,
             runs: String::new(),
+            unfinished: None,
             first_byte_ms: None,
             is_finished: false,
         }
@@ -69,8 +72,14 @@
         self.clock.now_ms() - self.received_ms
     }
 
+    /// Records that the request was sent to an endpoint.
+    pub(crate) fn begin_run(&mut self, endpoint: &Name, began_ms: u64) {
+        self.unfinished = Some((endpoint.clone(), began_ms - self.received_ms));
+    }
+
     /// Adds a run: endpoint, time of its start, its end and the time of its end, in milliseconds since the receipt.
     pub(crate) fn add_run(&mut self, endpoint: &str, began_ms: u64, end: End, detail: &str) {
+        self.unfinished = None;
         let began_ms = began_ms - self.received_ms;
         let ended_ms = self.to_elapsed_ms();
         let end = end.as_str();
@@ -134,6 +143,11 @@
 impl Drop for Trace {
     fn drop(&mut self) {
         if !self.is_finished {
+            if let Some((endpoint, began_ms)) = self.unfinished.take() {
+                let ended_ms = self.to_elapsed_ms();
+                let endpoint = endpoint.as_str();
+                let _ = write!(self.runs, "{endpoint}:unfinished@{began_ms}-{ended_ms}");
+            }
             self.write("caller_gone", 0, Execution::Unknown);
         }
     }
--- a/crates/wire/src/advert.rs
+++ b/crates/wire/src/advert.rs
@@ -19,7 +19,7 @@
 use waxwing_core::state::evidence::Finding;
 
 /// Version of the datagrams, their first byte; others are refused.
-const VERSION: u8 = 5;
+const VERSION: u8 = 6;
 
 /// Most prompt tokens of one datagram at an endpoint at one level; sums over all VMs must not overflow.
 const TOKENS_MAX: u64 = 1 << 40;
@@ -121,7 +121,10 @@
 struct WireAsked {
     /// Hash of the service's name, in little-endian order.
     service: [u8; 8],
-    tokens_per_ms: [f32; LANES_MAX],
+    burst_tokens_per_ms: [f32; LANES_MAX],
+    usual_tokens_per_ms: [f32; LANES_MAX],
+    usual_shared_tokens_per_ms: [f32; LANES_MAX],
+    streams: [f32; LANES_MAX],
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -213,9 +216,13 @@
 
 impl From<&(u64, Asked)> for WireAsked {
     fn from((service, asked): &(u64, Asked)) -> Self {
+        let narrow = |values: [f64; LANES_MAX]| values.map(|value| value as f32);
         Self {
             service: service.to_le_bytes(),
-            tokens_per_ms: asked.tokens_per_ms.map(|value| value as f32),
+            burst_tokens_per_ms: narrow(asked.burst_tokens_per_ms),
+            usual_tokens_per_ms: narrow(asked.usual_tokens_per_ms),
+            usual_shared_tokens_per_ms: narrow(asked.usual_shared_tokens_per_ms),
+            streams: narrow(asked.streams),
         }
     }
 }
@@ -224,12 +231,18 @@
     type Error = Error;
 
     fn try_from(wire: WireAsked) -> Result<Self> {
-        let mut values = wire.tokens_per_ms.iter();
-        if values.any(|value| !value.is_finite() || *value < 0.0) {
-            return Err(Error::Field("asked"));
-        }
+        let widen = |values: [f32; LANES_MAX]| {
+            let is_valid = |value: &f32| value.is_finite() && *value >= 0.0;
+            match values.iter().all(is_valid) {
+                true => Ok(values.map(f64::from)),
+                false => Err(Error::Field("asked")),
+            }
+        };
         let asked = Asked {
-            tokens_per_ms: wire.tokens_per_ms.map(f64::from),
+            burst_tokens_per_ms: widen(wire.burst_tokens_per_ms)?,
+            usual_tokens_per_ms: widen(wire.usual_tokens_per_ms)?,
+            usual_shared_tokens_per_ms: widen(wire.usual_shared_tokens_per_ms)?,
+            streams: widen(wire.streams)?,
         };
         Ok((u64::from_le_bytes(wire.service), asked))
     }
