Split the sizes of lanes, and ask only whether engines can fetch

No change in behaviour: to_sizes in three functions; the configuration's rate of fetching was used as a flag, so it is one; one function tells when closed endpoints open.

--- a/crates/core/src/forwarding/configuration.rs
+++ b/crates/core/src/forwarding/configuration.rs
@@ -92,8 +92,8 @@
     pub connections_max: u32,
     /// Tokens that the memory of one engine holds; `None` for services without a model.
     pub memory_tokens: Option<u64>,
-    /// Tokens that an engine fetches from the memory of another one in a second; `None` if engines cannot do that.
-    pub fetch_tokens_per_s: Option<u64>,
+    /// Whether an engine can fetch what it lacks of a prompt from the memory of another one.
+    pub can_fetch: bool,
 }
 
 /// An organisation and its API keys.
--- a/crates/core/src/forwarding/lanes.rs
+++ b/crates/core/src/forwarding/lanes.rs
@@ -326,6 +326,29 @@
     pub slots: f64,
 }
 
+/// Engines that a lane needs, not rounded.
+#[derive(Clone, Copy, Debug)]
+struct Need {
+    /// To bear the present burst.
+    burst: f64,
+    /// To read and hold at a calm pace.
+    calm: f64,
+}
+
+fn to_needs(config: &Config, count: usize, asked: &Asked, engine: Capacity) -> Vec<Need> {
+    let mut needs = Vec::new();
+    for lane in 0..count {
+        let burst_rate = engine.tokens_per_ms * config.burst_reading_shares[lane];
+        let calm_rate = engine.tokens_per_ms * config.calm_reading_shares[lane];
+        let slots = engine.slots * config.burst_slot_share;
+        let reading = asked.burst_tokens_per_ms[lane] / burst_rate;
+        let burst = reading.max(asked.streams[lane] / slots);
+        let calm = burst.max(asked.usual_tokens_per_ms[lane] / calm_rate);
+        needs.push(Need { burst, calm });
+    }
+    needs
+}
+
 /// Returns the number of engines of each lane, not rounded.
 fn to_sizes(
     config: &Config,
@@ -335,49 +358,46 @@
     engine: Capacity,
 ) -> Vec<f64> {
     let engines = engines as f64;
-    let total: f64 = config.shares[..count].iter().sum();
     let usual: f64 = asked.usual_tokens_per_ms[..count].iter().sum();
     if usual == 0.0 {
         return to_parts(engines, &config.shares[..count]);
     }
-    // What each lane needs in a burst, and what it should have in calm times.
-    let mut burst = Vec::new();
-    let mut calm = Vec::new();
-    for lane in 0..count {
-        let reading = engine.tokens_per_ms * config.burst_reading_shares[lane];
-        let holding = engine.slots * config.burst_slot_share;
-        let need = asked.burst_tokens_per_ms[lane] / reading;
-        burst.push(need.max(asked.streams[lane] / holding));
-        let reading = engine.tokens_per_ms * config.calm_reading_shares[lane];
-        calm.push(burst[lane].max(asked.usual_tokens_per_ms[lane] / reading));
+    let needs = to_needs(config, count, asked, engine);
+    let burst: f64 = needs.iter().map(|need| need.burst).sum();
+    let calm: f64 = needs.iter().map(|need| need.calm).sum();
+    if burst > engines {
+        return to_overload_sizes(config, engines, &needs);
     }
-    let (burst_sum, calm_sum): (f64, f64) = (burst.iter().sum(), calm.iter().sum());
-    if calm_sum <= engines {
-        // Engines that nobody needs keep shared parts.
-        let spare = to_parts(
-            engines - calm_sum,
-            &asked.usual_shared_tokens_per_ms[..count],
-        );
-        return calm
+    if calm > engines {
+        let part = (engines - burst) / (calm - burst);
+        let sizes = needs
             .iter()
-            .zip(spare)
-            .map(|(need, spare)| need + spare)
-            .collect();
-    }
-    if burst_sum <= engines {
-        let part = (engines - burst_sum) / (calm_sum - burst_sum);
-        let between = burst.iter().zip(&calm);
-        return between
-            .map(|(burst, calm)| burst + (calm - burst) * part)
-            .collect();
+            .map(|need| need.burst + (need.calm - need.burst) * part);
+        return sizes.collect();
     }
-    // The lanes of the shortest gap targets come first: their streams suffer most beside those of others.
+    // Engines that nobody needs keep shared parts.
+    let shared = &asked.usual_shared_tokens_per_ms[..count];
+    let spare = to_parts(engines - calm, shared);
+    let sizes = needs
+        .iter()
+        .zip(spare)
+        .map(|(need, spare)| need.calm + spare);
+    sizes.collect()
+}
+
+/// Returns the number of engines of each lane if there are fewer than a burst needs.
+///
+/// The lanes of the shortest gap targets come first: their streams suffer most beside those of others. Each later one
+/// keeps a part of its share.
+fn to_overload_sizes(config: &Config, engines: f64, needs: &[Need]) -> Vec<f64> {
+    let count = needs.len();
+    let total: f64 = config.shares[..count].iter().sum();
     let mut sizes = Vec::new();
     let mut left = engines;
-    for (lane, need) in burst.iter().enumerate().take(count - 1) {
+    for (lane, need) in needs.iter().enumerate().take(count - 1) {
         let later: f64 = config.shares[lane + 1..count].iter().sum();
         let kept = engines * later / total * config.kept_share;
-        let size = need.min(left - kept);
+        let size = need.burst.min(left - kept);
         sizes.push(size);
         left -= size;
     }
@@ -388,10 +408,9 @@
 /// Splits a number of engines in proportion to weights; evenly if there are none.
 fn to_parts(engines: f64, weights: &[f64]) -> Vec<f64> {
     let sum: f64 = weights.iter().sum();
-    let even = 1.0 / weights.len() as f64;
-    let share = |weight: &f64| if sum > 0.0 { weight / sum } else { even };
-    weights
-        .iter()
-        .map(|weight| engines * share(weight))
-        .collect()
+    if sum <= 0.0 {
+        return vec![engines / weights.len() as f64; weights.len()];
+    }
+    let parts = weights.iter().map(|weight| engines * weight / sum);
+    parts.collect()
 }
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -155,12 +155,15 @@
     candidates.next().is_some()
 }
 
-/// Returns the time until an endpoint that turned requests away for a time takes them again, in milliseconds, or `None`
-/// if there is no such endpoint.
+/// Returns the time until the first of the endpoints that turned requests away for a time takes them again, in milliseconds;
+/// `None` if there is no such endpoint or others take requests now.
 pub fn to_opening_ms(endpoints: &Endpoints, service: &Name, now_ms: u64) -> Option<u64> {
     let mut opening_ms: Option<u64> = None;
     for (_, endpoint) in endpoints.of_service(service) {
-        if !endpoint.is_usable() || endpoint.is_open(now_ms) {
+        if endpoint.is_open(now_ms) {
+            return None;
+        }
+        if !endpoint.is_usable() {
             continue;
         }
         let wait_ms = endpoint.to_closed_until_ms() - now_ms;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -77,7 +77,7 @@
     pub(crate) organisation: Option<Name>,
     pub(crate) level: Level,
     pub(crate) memory_tokens: Option<u64>,
-    pub(crate) fetch_tokens_per_s: Option<u64>,
+    pub(crate) can_fetch: bool,
     pub(crate) lane: Lane,
     pub(crate) intent: Intent,
     pub(crate) head: Parts,
@@ -95,7 +95,7 @@
 struct InProgress {
     gateway: Rc<Gateway>,
     bytes: usize,
-    /// Service and lane, once it is known that engines are asked.
+    /// Service and lane under which the request is counted, if engines are asked for it.
     stream: Option<(u64, Lane)>,
 }
 
@@ -109,7 +109,8 @@
         }
     }
 
-    fn ask(&mut self, service: u64, lane: Lane) {
+    /// Counts the request among those of its lane that engines are asked for.
+    fn count_stream(&mut self, service: u64, lane: Lane) {
         self.stream = Some((service, lane));
         self.gateway
             .reading_demand
@@ -228,7 +229,7 @@
         trace,
         lane: lane.unwrap_or_default(),
         memory_tokens: known.and_then(|service| service.memory_tokens),
-        fetch_tokens_per_s: known.and_then(|service| service.fetch_tokens_per_s),
+        can_fetch: known.is_some_and(|service| service.can_fetch),
         content: to_content(organisation.as_ref(), &head, &body),
         route,
         service,
@@ -440,7 +441,7 @@
             .reading_demand
             .borrow_mut()
             .add(service, self.lane, prompt, now_ms);
-        self.in_progress.ask(service, self.lane);
+        self.in_progress.count_stream(service, self.lane);
     }
 
     /// Returns the refusal of a request whose prompt the chosen endpoint would read too late.
@@ -465,29 +466,22 @@
         ))
     }
 
-    /// Returns the request as the placement sees it.
-    fn to_placed(&self, now_ms: u64) -> placement::Request<'_> {
+    fn choose(&self) -> Option<Choice> {
         let gateway = &self.gateway;
+        let now_ms = gateway.clock.now_ms();
         let service = to_hash(self.service.as_str());
-        let demand = gateway.reading_demand.borrow();
-        placement::Request {
+        let request = placement::Request {
             service: &self.service,
             prompt: self.intent.prompt.as_ref(),
             lane: self.lane,
-            asked: demand.to_asked(service, now_ms),
-            can_fetch: self.fetch_tokens_per_s.is_some(),
+            asked: gateway.reading_demand.borrow().to_asked(service, now_ms),
+            can_fetch: self.can_fetch,
             level: self.level,
             is_repeatable: self.route.is_repeatable(),
             data_centre: &gateway.data_centre,
             tried: &self.tried,
             draw: gateway.draw(),
-        }
-    }
-
-    fn choose(&self) -> Option<Choice> {
-        let gateway = &self.gateway;
-        let now_ms = gateway.clock.now_ms();
-        let request = self.to_placed(now_ms);
+        };
         let endpoints = gateway.endpoints.borrow();
         placement::choose(&gateway.placement, &endpoints, &request, now_ms)
     }
@@ -512,11 +506,7 @@
                 let message = "no endpoint took the request";
                 let now_ms = self.gateway.clock.now_ms();
                 let endpoints = self.gateway.endpoints.borrow();
-                let opening_ms = match placement::can_choose(&endpoints, &self.service, &[], now_ms)
-                {
-                    true => None,
-                    false => placement::to_opening_ms(&endpoints, &self.service, now_ms),
-                };
+                let opening_ms = placement::to_opening_ms(&endpoints, &self.service, now_ms);
                 let retry_after_ms = opening_ms.unwrap_or(0).max(NO_ENDPOINT_RETRY_AFTER_MS);
                 Refusal::not_run(reason, retry_after_ms, message)
             }
