--- a/crates/core/src/forwarding/lanes.rs
+++ b/crates/core/src/forwarding/lanes.rs
@@ -33,6 +33,8 @@
     pub burst_reading_shares: [f64; LANES_MAX],
     /// Part of the slots of a lane's engines that are taken in a burst.
     pub burst_slot_share: f64,
+    /// Part of the engines that no lane needs which goes by the shared tokens asked for; the rest goes by the shares.
+    pub memory_share: f64,
     /// Part of its share that a lane keeps however much the others need.
     pub kept_share: f64,
 }
@@ -44,6 +46,7 @@
             calm_reading_shares: [0.12, 0.6, 0.6],
             burst_reading_shares: [0.8, 0.9, 0.8],
             burst_slot_share: 0.7,
+            memory_share: 0.5,
             kept_share: 0.3,
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -153,6 +153,8 @@
     pub lane_burst_reading_shares: [f64; LANES_MAX],
     /// Part of the slots of a lane's engines that are taken in a burst.
     pub lane_burst_slot_share: f64,
+    /// Part of the engines that no lane needs which goes by the shared tokens asked for.
+    pub lane_memory_share: f64,
     /// Part of its share that a lane keeps however much the others need.
     pub lane_kept_share: f64,
     /// Cost of an engine in a lane of shorter gap targets, in milliseconds.
@@ -181,6 +183,7 @@
             lane_calm_reading_shares: usual.lanes.calm_reading_shares,
             lane_burst_reading_shares: usual.lanes.burst_reading_shares,
             lane_burst_slot_share: usual.lanes.burst_slot_share,
+            lane_memory_share: usual.lanes.memory_share,
             lane_kept_share: usual.lanes.kept_share,
             tighter_lane_cost_ms: usual.tighter_lane_cost_ms,
             looser_lane_cost_ms: usual.looser_lane_cost_ms,
@@ -204,6 +207,7 @@
                 calm_reading_shares: settings.lane_calm_reading_shares,
                 burst_reading_shares: settings.lane_burst_reading_shares,
                 burst_slot_share: settings.lane_burst_slot_share,
+                memory_share: settings.lane_memory_share,
                 kept_share: settings.lane_kept_share,
             },
             tighter_lane_cost_ms: settings.tighter_lane_cost_ms,
