--- a/crates/core/src/forwarding/lanes.rs
+++ b/crates/core/src/forwarding/lanes.rs
@@ -44,7 +44,7 @@
         Self {
             shares: [0.34, 0.14, 0.52],
             calm_reading_shares: [0.12, 0.6, 0.6],
-            burst_reading_shares: [0.8, 0.9, 0.8],
+            burst_reading_shares: [0.8, 0.8, 0.8],
             burst_slot_share: 0.7,
             memory_share: 0.5,
             kept_share: 0.3,
@@ -329,30 +329,52 @@
     pub slots: f64,
 }
 
-/// Engines that a lane needs, not rounded.
-#[derive(Clone, Copy, Debug)]
-struct Need {
-    /// To bear the present burst.
-    burst: f64,
-    /// To read and hold at a calm pace.
-    calm: f64,
+/// Returns the engines that each lane needs for the present burst, not rounded.
+fn to_burst_needs(config: &Config, count: usize, asked: &Asked, engine: Capacity) -> Vec<f64> {
+    let slots = engine.slots * config.burst_slot_share;
+    let mut needs = Vec::new();
+    for lane in 0..count {
+        let tokens_per_ms = engine.tokens_per_ms * config.burst_reading_shares[lane];
+        let reading = asked.burst_tokens_per_ms[lane] / tokens_per_ms;
+        needs.push(reading.max(asked.streams[lane] / slots));
+    }
+    needs
 }
 
-fn to_needs(config: &Config, count: usize, asked: &Asked, engine: Capacity) -> Vec<Need> {
+/// Returns the engines of each lane for the usual demand, not rounded.
+fn to_calm_sizes(
+    config: &Config,
+    engines: f64,
+    count: usize,
+    asked: &Asked,
+    engine: Capacity,
+) -> Vec<f64> {
     let mut needs = Vec::new();
     for lane in 0..count {
-        let burst_rate = engine.tokens_per_ms * config.burst_reading_shares[lane];
-        let calm_rate = engine.tokens_per_ms * config.calm_reading_shares[lane];
-        let slots = engine.slots * config.burst_slot_share;
-        let reading = asked.burst_tokens_per_ms[lane] / burst_rate;
-        let burst = reading.max(asked.streams[lane] / slots);
-        let calm = burst.max(asked.usual_tokens_per_ms[lane] / calm_rate);
-        needs.push(Need { burst, calm });
+        let tokens_per_ms = engine.tokens_per_ms * config.calm_reading_shares[lane];
+        needs.push(asked.usual_tokens_per_ms[lane] / tokens_per_ms);
     }
-    needs
+    let needed: f64 = needs.iter().sum();
+    if needed == 0.0 {
+        return to_parts(engines, &config.shares[..count]);
+    }
+    if needed > engines {
+        return to_parts(engines, &needs);
+    }
+    // Engines that nobody needs are room for what comes, by the usual shares, and memory for shared parts.
+    let memory = (engines - needed) * config.memory_share;
+    let room = to_parts(engines - needed - memory, &config.shares[..count]);
+    let memory = to_parts(memory, &asked.usual_shared_tokens_per_ms[..count]);
+    let mut sizes = Vec::new();
+    for ((need, room), memory) in needs.iter().zip(room).zip(memory) {
+        sizes.push(need + room + memory);
+    }
+    sizes
 }
 
 /// Returns the number of engines of each lane, not rounded.
+///
+/// Lanes move only while one is short of what a burst needs: each move makes shared parts be read again.
 fn to_sizes(
     config: &Config,
     engines: usize,
@@ -361,38 +383,27 @@
     engine: Capacity,
 ) -> Vec<f64> {
     let engines = engines as f64;
-    let usual: f64 = asked.usual_tokens_per_ms[..count].iter().sum();
-    if usual == 0.0 {
-        return to_parts(engines, &config.shares[..count]);
-    }
-    let needs = to_needs(config, count, asked, engine);
-    let burst: f64 = needs.iter().map(|need| need.burst).sum();
-    let calm: f64 = needs.iter().map(|need| need.calm).sum();
-    if burst > engines {
+    let calm = to_calm_sizes(config, engines, count, asked, engine);
+    let needs = to_burst_needs(config, count, asked, engine);
+    let needed: f64 = needs.iter().sum();
+    if needed > engines {
         return to_overload_sizes(config, engines, &needs);
     }
-    if calm > engines {
-        let part = (engines - burst) / (calm - burst);
-        let sizes = needs
-            .iter()
-            .map(|need| need.burst + (need.calm - need.burst) * part);
-        return sizes.collect();
-    }
-    // Engines that nobody needs keep shared parts.
-    let shared = &asked.usual_shared_tokens_per_ms[..count];
-    let spare = to_parts(engines - calm, shared);
-    let sizes = needs
+    let lanes = calm.iter().zip(&needs);
+    let spare: Vec<f64> = lanes.map(|(size, need)| (size - need).max(0.0)).collect();
+    let kept = to_parts(engines - needed, &spare);
+    needs
         .iter()
-        .zip(spare)
-        .map(|(need, spare)| need.calm + spare);
-    sizes.collect()
+        .zip(kept)
+        .map(|(need, kept)| need + kept)
+        .collect()
 }
 
 /// Returns the number of engines of each lane if there are fewer than a burst needs.
 ///
 /// The lanes of the shortest gap targets come first: their streams suffer most beside those of others. Each later one
 /// keeps a part of its share.
-fn to_overload_sizes(config: &Config, engines: f64, needs: &[Need]) -> Vec<f64> {
+fn to_overload_sizes(config: &Config, engines: f64, needs: &[f64]) -> Vec<f64> {
     let count = needs.len();
     let total: f64 = config.shares[..count].iter().sum();
     let mut sizes = Vec::new();
@@ -400,7 +411,7 @@
     for (lane, need) in needs.iter().enumerate().take(count - 1) {
         let later: f64 = config.shares[lane + 1..count].iter().sum();
         let kept = engines * later / total * config.kept_share;
-        let size = need.burst.min(left - kept);
+        let size = need.min(left - kept);
         sizes.push(size);
         left -= size;
     }
