--- a/crates/core/src/forwarding/lanes.rs
+++ b/crates/core/src/forwarding/lanes.rs
@@ -24,8 +24,8 @@
 /// Shares and limits of the division.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Config {
-    /// Shares of the engines for up to three lanes while nothing is known of the demand, the one of the shortest gap targets
-    /// first.
+    /// Shares of the engines for up to three lanes, the one of the shortest gap targets first: of all while nothing is known
+    /// of the demand, later of what no lane needs beside memory.
     pub shares: [f64; LANES_MAX],
     /// Parts of their time that engines of each lane spend on reading in calm times.
     pub calm_reading_shares: [f64; LANES_MAX],
