--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -13,6 +13,8 @@
 use crate::Name;
 use crate::fleet::revisions::Delta;
 use crate::fleet::revisions::Revisions;
+use crate::forwarding::endpoints::limits::LimitReport;
+use crate::forwarding::endpoints::limits::RateLimit;
 use crate::forwarding::endpoints::notices::Incarnation;
 use crate::forwarding::endpoints::notices::Notices;
 use crate::forwarding::prompt::PrefixCache;
@@ -20,6 +22,7 @@
 use crate::forwarding::run::RunOutcome;
 use crate::hash::hash_name;
 
+pub mod limits;
 pub mod notices;
 
 new_key_type! {
@@ -206,6 +209,7 @@
     is_misdirected: bool,
     is_leaving: bool,
     paused_until_ms: u64,
+    limit_report: LimitReport,
     losses: u32,
     backoff_ms: u64,
     suspect_until_ms: u64,
@@ -233,6 +237,11 @@
         self.paused_until_ms
     }
 
+    /// Returns the rate of requests that the endpoint takes from all VMs together.
+    pub fn limit(&self) -> RateLimit {
+        self.limit_report.limit
+    }
+
     /// Returns the health of the endpoint.
     pub fn health(&self, now_ms: u64) -> EndpointHealth {
         if self.backoff_ms == 0 {
@@ -459,6 +468,7 @@
             is_misdirected: false,
             is_leaving: self.notices.is_leaving(incarnation),
             paused_until_ms: self.notices.paused_until_ms(incarnation),
+            limit_report: LimitReport::default(),
             losses: 0,
             backoff_ms: 0,
             suspect_until_ms: 0,
@@ -644,6 +654,14 @@
         self.notices.pause(incarnation, until_ms, now_ms);
     }
 
+    /// Records the limit that an endpoint stated in a response; returns the previous limit if it changed.
+    pub fn record_limit(&mut self, key: EndpointKey, report: LimitReport) -> Option<RateLimit> {
+        let endpoint = self.endpoints.get_mut(key)?;
+        let before = endpoint.limit();
+        endpoint.limit_report = endpoint.limit_report.merge(report);
+        (endpoint.limit() != before).then_some(before)
+    }
+
     /// Releases a run whose caller disconnected, without an effect on the endpoint's health.
     pub fn release_run(&mut self, run: RunKey) {
         let Some(run) = self.runs.remove(run) else {
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -8,6 +8,7 @@
 use waxwing_core::forwarding::Configuration;
 use waxwing_core::forwarding::endpoints::Load;
 use waxwing_core::forwarding::endpoints::UrgencyLevel;
+use waxwing_core::forwarding::endpoints::limits::RateLimit;
 use waxwing_core::forwarding::prompt::Prompt;
 
 /// Metadata that a caller states in the headers of a request.
@@ -43,7 +44,7 @@
 }
 
 /// Metadata that an endpoint states in the head of its response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseInfo {
     /// The endpoint states that it did not run the request.
     pub is_not_run: bool,
@@ -59,6 +60,8 @@
     pub is_leaving: bool,
     /// Time for which this VM must send the endpoint no requests, in milliseconds.
     pub pause_ms: Option<u64>,
+    /// Rate of requests that the endpoint takes from all VMs together; `None` if it is unknown.
+    pub limit: Option<RateLimit>,
 }
 
 /// Translates the headers and the configuration format of an outside system.
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -13,6 +13,8 @@
 use waxwing_core::forwarding::EndpointKey;
 use waxwing_core::forwarding::endpoints::Load;
 use waxwing_core::forwarding::endpoints::RunKey;
+use waxwing_core::forwarding::endpoints::limits::LimitReport;
+use waxwing_core::forwarding::endpoints::limits::RateLimit;
 use waxwing_core::forwarding::placement;
 use waxwing_core::forwarding::run::RunOutcome;
 use waxwing_core::forwarding::run::StallTimeouts;
@@ -115,6 +117,9 @@
             };
             let address = endpoint.entry.address;
             let endpoint_id = endpoint.entry.id.clone();
+            if endpoint.limit() != RateLimit::Unlimited {
+                metrics::counter!(metric::LIMITED_RUNS).increment(1);
+            }
             let fetched_tokens = match (self.source, prompt) {
                 (Some(_), Some(prompt)) => prompt.shared_tokens(),
                 _ => 0,
@@ -167,6 +172,14 @@
             if let Some(for_ms) = response_info.pause_ms {
                 self.gateway.pause_endpoint(key, for_ms);
             }
+            if let Some(limit) = response_info.limit {
+                let report = LimitReport {
+                    limit,
+                    sent_ms: run.began_ms,
+                    received_ms: self.gateway.clock.now_ms(),
+                };
+                self.gateway.record_limit(key, report);
+            }
         }
         let received = EndpointResponse {
             run,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,8 @@
 use waxwing_core::forwarding::endpoints::Change;
 use waxwing_core::forwarding::endpoints::Demand;
 use waxwing_core::forwarding::endpoints::Entry;
+use waxwing_core::forwarding::endpoints::limits::LimitReport;
+use waxwing_core::forwarding::endpoints::limits::RateLimit;
 use waxwing_core::forwarding::endpoints::notices::Incarnation;
 use waxwing_core::forwarding::lanes::DemandTracker;
 use waxwing_core::forwarding::lanes::ServiceDemand;
@@ -337,6 +339,32 @@
         metrics::counter!(metric::ENDPOINT_CHANGES, "change" => "closed").increment(1);
     }
 
+    /// Records the rate limit that an endpoint stated in a response, or that it stated none.
+    pub(crate) fn record_limit(&self, key: EndpointKey, report: LimitReport) {
+        let before = self.endpoints.borrow_mut().record_limit(key, report);
+        if let Some(before) = before {
+            self.log_limit(key, before, "answer");
+        }
+    }
+
+    fn log_limit(&self, key: EndpointKey, before: RateLimit, source: &str) {
+        let endpoints = self.endpoints.borrow();
+        let Some(endpoint) = endpoints.get(key) else {
+            return;
+        };
+        let id = endpoint.entry.id.as_str();
+        let (change, per_s) = match (before, endpoint.limit()) {
+            (_, RateLimit::Unlimited) => ("limit_lifted", None),
+            (RateLimit::Unlimited, RateLimit::PerSecond(rate)) => ("limited", Some(rate)),
+            (_, RateLimit::PerSecond(rate)) => ("limit_changed", Some(rate)),
+        };
+        log::info!(
+            event = "endpoint_limit", endpoint = id, change = change, limit_per_s = per_s, source = source;
+            "the endpoint states how many requests it takes from all VMs together"
+        );
+        metrics::counter!(metric::ENDPOINT_CHANGES, "change" => change).increment(1);
+    }
+
     /// Adds a VM that was found, so that it gets adverts.
     pub fn add_peer(&self, vm: Name, address: SocketAddr) {
         if vm != self.vm {
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -13,6 +13,8 @@
 pub const REPEATS_REFUSED: &str = "waxwing_gateway_repeats_refused_total";
 /// Counter of ended runs by outcome.
 pub const RUN_ENDS: &str = "waxwing_gateway_run_ends_total";
+/// Counter of requests sent to endpoints that state a rate limit.
+pub const LIMITED_RUNS: &str = "waxwing_gateway_limited_runs_total";
 /// Histogram of the time to the first byte, in seconds, by route kind.
 pub const FIRST_BYTE: &str = "waxwing_gateway_first_byte_seconds";
 /// Histogram of the time to the whole answer, in seconds, by route kind.
