--- a/crates/core/src/fleet/summary.rs
+++ b/crates/core/src/fleet/summary.rs
@@ -8,6 +8,7 @@
 
 use crate::Name;
 use crate::forwarding::endpoints::Demand;
+use crate::forwarding::endpoints::limits::LimitNotice;
 use crate::forwarding::endpoints::notices::Incarnation;
 use crate::forwarding::lanes::ServiceDemand;
 use crate::hash::hash_name;
@@ -69,6 +70,8 @@
     pub findings: Vec<CrashFinding>,
     /// Endpoints that announced that they are leaving.
     pub leaving: Vec<Incarnation>,
+    /// Rate limits of endpoints, and limits that were lifted recently.
+    pub limits: Vec<LimitNotice>,
 }
 
 impl Summary {
@@ -93,6 +96,7 @@
                 service_demands: std::mem::take(&mut self.service_demands),
                 findings: std::mem::take(&mut self.findings),
                 leaving: std::mem::take(&mut self.leaving),
+                limits: std::mem::take(&mut self.limits),
                 ..self
             });
         }
--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -8,6 +8,7 @@
 pub mod event_stream;
 pub mod lanes;
 pub mod peers;
+pub mod permits;
 pub mod placement;
 pub mod prompt;
 pub mod repeat_budget;
--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -13,7 +13,9 @@
 use crate::Name;
 use crate::fleet::revisions::Delta;
 use crate::fleet::revisions::Revisions;
+use crate::forwarding::endpoints::limits::LimitNotice;
 use crate::forwarding::endpoints::limits::LimitReport;
+use crate::forwarding::endpoints::limits::Limits;
 use crate::forwarding::endpoints::limits::RateLimit;
 use crate::forwarding::endpoints::notices::Incarnation;
 use crate::forwarding::endpoints::notices::Notices;
@@ -197,6 +199,8 @@
     pub entry: Entry,
     /// Hash of the id, the same on all VMs.
     pub hash: u64,
+    /// Hash of the id and start time, the same on all VMs.
+    pub incarnation: Incarnation,
     /// Estimated contents of the prefix cache.
     pub prefix_cache: PrefixCache,
     /// Exponentially weighted average of the time to first byte, in milliseconds; 0 before the first response.
@@ -210,6 +214,8 @@
     is_leaving: bool,
     paused_until_ms: u64,
     limit_report: LimitReport,
+    /// Times until which this VM was denied permits, in milliseconds, by urgency level.
+    denied_until_ms: [u64; URGENCY_LEVELS],
     losses: u32,
     backoff_ms: u64,
     suspect_until_ms: u64,
@@ -222,14 +228,14 @@
         (now_ms.saturating_sub(at_ms) < LOAD_REPORT_STALE_MS).then_some(load)
     }
 
-    /// Returns whether the endpoint takes requests, apart from a temporary pause.
+    /// Returns whether the endpoint takes requests, apart from a temporary pause or a rate limit.
     pub fn is_usable(&self) -> bool {
         !self.entry.is_draining && !self.is_misdirected && !self.is_leaving
     }
 
-    /// Returns whether the endpoint takes requests now.
-    pub fn is_available(&self, now_ms: u64) -> bool {
-        self.is_usable() && now_ms >= self.paused_until_ms
+    /// Returns whether the endpoint may take a request of this level now; with a rate limit it needs a permit too.
+    pub fn is_available(&self, level: UrgencyLevel, now_ms: u64) -> bool {
+        self.is_usable() && now_ms >= self.paused_until_ms && now_ms >= self.denied_until_ms(level)
     }
 
     /// Returns the end of the pause that the endpoint requested; 0 if it requested none.
@@ -237,11 +243,35 @@
         self.paused_until_ms
     }
 
+    /// Returns the time at which this VM may ask for a permit for a request of this level; 0 if it may do so now.
+    ///
+    /// Less urgent requests get no permit while more urgent ones are denied.
+    pub fn denied_until_ms(&self, level: UrgencyLevel) -> u64 {
+        let more_urgent = &self.denied_until_ms[..=level.index()];
+        more_urgent.iter().copied().max().unwrap_or(0)
+    }
+
     /// Returns the rate of requests that the endpoint takes from all VMs together.
     pub fn limit(&self) -> RateLimit {
         self.limit_report.limit
     }
 
+    /// Returns the time at which the response arrived that stated the limit, in milliseconds.
+    pub fn limit_received_ms(&self) -> u64 {
+        self.limit_report.received_ms
+    }
+
+    /// Merges a report and returns the previous limit if it changed.
+    fn merge_limit(&mut self, report: LimitReport) -> Option<RateLimit> {
+        let before = self.limit();
+        self.limit_report = self.limit_report.merge(report);
+        if self.limit() == before {
+            return None;
+        }
+        self.denied_until_ms = [0; URGENCY_LEVELS];
+        Some(before)
+    }
+
     /// Returns the health of the endpoint.
     pub fn health(&self, now_ms: u64) -> EndpointHealth {
         if self.backoff_ms == 0 {
@@ -300,6 +330,7 @@
     is_source_lost: bool,
     revisions: Revisions,
     notices: Notices,
+    limits: Limits,
 }
 
 /// Records of one endpoint that show that the source was available during the gap.
@@ -458,6 +489,7 @@
         let incarnation = Incarnation::from(&entry);
         let endpoint = Endpoint {
             hash: hash_name(id.as_str()),
+            incarnation,
             entry,
             prefix_cache: PrefixCache::default(),
             first_byte_ms: 0.0,
@@ -468,7 +500,8 @@
             is_misdirected: false,
             is_leaving: self.notices.is_leaving(incarnation),
             paused_until_ms: self.notices.paused_until_ms(incarnation),
-            limit_report: LimitReport::default(),
+            limit_report: self.limits.report(incarnation),
+            denied_until_ms: [0; URGENCY_LEVELS],
             losses: 0,
             backoff_ms: 0,
             suspect_until_ms: 0,
@@ -612,7 +645,7 @@
             return false;
         };
         endpoint.is_leaving = true;
-        self.notices.add_leaving(Incarnation::from(&endpoint.entry))
+        self.notices.add_leaving(endpoint.incarnation)
     }
 
     /// Merges the leaving endpoints known to another VM; returns the keys of those that were not known to be leaving.
@@ -624,7 +657,7 @@
             }
             // The endpoint may not be in the registry yet; the notice applies to an entry that arrives later.
             for (key, endpoint) in &mut self.endpoints {
-                if Incarnation::from(&endpoint.entry) == *incarnation {
+                if endpoint.incarnation == *incarnation {
                     endpoint.is_leaving = true;
                     newly_leaving.push(key);
                 }
@@ -638,7 +671,7 @@
         let endpoints = self.endpoints.values();
         let leaving = endpoints.filter(|endpoint| endpoint.is_leaving);
         leaving
-            .map(|endpoint| Incarnation::from(&endpoint.entry))
+            .map(|endpoint| endpoint.incarnation)
             .take(max)
             .collect()
     }
@@ -650,16 +683,87 @@
         };
         let until_ms = now_ms.saturating_add(for_ms);
         endpoint.paused_until_ms = endpoint.paused_until_ms.max(until_ms);
-        let incarnation = Incarnation::from(&endpoint.entry);
-        self.notices.pause(incarnation, until_ms, now_ms);
+        self.notices.pause(endpoint.incarnation, until_ms, now_ms);
     }
 
     /// Records the limit that an endpoint stated in a response; returns the previous limit if it changed.
-    pub fn record_limit(&mut self, key: EndpointKey, report: LimitReport) -> Option<RateLimit> {
+    pub fn record_limit(
+        &mut self,
+        key: EndpointKey,
+        report: LimitReport,
+        now_ms: u64,
+    ) -> Option<RateLimit> {
         let endpoint = self.endpoints.get_mut(key)?;
-        let before = endpoint.limit();
-        endpoint.limit_report = endpoint.limit_report.merge(report);
-        (endpoint.limit() != before).then_some(before)
+        let before = endpoint.merge_limit(report);
+        self.limits
+            .merge(endpoint.incarnation, endpoint.limit_report, now_ms);
+        before
+    }
+
+    /// Merges limits known to another VM; returns the endpoints whose limit changed, with their previous limits.
+    pub fn merge_limits(
+        &mut self,
+        notices: &[LimitNotice],
+        now_ms: u64,
+    ) -> Vec<(EndpointKey, RateLimit)> {
+        let mut changes = Vec::new();
+        for notice in notices {
+            let report = notice.report(now_ms);
+            // The endpoint may not be in the registry yet; the limit applies to an entry that arrives later.
+            let Some(key) = self.find_incarnation(notice.endpoint) else {
+                self.limits.merge(notice.endpoint, report, now_ms);
+                continue;
+            };
+            if let Some(before) = self.record_limit(key, report, now_ms) {
+                changes.push((key, before));
+            }
+        }
+        changes
+    }
+
+    /// Returns what this VM knows of the limit of an endpoint.
+    pub fn limit_notice(&self, incarnation: Incarnation, now_ms: u64) -> LimitNotice {
+        let endpoint = self
+            .find_incarnation(incarnation)
+            .and_then(|key| self.endpoints.get(key));
+        let report = match endpoint {
+            Some(endpoint) => endpoint.limit_report,
+            None => self.limits.report(incarnation),
+        };
+        LimitNotice::new(incarnation, report, now_ms)
+    }
+
+    /// Returns the limits to report to other VMs, at most `max`.
+    pub fn limit_notices(&self, max: usize, now_ms: u64) -> Vec<LimitNotice> {
+        self.limits.notices(max, now_ms)
+    }
+
+    /// Removes limits that need not be reported any longer.
+    pub fn expire_limits(&mut self, now_ms: u64) {
+        if self.limits.is_empty() {
+            return;
+        }
+        let endpoints = &self.endpoints;
+        let listed: HashSet<Incarnation> = endpoints
+            .values()
+            .map(|endpoint| endpoint.incarnation)
+            .collect();
+        self.limits
+            .expire(|incarnation| listed.contains(&incarnation), now_ms);
+    }
+
+    /// Records that this VM was denied a permit; until it may ask again, requests of this level go elsewhere.
+    pub fn deny(&mut self, key: EndpointKey, level: UrgencyLevel, until_ms: u64) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.denied_until_ms[level.index()] = until_ms;
+        }
+    }
+
+    /// Returns the key of an incarnation that has an entry.
+    pub fn find_incarnation(&self, incarnation: Incarnation) -> Option<EndpointKey> {
+        let mut endpoints = self.endpoints.iter();
+        let found = endpoints.find(|(_, endpoint)| endpoint.incarnation == incarnation);
+        found.map(|(key, _)| key)
     }
 
     /// Releases a run whose caller disconnected, without an effect on the endpoint's health.
--- a/crates/core/src/forwarding/peers.rs
+++ b/crates/core/src/forwarding/peers.rs
@@ -9,6 +9,7 @@
 use crate::fleet::summary::VmState;
 use crate::fleet::summary::representative_order;
 use crate::forwarding::endpoints::Demand;
+use crate::forwarding::endpoints::limits::LimitNotice;
 use crate::forwarding::endpoints::notices::Incarnation;
 use crate::forwarding::lanes::ServiceDemand;
 use crate::state::evidence::CrashFinding;
@@ -30,7 +31,7 @@
 /// Silence up to which dead VMs are still listed for callers if no VM is alive, in milliseconds.
 const PARTITION_GRACE_MS: u64 = 3_000;
 
-/// Silence after which a VM no longer shares the repeat budget, in milliseconds.
+/// Silence after which a VM no longer shares the repeat budget and the limits of endpoints, in milliseconds.
 const BUDGET_SHARE_TIMEOUT_MS: u64 = 60_000;
 
 /// Periodic message of a VM to the other VMs.
@@ -60,6 +61,8 @@
     pub findings: Vec<CrashFinding>,
     /// Endpoints that are known to be leaving.
     pub leaving: Vec<Incarnation>,
+    /// Rate limits of endpoints, and limits that were lifted recently.
+    pub limits: Vec<LimitNotice>,
 }
 
 /// Parts of the latest advert of a VM.
@@ -345,6 +348,28 @@
         count
     }
 
+    /// Returns the fraction of the VMs that this VM hears, including itself.
+    ///
+    /// VMs that stopped as planned do not count, and lost ones count for a while: they may be alive on another side of
+    /// a partition.
+    pub fn heard_fraction(&self, now_ms: u64) -> f64 {
+        let mut heard = 1.0;
+        let mut known = 1.0;
+        for peer in self.peers.values() {
+            if self.is_alive(peer, now_ms) {
+                heard += 1.0;
+                known += 1.0;
+                continue;
+            }
+            let was_ready = peer.latest.as_ref().is_some_and(|latest| latest.is_ready);
+            let silence_ms = now_ms.saturating_sub(peer.last_advert_ms.unwrap_or(0));
+            if was_ready && silence_ms < BUDGET_SHARE_TIMEOUT_MS {
+                known += 1.0;
+            }
+        }
+        heard / known
+    }
+
     /// Returns the number of other VMs that are alive.
     pub fn alive_count(&self, now_ms: u64) -> usize {
         self.peers
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -10,6 +10,7 @@
 use crate::forwarding::endpoints::EndpointKey;
 use crate::forwarding::endpoints::Endpoints;
 use crate::forwarding::endpoints::UrgencyLevel;
+use crate::forwarding::endpoints::limits::RateLimit;
 use crate::forwarding::lanes;
 use crate::forwarding::lanes::Capacity;
 use crate::forwarding::lanes::Homes;
@@ -93,6 +94,8 @@
     pub data_centre: &'a Name,
     /// Endpoints that it was already sent to.
     pub tried: &'a [EndpointKey],
+    /// Whether endpoints with a rate limit are left out.
+    pub avoids_limited: bool,
     /// A random number that breaks ties.
     pub draw: u64,
 }
@@ -122,7 +125,13 @@
         .as_ref()
         .and_then(|(lanes, _)| lanes.find_source(config, endpoints, request, now_ms));
     let mut best: Option<((u8, f64), Choice)> = None;
-    for (key, endpoint) in usable_candidates(endpoints, request.service, request.tried, now_ms) {
+    for (key, endpoint) in endpoints.of_service(request.service) {
+        if !endpoint.is_available(request.level, now_ms) || request.tried.contains(&key) {
+            continue;
+        }
+        if request.avoids_limited && endpoint.limit() != RateLimit::Unlimited {
+            continue;
+        }
         let rank = health_rank(endpoint.health(now_ms), request);
         let mut cost_ms = placement_cost_ms(config, endpoints, endpoint, request, now_ms);
         let mut choice = Choice {
@@ -144,42 +153,42 @@
     best.map(|(_, choice)| choice)
 }
 
-/// Returns whether [`choose`] would find an endpoint.
-pub fn can_choose(
+/// When an endpoint of a service is available again, and why none is now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Opening {
+    /// Time until then, in milliseconds.
+    pub wait_ms: u64,
+    /// Whether a rate limit is the reason; otherwise it is a pause.
+    pub is_limited: bool,
+}
+
+/// Returns when the first endpoint is available again for a request of this level; `None` if an endpoint is available
+/// now or none is usable.
+pub fn next_opening(
     endpoints: &Endpoints,
     service: &Name,
-    tried: &[EndpointKey],
+    level: UrgencyLevel,
     now_ms: u64,
-) -> bool {
-    let mut candidates = usable_candidates(endpoints, service, tried, now_ms);
-    candidates.next().is_some()
-}
-
-/// Returns the time until the first paused endpoint is available again, in milliseconds; `None` if an endpoint is
-/// available now or none is usable.
-pub fn next_opening_ms(endpoints: &Endpoints, service: &Name, now_ms: u64) -> Option<u64> {
-    let mut opening_ms: Option<u64> = None;
+) -> Option<Opening> {
+    let mut next: Option<Opening> = None;
     for (_, endpoint) in endpoints.of_service(service) {
-        if endpoint.is_available(now_ms) {
+        if endpoint.is_available(level, now_ms) {
             return None;
         }
         if !endpoint.is_usable() {
             continue;
         }
-        let wait_ms = endpoint.paused_until_ms() - now_ms;
-        opening_ms = Some(opening_ms.map_or(wait_ms, |known| known.min(wait_ms)));
+        let (paused_until_ms, denied_until_ms) =
+            (endpoint.paused_until_ms(), endpoint.denied_until_ms(level));
+        let opening = Opening {
+            wait_ms: paused_until_ms.max(denied_until_ms) - now_ms,
+            is_limited: denied_until_ms > paused_until_ms,
+        };
+        if next.is_none_or(|known| opening.wait_ms < known.wait_ms) {
+            next = Some(opening);
+        }
     }
-    opening_ms
-}
-
-fn usable_candidates<'a>(
-    endpoints: &'a Endpoints,
-    service: &Name,
-    tried: &'a [EndpointKey],
-    now_ms: u64,
-) -> impl Iterator<Item = (EndpointKey, &'a Endpoint)> {
-    let known = endpoints.of_service(service);
-    known.filter(move |(key, endpoint)| endpoint.is_available(now_ms) && !tried.contains(key))
+    next
 }
 
 /// Returns the time that an endpoint needs to prefill the prompts ahead of a new one of this level, in milliseconds.
@@ -250,6 +259,17 @@
     cost_ms + (endpoint.failure_rate - 0.2).max(0.0) * config.failure_cost_ms
 }
 
+/// Smallest total capacity of a service's engines, as a multiple of one engine's.
+const CAPACITY_SHARE_MIN: f64 = 0.1;
+
+/// Returns the fraction of its capacity that an engine may use: one request a second for each slot is full use.
+fn capacity_share(endpoint: &Endpoint) -> f64 {
+    match endpoint.limit().rate_per_s() {
+        None => 1.0,
+        Some(rate_per_s) => (rate_per_s / f64::from(endpoint.entry.slots.max(1))).min(1.0),
+    }
+}
+
 /// The lanes of a service and the homes of one request's shared part.
 struct LaneView {
     lanes: Lanes,
@@ -263,16 +283,21 @@
 impl LaneView {
     fn new(config: &Config, endpoints: &Endpoints, request: &Request<'_>, prompt: &Prompt) -> Self {
         let mut hashes = Vec::new();
-        let mut slots = 0;
+        let mut slots = 0.0;
+        let mut share_sum = 0.0;
         for (_, endpoint) in endpoints.of_service(request.service) {
-            if endpoint.is_usable() {
-                hashes.push(endpoint.hash);
-                slots += endpoint.entry.slots.max(1);
+            if !endpoint.is_usable() {
+                continue;
             }
+            let share = capacity_share(endpoint);
+            hashes.push(endpoint.hash);
+            slots += f64::from(endpoint.entry.slots.max(1)) * share;
+            share_sum += share;
         }
+        let engines = hashes.len().max(1) as f64;
         let engine = Capacity {
-            tokens_per_ms: config.read_tokens_per_ms,
-            slots: f64::from(slots.max(1)) / hashes.len().max(1) as f64,
+            tokens_per_ms: config.read_tokens_per_ms * share_sum.max(CAPACITY_SHARE_MIN) / engines,
+            slots: slots.max(1.0) / engines,
         };
         let lanes = Lanes::new(
             &config.lanes,
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -71,6 +71,8 @@
     Shed "shed" 503;
     /// The pool has no usable endpoint.
     NoEndpoint "no_endpoint" 503;
+    /// The endpoints of the pool are at the rate limits that they stated.
+    EndpointLimited "endpoint_limited" 503;
     /// The VM is stopping.
     Stopping "stopping" 503;
     /// The VM has not loaded any settings yet.
--- a/crates/core/tests/endpoint_notices.rs
+++ b/crates/core/tests/endpoint_notices.rs
@@ -7,6 +7,7 @@
 use waxwing_core::forwarding::lanes::Lane;
 use waxwing_core::forwarding::lanes::ServiceDemand;
 use waxwing_core::forwarding::placement;
+use waxwing_core::forwarding::placement::Opening;
 use waxwing_core::forwarding::placement::Request;
 
 fn entry(id: &str, born_ms: u64, sequence: u64) -> Entry {
@@ -37,6 +38,7 @@
         is_repeatable: true,
         data_centre: &data_centre,
         tried: &[],
+        avoids_limited: false,
         draw: 1,
     };
     let choice = placement::choose(&config, endpoints, &request, now_ms)?;
@@ -111,8 +113,16 @@
     endpoints.pause(key, 500, 200);
     assert_eq!(choose(&endpoints, 2_099), None, "the only endpoint left");
     assert_eq!(
-        placement::next_opening_ms(&endpoints, &Name::from("pool"), 2_000),
-        Some(100)
+        placement::next_opening(
+            &endpoints,
+            &Name::from("pool"),
+            UrgencyLevel::default(),
+            2_000
+        ),
+        Some(Opening {
+            wait_ms: 100,
+            is_limited: false
+        })
     );
     endpoints.remove(&id, 300);
     endpoints.update(entry("e", 1, 2));
@@ -134,7 +144,7 @@
     let key = endpoints.find(&Name::from("e")).unwrap();
     endpoints.pause(key, 2_000, 0);
     let endpoint = endpoints.get(key).unwrap();
-    assert!(endpoint.is_usable() && !endpoint.is_available(0));
+    assert!(endpoint.is_usable() && !endpoint.is_available(UrgencyLevel::default(), 0));
 }
 
 /// Guards against an order of entries and notices that makes a leaving incarnation available.
--- a/crates/core/tests/peer_adverts.rs
+++ b/crates/core/tests/peer_adverts.rs
@@ -23,6 +23,7 @@
         service_demands: Vec::new(),
         findings: Vec::new(),
         leaving: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
@@ -134,6 +135,7 @@
         service_demands: Vec::new(),
         findings: Vec::new(),
         leaving: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- a/crates/core/tests/prompt_placement.rs
+++ b/crates/core/tests/prompt_placement.rs
@@ -72,6 +72,7 @@
             is_repeatable: true,
             data_centre: &self.data_centre,
             tried,
+            avoids_limited: false,
             draw: 7,
         };
         placement::choose(
@@ -303,6 +304,7 @@
         is_repeatable: true,
         data_centre: &vm.data_centre,
         tried: &[],
+        avoids_limited: false,
         draw: 7,
     };
     let config = placement::Config::default();
@@ -329,6 +331,7 @@
             is_repeatable: true,
             data_centre: &vm.data_centre,
             tried: &[],
+            avoids_limited: false,
             draw: 7,
         };
         let config = placement::Config {
--- a/crates/gateway/src/adverts.rs
+++ b/crates/gateway/src/adverts.rs
@@ -32,6 +32,9 @@
 /// Most leaving endpoints in one datagram; a rollout drains fewer at a time.
 const LEAVING_MAX: usize = 128;
 
+/// Most rate limits in one datagram; the latest changes are sent.
+const LIMITS_MAX: usize = 64;
+
 /// Pause after a failed receive, in milliseconds.
 const RECEIVE_PAUSE_MS: u64 = 50;
 
@@ -46,6 +49,7 @@
 
 pub(crate) async fn run(gateway: Rc<Gateway>, socket: Async<UdpSocket>) {
     let socket = Rc::new(socket);
+    gateway.permits.set_socket(Rc::clone(&socket));
     join(
         send(Rc::clone(&gateway), Rc::clone(&socket)),
         receive(gateway, socket),
@@ -119,6 +123,7 @@
         service_demands: gateway.demand_tracker.borrow().local_demands(now_ms),
         findings: recent_findings(gateway),
         leaving: gateway.endpoints.borrow().leaving_endpoints(LEAVING_MAX),
+        limits: gateway.endpoints.borrow().limit_notices(LIMITS_MAX, now_ms),
     }
 }
 
@@ -155,6 +160,7 @@
             .combined_demands(names, now_ms),
         findings: recent_findings(gateway),
         leaving: gateway.endpoints.borrow().leaving_endpoints(LEAVING_MAX),
+        limits: gateway.endpoints.borrow().limit_notices(LIMITS_MAX, now_ms),
         vms,
     }
 }
@@ -178,8 +184,8 @@
 async fn receive(gateway: Rc<Gateway>, socket: Rc<Async<UdpSocket>>) {
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
     loop {
-        let length = match socket.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
             Err(error) => {
                 log::debug!(event = "advert_not_received"; "{error}");
                 Timer::after(Duration::from_millis(RECEIVE_PAUSE_MS)).await;
@@ -192,6 +198,14 @@
                 relay_summary(&gateway, &socket, &summary).await;
                 apply_summary(&gateway, summary)
             }
+            Ok(Datagram::PermitQuestion(question)) => {
+                gateway.answer_permit(question, from).await;
+                continue;
+            }
+            Ok(Datagram::PermitAnswer(answer)) => {
+                gateway.permits.resolve(answer);
+                continue;
+            }
             Err(error) => {
                 log::warn!(event = "advert_undecodable"; "{error}");
                 "undecodable"
@@ -248,6 +262,7 @@
         .borrow_mut()
         .merge(&advert.findings, now_ms);
     gateway.merge_leaving(&advert.leaving, &advert.vm);
+    gateway.merge_limits(&advert.limits, advert.vm.as_str());
     // A fresh summary already includes this VM's load.
     let is_covered = gateway
         .summaries
@@ -275,6 +290,7 @@
         .borrow_mut()
         .merge(&summary.findings, now_ms);
     gateway.merge_leaving(&summary.leaving, &summary.vm);
+    gateway.merge_limits(&summary.limits, summary.vm.as_str());
     gateway.set_peer_load(summary.source(), summary.demands, summary.service_demands);
     "news"
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,5 +1,7 @@
 //! Handles one request of a caller, from its head to its final response.
 
+use std::cell::Cell;
+use std::cell::RefCell;
 use std::rc::Rc;
 
 use http_body_util::BodyExt;
@@ -65,6 +67,9 @@
 /// Time without a confirmed configuration after which a missing route or key may be a new one, in milliseconds.
 const CONFIGURATION_STALE_MS: u64 = 4_000;
 
+/// Most requests for permits before a request is placed at an endpoint without a rate limit.
+const PERMIT_REQUESTS_MAX: usize = 3;
+
 /// Divisor of the memory limit that gives the bytes of request bodies held at once.
 const BODY_MEMORY_SHARE: u64 = 4;
 
@@ -88,6 +93,10 @@
     /// Engine from which the endpoint that was chosen last fetches the shared part of the prompt.
     pub(crate) source: Option<EndpointKey>,
     pub(crate) progress: Progress,
+    /// Endpoint chosen for a repeat while the run before it has not ended, with its permit.
+    reserved: RefCell<Option<Choice>>,
+    /// Whether a rate limit kept the request from an endpoint.
+    was_denied: Cell<bool>,
     in_progress: InProgress,
 }
 
@@ -242,6 +251,8 @@
         tried: Vec::new(),
         source: None,
         progress: Progress::new(limit_ms),
+        reserved: RefCell::new(None),
+        was_denied: Cell::new(false),
         in_progress,
     };
     if gateway.is_crashing(&exchange.content) {
@@ -365,7 +376,7 @@
             .borrow_mut()
             .record_request(&self.service, now_ms);
         self.count_demand(now_ms);
-        let mut key = self.take_endpoint();
+        let mut key = self.take_endpoint().await;
         if let Some(refusal) = key.and_then(|key| self.check_backlog(key)) {
             return refuse(&self.gateway, &mut self.trace, &refusal, false);
         }
@@ -388,21 +399,45 @@
                 },
             };
             is_expired = outcome == RunOutcome::Expired;
-            key = self.take_next_endpoint(outcome);
+            key = self.take_next_endpoint(outcome).await;
         }
         self.give_up(failure, is_expired)
     }
 
-    /// Chooses an endpoint that the request was not sent to yet.
-    fn take_endpoint(&mut self) -> Option<EndpointKey> {
-        let choice = self.choose()?;
+    /// Chooses an endpoint that the request was not sent to yet and that may take it now.
+    async fn take_endpoint(&mut self) -> Option<EndpointKey> {
+        let choice = match self.reserved.take() {
+            Some(reserved) => reserved,
+            None => self.place().await?,
+        };
         self.tried.push(choice.endpoint);
         self.source = choice.source;
         Some(choice.endpoint)
     }
 
+    /// Chooses an endpoint for a repeat before the current run is given up; returns whether there is one.
+    pub(crate) async fn reserve_endpoint(&self) -> bool {
+        let choice = self.place().await;
+        let is_found = choice.is_some();
+        *self.reserved.borrow_mut() = choice;
+        is_found
+    }
+
+    /// Chooses an endpoint and obtains the permit to send it one request.
+    async fn place(&self) -> Option<Choice> {
+        for asked in 0..=PERMIT_REQUESTS_MAX {
+            let choice = self.choose(asked == PERMIT_REQUESTS_MAX)?;
+            let endpoint = choice.endpoint;
+            if self.gateway.acquire_permit(endpoint, self.level).await {
+                return Some(choice);
+            }
+            self.was_denied.set(true);
+        }
+        None
+    }
+
     /// Chooses the endpoint for a repeat after a run ended; returns `None` if the request is to be given up.
-    pub(crate) fn take_next_endpoint(&mut self, outcome: RunOutcome) -> Option<EndpointKey> {
+    pub(crate) async fn take_next_endpoint(&mut self, outcome: RunOutcome) -> Option<EndpointKey> {
         self.progress.add(outcome);
         self.progress.remaining_ms = self.remaining_ms();
         if decide_repeat(&self.route, &self.progress) == RepeatDecision::GiveUp
@@ -410,7 +445,7 @@
         {
             return None;
         }
-        self.take_endpoint()
+        self.take_endpoint().await
     }
 
     /// Takes a repeat from the service's budget and returns whether the budget allowed it; `outcome` is how the
@@ -470,7 +505,7 @@
         ))
     }
 
-    fn choose(&self) -> Option<Choice> {
+    fn choose(&self, avoids_limited: bool) -> Option<Choice> {
         let gateway = &self.gateway;
         let now_ms = gateway.clock.now_ms();
         let service = hash_name(self.service.as_str());
@@ -487,6 +522,7 @@
             is_repeatable: self.route.is_repeatable(),
             data_centre: &gateway.data_centre,
             tried: &self.tried,
+            avoids_limited,
             draw: gateway.draw(),
         };
         let endpoints = gateway.endpoints.borrow();
@@ -502,7 +538,16 @@
             return response;
         }
         let status = status_code(execution, is_expired);
+        let now_ms = self.gateway.clock.now_ms();
+        let opening = placement::next_opening(
+            &self.gateway.endpoints.borrow(),
+            &self.service,
+            self.level,
+            now_ms,
+        );
+        let is_limited = self.was_denied.get() || opening.is_some_and(|opening| opening.is_limited);
         let reason = match (execution, is_expired) {
+            (Execution::NotRun, false) if is_limited => Reason::EndpointLimited,
             (Execution::NotRun, false) => Reason::NoEndpoint,
             (Execution::NotRun, true) => Reason::DeadlineUnreachable,
             (_, true) => Reason::DeadlinePassed,
@@ -510,11 +555,12 @@
         };
         let refusal = match execution {
             Execution::NotRun => {
-                let message = "no endpoint took the request";
-                let now_ms = self.gateway.clock.now_ms();
-                let endpoints = self.gateway.endpoints.borrow();
-                let opening_ms = placement::next_opening_ms(&endpoints, &self.service, now_ms);
-                let retry_after_ms = opening_ms.unwrap_or(0).max(NO_ENDPOINT_RETRY_AFTER_MS);
+                let message = match is_limited {
+                    true => "the endpoints are at their rate limits",
+                    false => "no endpoint took the request",
+                };
+                let wait_ms = opening.map_or(0, |opening| opening.wait_ms);
+                let retry_after_ms = wait_ms.max(NO_ENDPOINT_RETRY_AFTER_MS);
                 Refusal::not_run(reason, retry_after_ms, message)
             }
             Execution::Unknown | Execution::Ran => {
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -15,7 +15,6 @@
 use waxwing_core::forwarding::endpoints::RunKey;
 use waxwing_core::forwarding::endpoints::limits::LimitReport;
 use waxwing_core::forwarding::endpoints::limits::RateLimit;
-use waxwing_core::forwarding::placement;
 use waxwing_core::forwarding::run::RunOutcome;
 use waxwing_core::forwarding::run::StallTimeouts;
 use waxwing_core::state::evidence::ContentHash;
@@ -172,7 +171,7 @@
             if let Some(for_ms) = response_info.pause_ms {
                 self.gateway.pause_endpoint(key, for_ms);
             }
-            if let Some(limit) = response_info.limit {
+            if let Some(limit) = self.stated_limit(&response_info, &connection) {
                 let report = LimitReport {
                     limit,
                     sent_ms: run.began_ms,
@@ -190,6 +189,33 @@
         self.check_response(received)
     }
 
+    /// Returns whether a response is to an earlier request on the connection.
+    fn is_other_answer(&self, response_info: &ResponseInfo, connection: &Connection) -> bool {
+        match (&response_info.request_id, &self.request_info.request_id) {
+            (Some(answered), Some(asked)) => answered != asked,
+            // What an earlier request left on a kept connection may come without an id.
+            (None, Some(_)) => connection.is_reused(),
+            (_, None) => false,
+        }
+    }
+
+    /// Returns the rate limit that the endpoint stated, or that it stated none; `None` if that is unknown.
+    ///
+    /// The age of a response to an earlier request is unknown, and only a response that is certainly the endpoint's
+    /// can lift a limit.
+    fn stated_limit(
+        &self,
+        response_info: &ResponseInfo,
+        connection: &Connection,
+    ) -> Option<RateLimit> {
+        if self.is_other_answer(response_info, connection) {
+            return None;
+        }
+        let is_genuine = response_info.is_signed || response_info.is_not_run;
+        let limit = response_info.limit?;
+        (is_genuine || limit != RateLimit::Unlimited).then_some(limit)
+    }
+
     /// Checks that a response is to this request, from the right endpoint and not a refusal.
     fn check_response(
         &mut self,
@@ -197,13 +223,7 @@
     ) -> Result<EndpointResponse, RunOutcome> {
         let response_info = &received.response_info;
         let status = received.response.status();
-        let is_other = match (&response_info.request_id, &self.request_info.request_id) {
-            (Some(answered), Some(asked)) => answered != asked,
-            // What an earlier request left on a kept connection may come without an id.
-            (None, Some(_)) => received.connection.is_reused(),
-            (_, None) => false,
-        };
-        let outcome = if is_other {
+        let outcome = if self.is_other_answer(response_info, &received.connection) {
             Some((RunOutcome::Lost, "(answer to another request)"))
         } else if response_info.is_misdirected {
             Some((RunOutcome::Misdirected, ""))
@@ -240,15 +260,19 @@
         self.route.is_repeatable() && self.progress.runs + 1 < self.route.attempts_max
     }
 
-    /// Returns whether the current run could be replaced by one at another endpoint.
-    fn can_repeat_elsewhere(&self) -> bool {
+    /// Reserves another endpoint that the current run can be replaced by one at; returns whether there is one.
+    async fn reserve_repeat(&self) -> bool {
+        if !self.can_repeat() {
+            return false;
+        }
         let now_ms = self.gateway.clock.now_ms();
         let vms = self.gateway.peers.borrow().budget_vm_count(now_ms);
-        let mut budget = self.gateway.budget.borrow_mut();
-        let endpoints = self.gateway.endpoints.borrow();
-        self.can_repeat()
-            && budget.can_take(&self.service, vms, now_ms)
-            && placement::can_choose(&endpoints, &self.service, &self.tried, now_ms)
+        let is_covered = self
+            .gateway
+            .budget
+            .borrow_mut()
+            .can_take(&self.service, vms, now_ms);
+        is_covered && self.reserve_endpoint().await
     }
 
     async fn exchange_heads(
@@ -321,7 +345,7 @@
         futures::pin_mut!(future);
         let clock = self.gateway.clock;
         // A steady trickle of bytes must not postpone the decision.
-        if timeouts.is_exceeded(clock.now_ms() - since_ms, true) && self.can_repeat_elsewhere() {
+        if timeouts.is_exceeded(clock.now_ms() - since_ms, true) && self.reserve_repeat().await {
             return Err(RunOutcome::Stalled);
         }
         loop {
@@ -343,7 +367,7 @@
                 endpoints.has_responded_since(run.endpoint, since_ms)
             };
             let is_over = timeouts.is_exceeded(clock.now_ms() - since_ms, has_responded);
-            if is_over && self.can_repeat_elsewhere() {
+            if is_over && self.reserve_repeat().await {
                 return Err(RunOutcome::Stalled);
             }
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use waxwing_core::forwarding::endpoints::Change;
 use waxwing_core::forwarding::endpoints::Demand;
 use waxwing_core::forwarding::endpoints::Entry;
+use waxwing_core::forwarding::endpoints::limits::LimitNotice;
 use waxwing_core::forwarding::endpoints::limits::LimitReport;
 use waxwing_core::forwarding::endpoints::limits::RateLimit;
 use waxwing_core::forwarding::endpoints::notices::Incarnation;
@@ -48,6 +49,7 @@
 use crate::fleet;
 use crate::fleet::Fleet;
 use crate::metric;
+use crate::permits::PermitExchange;
 use crate::server;
 use crate::settings::Settings;
 use crate::signals::Signals;
@@ -103,6 +105,7 @@
     pub(crate) summaries: RefCell<Summaries>,
     pub(crate) evidence: RefCell<Evidence>,
     pub(crate) fleet: Fleet,
+    pub(crate) permits: PermitExchange,
     pub(crate) in_progress: Cell<u32>,
     pub(crate) buffered_bytes: Cell<usize>,
     idle: RefCell<HashMap<EndpointKey, Vec<Connection>>>,
@@ -151,6 +154,7 @@
             summaries: RefCell::default(),
             evidence: RefCell::new(Evidence::new(EVIDENCE_LIFETIME_MS, EVIDENCE_MAX)),
             fleet: Fleet::new(settings.log_service.bound_ms()),
+            permits: PermitExchange::new(clock.now_ms()),
             in_progress: Cell::new(0),
             buffered_bytes: Cell::new(0),
             idle: RefCell::new(HashMap::new()),
@@ -341,12 +345,25 @@
 
     /// Records the rate limit that an endpoint stated in a response, or that it stated none.
     pub(crate) fn record_limit(&self, key: EndpointKey, report: LimitReport) {
-        let before = self.endpoints.borrow_mut().record_limit(key, report);
+        let now_ms = self.clock.now_ms();
+        let before = self
+            .endpoints
+            .borrow_mut()
+            .record_limit(key, report, now_ms);
         if let Some(before) = before {
             self.log_limit(key, before, "answer");
         }
     }
 
+    /// Merges the limits reported by another VM.
+    pub(crate) fn merge_limits(&self, notices: &[LimitNotice], source: &str) {
+        let now_ms = self.clock.now_ms();
+        let changes = self.endpoints.borrow_mut().merge_limits(notices, now_ms);
+        for (key, before) in changes {
+            self.log_limit(key, before, source);
+        }
+    }
+
     fn log_limit(&self, key: EndpointKey, before: RateLimit, source: &str) {
         let endpoints = self.endpoints.borrow();
         let Some(endpoint) = endpoints.get(key) else {
@@ -358,8 +375,10 @@
             (RateLimit::Unlimited, RateLimit::PerSecond(rate)) => ("limited", Some(rate)),
             (_, RateLimit::PerSecond(rate)) => ("limit_changed", Some(rate)),
         };
+        let age_ms = self.clock.now_ms() - endpoint.limit_received_ms();
         log::info!(
-            event = "endpoint_limit", endpoint = id, change = change, limit_per_s = per_s, source = source;
+            event = "endpoint_limit", endpoint = id, change = change, limit_per_s = per_s, source = source,
+            age_ms = age_ms;
             "the endpoint states how many requests it takes from all VMs together"
         );
         metrics::counter!(metric::ENDPOINT_CHANGES, "change" => change).increment(1);
@@ -575,7 +594,10 @@
         for (id, change) in changes {
             gateway.apply(Some(change), &id);
         }
-        gateway.evidence.borrow_mut().expire(gateway.clock.now_ms());
+        let now_ms = gateway.clock.now_ms();
+        gateway.evidence.borrow_mut().expire(now_ms);
+        gateway.endpoints.borrow_mut().expire_limits(now_ms);
+        gateway.retain_permits();
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod fleet;
 mod gateway;
 mod headers;
+mod permits;
 mod relay;
 mod trace;
 
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -15,6 +15,8 @@
 pub const RUN_ENDS: &str = "waxwing_gateway_run_ends_total";
 /// Counter of requests sent to endpoints that state a rate limit.
 pub const LIMITED_RUNS: &str = "waxwing_gateway_limited_runs_total";
+/// Counter of permits for endpoints with a rate limit by outcome: `granted`, `denied` or `unanswered`.
+pub const PERMITS: &str = "waxwing_gateway_permits_total";
 /// Histogram of the time to the first byte, in seconds, by route kind.
 pub const FIRST_BYTE: &str = "waxwing_gateway_first_byte_seconds";
 /// Histogram of the time to the whole answer, in seconds, by route kind.
--- /dev/null
+++ b/crates/gateway/src/permits.rs
@@ -0,0 +1,210 @@
+//! Asks for permits to send to endpoints with a rate limit, and grants those that this VM is the allocator of.
+
+use std::cell::OnceCell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::rc::Rc;
+
+use async_io::Async;
+use waxwing_core::forwarding::EndpointKey;
+use waxwing_core::forwarding::endpoints::UrgencyLevel;
+use waxwing_core::forwarding::endpoints::limits::RateLimit;
+use waxwing_core::forwarding::endpoints::notices::Incarnation;
+use waxwing_core::forwarding::permits;
+use waxwing_core::forwarding::permits::Allocator;
+use waxwing_core::forwarding::permits::PermitRequest;
+use waxwing_core::forwarding::permits::Permits;
+use waxwing_core::forwarding::permits::Verdict;
+use waxwing_core::hash::hash_name;
+use waxwing_wire::advert;
+use waxwing_wire::advert::Datagram;
+use waxwing_wire::advert::limits::PermitAnswer;
+use waxwing_wire::advert::limits::PermitQuestion;
+
+use crate::client::with_timeout;
+use crate::gateway::Gateway;
+use crate::metric;
+
+/// Time for the answer of an allocator, in milliseconds; a permit that arrives later is not used.
+const ANSWER_MS: u64 = 100;
+
+/// Time after which an allocator that did not answer, or is none, is asked again, in milliseconds.
+const RETRY_MS: u64 = 300;
+
+/// Permits that this VM grants, and its questions to other allocators.
+pub(crate) struct PermitExchange {
+    permits: RefCell<Permits>,
+    socket: OnceCell<Rc<Async<UdpSocket>>>,
+    pending: RefCell<HashMap<u64, flume::Sender<PermitAnswer>>>,
+}
+
+impl PermitExchange {
+    pub(crate) fn new(started_at_ms: u64) -> Self {
+        Self {
+            permits: RefCell::new(Permits::new(started_at_ms)),
+            socket: OnceCell::new(),
+            pending: RefCell::default(),
+        }
+    }
+
+    /// Sets the socket for datagrams to other VMs; before that, only this VM's own permits can be used.
+    pub(crate) fn set_socket(&self, socket: Rc<Async<UdpSocket>>) {
+        // Set once, when the process starts to send adverts.
+        let _ = self.socket.set(socket);
+    }
+
+    /// Passes an answer to the request that waits for it; an answer that is late is dropped.
+    pub(crate) fn resolve(&self, answer: PermitAnswer) {
+        if let Some(sender) = self.pending.borrow_mut().remove(&answer.id) {
+            // Fails only if the request has been abandoned.
+            let _ = sender.try_send(answer);
+        }
+    }
+}
+
+impl Gateway {
+    /// Obtains permission to send one request to an endpoint; returns whether it may be sent.
+    ///
+    /// An endpoint without a rate limit needs none. If permission is denied, requests of this level avoid the endpoint
+    /// until the allocator may be asked again.
+    pub(crate) async fn acquire_permit(&self, key: EndpointKey, level: UrgencyLevel) -> bool {
+        let request = {
+            let endpoints = self.endpoints.borrow();
+            let Some(endpoint) = endpoints.get(key) else {
+                return false;
+            };
+            if endpoint.limit() == RateLimit::Unlimited {
+                return true;
+            }
+            PermitRequest {
+                endpoint: endpoint.incarnation,
+                vm: hash_name(self.vm.as_str()),
+                level,
+            }
+        };
+        let asked_at_ms = self.clock.now_ms();
+        let verdict = match self.remote_allocator(request.endpoint) {
+            None => Some(self.decide(request)),
+            Some(address) => self.ask(address, request).await,
+        };
+        let now_ms = self.clock.now_ms();
+        // Also holds for a VM that was suspended after the permit arrived.
+        let is_late = now_ms - asked_at_ms > ANSWER_MS;
+        let (outcome, level, for_ms) = match verdict {
+            Some(Verdict::Granted) if !is_late => ("granted", level, 0),
+            Some(Verdict::Wait { for_ms }) => ("denied", level, for_ms),
+            // The allocator is not asked for more urgent requests either.
+            Some(Verdict::Granted) | None => ("unanswered", UrgencyLevel::default(), RETRY_MS),
+        };
+        metrics::counter!(metric::PERMITS, "outcome" => outcome).increment(1);
+        if outcome == "granted" {
+            return true;
+        }
+        let until_ms = now_ms.saturating_add(for_ms);
+        self.endpoints.borrow_mut().deny(key, level, until_ms);
+        false
+    }
+
+    /// Returns the address of the VM that grants the permits of an endpoint; `None` if this VM does.
+    fn remote_allocator(&self, endpoint: Incarnation) -> Option<SocketAddr> {
+        let members = self.peers.borrow().members(self.clock.now_ms());
+        let local = self.is_ready().then_some(&self.vm);
+        match permits::select_allocator(endpoint, &members, local) {
+            Allocator::Local => None,
+            Allocator::Remote(member) => Some(member.address),
+        }
+    }
+
+    /// Asks another VM; returns `None` if it does not answer in time.
+    async fn ask(&self, allocator: SocketAddr, request: PermitRequest) -> Option<Verdict> {
+        let now_ms = self.clock.now_ms();
+        let question = PermitQuestion {
+            id: self.draw(),
+            request,
+            notice: self
+                .endpoints
+                .borrow()
+                .limit_notice(request.endpoint, now_ms),
+        };
+        let (sender, receiver) = flume::bounded(1);
+        let pending = &self.permits.pending;
+        pending.borrow_mut().insert(question.id, sender);
+        self.send_datagram(&Datagram::PermitQuestion(question), allocator)
+            .await;
+        let answer = with_timeout(ANSWER_MS, receiver.recv_async()).await;
+        pending.borrow_mut().remove(&question.id);
+        let answer = answer?.ok()?;
+        self.merge_limits(&[answer.notice], "allocator");
+        Some(answer.verdict)
+    }
+
+    /// Answers the question of another VM.
+    pub(crate) async fn answer_permit(&self, question: PermitQuestion, from: SocketAddr) {
+        let PermitQuestion {
+            id,
+            request,
+            notice,
+        } = question;
+        self.merge_limits(&[notice], "permit request");
+        let verdict = match self.remote_allocator(request.endpoint) {
+            None => self.decide(request),
+            // The VMs see different members for a moment.
+            Some(_) => Verdict::Wait { for_ms: RETRY_MS },
+        };
+        let now_ms = self.clock.now_ms();
+        let notice = self
+            .endpoints
+            .borrow()
+            .limit_notice(request.endpoint, now_ms);
+        let answer = PermitAnswer {
+            id,
+            verdict,
+            notice,
+        };
+        self.send_datagram(&Datagram::PermitAnswer(answer), from)
+            .await;
+    }
+
+    /// Grants or denies a permit as the endpoint's allocator.
+    fn decide(&self, request: PermitRequest) -> Verdict {
+        let now_ms = self.clock.now_ms();
+        let endpoints = self.endpoints.borrow();
+        let limit = endpoints.limit_notice(request.endpoint, now_ms).limit;
+        let heard_fraction = self.peers.borrow().heard_fraction(now_ms);
+        let mut permits = self.permits.permits.borrow_mut();
+        let before = permits.rate_per_s(request.endpoint);
+        let verdict = permits.ask(request, limit, heard_fraction, now_ms);
+        let rate_per_s = permits.rate_per_s(request.endpoint);
+        if rate_per_s != before {
+            let endpoint = endpoints
+                .find_incarnation(request.endpoint)
+                .and_then(|key| endpoints.get(key));
+            let id = endpoint.map_or("", |endpoint| endpoint.entry.id.as_str());
+            log::info!(
+                event = "permit_rate", endpoint = id, rate_per_s = rate_per_s, heard_fraction = heard_fraction;
+                "this VM grants the permits of the endpoint"
+            );
+        }
+        verdict
+    }
+
+    /// Removes the permits of endpoints that other VMs grant now.
+    pub(crate) fn retain_permits(&self) {
+        let is_local = |endpoint| self.remote_allocator(endpoint).is_none();
+        let mut permits = self.permits.permits.borrow_mut();
+        permits.retain(is_local, self.clock.now_ms());
+    }
+
+    async fn send_datagram(&self, datagram: &Datagram, address: SocketAddr) {
+        let Some(socket) = self.permits.socket.get() else {
+            return;
+        };
+        match advert::to_bytes(datagram) {
+            // A lost datagram and one that cannot be sent have the same effect.
+            Ok(bytes) => drop(socket.send_to(&bytes, address).await),
+            Err(error) => log::error!(event = "permit_not_encoded"; "{error}"),
+        }
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -319,7 +319,7 @@
     splitter: &EventSplitter,
 ) -> Option<Source> {
     let mut outcome = outcome;
-    while let Some(key) = exchange.take_next_endpoint(outcome) {
+    while let Some(key) = exchange.take_next_endpoint(outcome).await {
         let received = match exchange.send(key, splitter.last_id()).await {
             Ok(received) => received,
             Err(next) => {
--- a/crates/wire/src/advert.rs
+++ b/crates/wire/src/advert.rs
@@ -1,4 +1,5 @@
-//! Datagrams between VMs that forward by route: the advert of a VM, or one part of the summary of a data centre.
+//! Datagrams between VMs that forward by route: the advert of a VM, one part of the summary of a data centre, or a
+//! request for a permit and its answer.
 //!
 //! They are encoded with `postcard`, whose variable-length integers keep small numbers at one byte.
 
@@ -11,6 +12,7 @@
 use waxwing_core::fleet::summary::VmState;
 use waxwing_core::forwarding::endpoints::Demand;
 use waxwing_core::forwarding::endpoints::URGENCY_LEVELS;
+use waxwing_core::forwarding::endpoints::limits::LimitNotice;
 use waxwing_core::forwarding::endpoints::notices::Incarnation;
 use waxwing_core::forwarding::lanes::LANES_MAX;
 use waxwing_core::forwarding::lanes::ServiceDemand;
@@ -18,8 +20,16 @@
 use waxwing_core::state::evidence::ContentHash;
 use waxwing_core::state::evidence::CrashFinding;
 
+use crate::advert::limits::PermitAnswer;
+use crate::advert::limits::PermitQuestion;
+use crate::advert::limits::WireLimit;
+use crate::advert::limits::WirePermitAnswer;
+use crate::advert::limits::WirePermitQuestion;
+
+pub mod limits;
+
 /// Version of the datagram format, sent as the first byte; datagrams of other versions are rejected.
-const VERSION: u8 = 6;
+const VERSION: u8 = 7;
 
 /// Maximum number of unread prompt tokens for one endpoint and urgency level; sums over all VMs must not overflow.
 const TOKENS_MAX: u64 = 1 << 40;
@@ -54,12 +64,18 @@
     Advert(Advert),
     /// State and load of a data centre, sent by one of its VMs.
     Summary(Summary),
+    /// Request for a permit to send to an endpoint with a rate limit.
+    PermitQuestion(PermitQuestion),
+    /// Answer to such a request.
+    PermitAnswer(PermitAnswer),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
 enum WireDatagram {
     Advert(WireAdvert),
     Summary(WireSummary),
+    PermitQuestion(WirePermitQuestion),
+    PermitAnswer(WirePermitAnswer),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -106,6 +122,7 @@
     findings: Vec<WireFinding>,
     /// Incarnations of endpoints that are leaving, in little-endian byte order.
     leaving: Vec<[u8; 8]>,
+    limits: Vec<WireLimit>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -140,6 +157,7 @@
     service_demands: Vec<(u64, ServiceDemand)>,
     findings: Vec<CrashFinding>,
     leaving: Vec<Incarnation>,
+    limits: Vec<LimitNotice>,
 }
 
 impl WireLoad {
@@ -148,6 +166,7 @@
         service_demands: &[(u64, ServiceDemand)],
         findings: &[CrashFinding],
         leaving: &[Incarnation],
+        limits: &[LimitNotice],
     ) -> Self {
         let leaving = leaving.iter();
         Self {
@@ -158,6 +177,7 @@
                 .map(WireServiceDemand::from)
                 .collect(),
             findings: findings.iter().map(WireFinding::from).collect(),
+            limits: limits.iter().map(WireLimit::from).collect(),
         }
     }
 }
@@ -169,7 +189,9 @@
         let demands = wire.demands.into_iter().map(TryFrom::try_from);
         let service_demands = wire.service_demands.into_iter().map(TryFrom::try_from);
         let leaving = wire.leaving.into_iter().map(u64::from_le_bytes);
+        let limits = wire.limits.into_iter().map(LimitNotice::try_from);
         Ok(Self {
+            limits: limits.collect::<Result<_>>()?,
             leaving: leaving.map(Incarnation).collect(),
             demands: demands.collect::<Result<_>>()?,
             service_demands: service_demands.collect::<Result<_>>()?,
@@ -317,8 +339,15 @@
                     &advert.service_demands,
                     &advert.findings,
                     &advert.leaving,
+                    &advert.limits,
                 ),
             }),
+            Datagram::PermitQuestion(question) => {
+                WireDatagram::PermitQuestion(WirePermitQuestion::from(question))
+            }
+            Datagram::PermitAnswer(answer) => {
+                WireDatagram::PermitAnswer(WirePermitAnswer::from(answer))
+            }
             Datagram::Summary(summary) => WireDatagram::Summary(WireSummary {
                 data_centre: summary.data_centre.as_str().to_owned(),
                 vm: summary.vm.as_str().to_owned(),
@@ -333,6 +362,7 @@
                     &summary.service_demands,
                     &summary.findings,
                     &summary.leaving,
+                    &summary.limits,
                 ),
             }),
         }
@@ -344,6 +374,12 @@
 
     fn try_from(wire: WireDatagram) -> Result<Self> {
         match wire {
+            WireDatagram::PermitQuestion(wire) => {
+                Ok(Datagram::PermitQuestion(PermitQuestion::try_from(wire)?))
+            }
+            WireDatagram::PermitAnswer(wire) => {
+                Ok(Datagram::PermitAnswer(PermitAnswer::try_from(wire)?))
+            }
             WireDatagram::Advert(wire) => {
                 let load = Load::try_from(wire.load)?;
                 Ok(Datagram::Advert(Advert {
@@ -359,6 +395,7 @@
                     service_demands: load.service_demands,
                     findings: load.findings,
                     leaving: load.leaving,
+                    limits: load.limits,
                 }))
             }
             WireDatagram::Summary(wire) => {
@@ -379,6 +416,7 @@
                     service_demands: load.service_demands,
                     findings: load.findings,
                     leaving: load.leaving,
+                    limits: load.limits,
                 }))
             }
         }
--- a/crates/wire/tests/advert.rs
+++ b/crates/wire/tests/advert.rs
@@ -7,13 +7,20 @@
 use waxwing_core::fleet::Summary;
 use waxwing_core::fleet::summary::VmState;
 use waxwing_core::forwarding::endpoints::Demand;
+use waxwing_core::forwarding::endpoints::UrgencyLevel;
+use waxwing_core::forwarding::endpoints::limits::LimitNotice;
+use waxwing_core::forwarding::endpoints::limits::RateLimit;
 use waxwing_core::forwarding::endpoints::notices::Incarnation;
 use waxwing_core::forwarding::lanes::ServiceDemand;
 use waxwing_core::forwarding::peers::Advert;
+use waxwing_core::forwarding::permits::PermitRequest;
+use waxwing_core::forwarding::permits::Verdict;
 use waxwing_core::state::evidence::CrashFinding;
 use waxwing_wire::advert;
 use waxwing_wire::advert::Datagram;
 use waxwing_wire::advert::Error;
+use waxwing_wire::advert::limits::PermitAnswer;
+use waxwing_wire::advert::limits::PermitQuestion;
 
 fn new_demand() -> Demand {
     Demand {
@@ -31,6 +38,40 @@
     }
 }
 
+fn new_notice(limit: RateLimit) -> LimitNotice {
+    LimitNotice {
+        endpoint: Incarnation(1 << 60),
+        limit,
+        sent_age_ms: 250,
+        received_age_ms: 20,
+    }
+}
+
+fn new_permit_datagrams() -> [Datagram; 3] {
+    let notice = new_notice(RateLimit::PerSecond(0.25));
+    let question = PermitQuestion {
+        id: u64::MAX,
+        request: PermitRequest {
+            endpoint: notice.endpoint,
+            vm: 9,
+            level: UrgencyLevel::from(4),
+        },
+        notice,
+    };
+    let answer = |verdict| {
+        Datagram::PermitAnswer(PermitAnswer {
+            id: 1,
+            verdict,
+            notice,
+        })
+    };
+    [
+        Datagram::PermitQuestion(question),
+        answer(Verdict::Granted),
+        answer(Verdict::Wait { for_ms: 700 }),
+    ]
+}
+
 fn new_advert() -> Advert {
     Advert {
         vm: Name::from("vm-1"),
@@ -49,6 +90,10 @@
             age_ms: 100,
         }],
         leaving: vec![Incarnation(u64::MAX), Incarnation(0)],
+        limits: vec![
+            new_notice(RateLimit::PerSecond(1.4)),
+            new_notice(RateLimit::Unlimited),
+        ],
     }
 }
 
@@ -75,14 +120,17 @@
         service_demands: vec![(5, new_service_demand())],
         findings: Vec::new(),
         leaving: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
-fn samples() -> [Datagram; 2] {
-    [
+fn samples() -> Vec<Datagram> {
+    let mut samples = vec![
         Datagram::Advert(new_advert()),
         Datagram::Summary(new_summary()),
-    ]
+    ];
+    samples.extend(new_permit_datagrams());
+    samples
 }
 
 /// Guards against fields that are lost or changed by encoding and decoding.
