Size lanes without regard to the limits of engines

Cause: counted a limited engine as a small part of one when it sized the lanes. Lanes of the remaining engines moved to those with the shortest gap target, and shared parts were read again or fetched from everywhere.

Change: a limited engine keeps its place in its lane, as a paused one does; denials send its requests to others.

--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -259,17 +259,6 @@
     cost_ms + (endpoint.failure_rate - 0.2).max(0.0) * config.failure_cost_ms
 }
 
-/// Smallest total capacity of a service's engines, as a multiple of one engine's.
-const CAPACITY_SHARE_MIN: f64 = 0.1;
-
-/// Returns the fraction of its capacity that an engine may use: one request a second for each slot is full use.
-fn capacity_share(endpoint: &Endpoint) -> f64 {
-    match endpoint.limit().rate_per_s() {
-        None => 1.0,
-        Some(rate_per_s) => (rate_per_s / f64::from(endpoint.entry.slots.max(1))).min(1.0),
-    }
-}
-
 /// The lanes of a service and the homes of one request's shared part.
 struct LaneView {
     lanes: Lanes,
@@ -283,21 +272,16 @@
 impl LaneView {
     fn new(config: &Config, endpoints: &Endpoints, request: &Request<'_>, prompt: &Prompt) -> Self {
         let mut hashes = Vec::new();
-        let mut slots = 0.0;
-        let mut share_sum = 0.0;
+        let mut slots = 0;
         for (_, endpoint) in endpoints.of_service(request.service) {
-            if !endpoint.is_usable() {
-                continue;
+            if endpoint.is_usable() {
+                hashes.push(endpoint.hash);
+                slots += endpoint.entry.slots.max(1);
             }
-            let share = capacity_share(endpoint);
-            hashes.push(endpoint.hash);
-            slots += f64::from(endpoint.entry.slots.max(1)) * share;
-            share_sum += share;
         }
-        let engines = hashes.len().max(1) as f64;
         let engine = Capacity {
-            tokens_per_ms: config.read_tokens_per_ms * share_sum.max(CAPACITY_SHARE_MIN) / engines,
-            slots: slots.max(1.0) / engines,
+            tokens_per_ms: config.read_tokens_per_ms,
+            slots: f64::from(slots.max(1)) / hashes.len().max(1) as f64,
         };
         let lanes = Lanes::new(
             &config.lanes,
