Reserve permits for one round trip only

What callers saw: with all engines limited, a third of the permits was not used while requests were refused.

Cause: a permit stayed reserved for 500 ms for a VM that was told to ask again, also if it had no request by then.

Change: the reservation lasts 50 ms, a round trip or two; the waiting time is remembered for 2 s, so that aging of the less urgent levels is not lost.

--- a/crates/core/src/forwarding/permits.rs
+++ b/crates/core/src/forwarding/permits.rs
@@ -23,8 +23,11 @@
 /// Time after which a waiting request gains one urgency level, in milliseconds, so that none waits forever.
 const AGING_MS: u64 = 500;
 
-/// Time for which a permit is reserved for a VM that does not ask again when it is due, in milliseconds.
-const NO_SHOW_MS: u64 = 500;
+/// Time for which a permit is reserved for a VM that was told to ask again, in milliseconds: a round trip or two.
+const RESERVED_MS: u64 = 50;
+
+/// Time for which the waiting time of a VM that does not ask again is remembered, in milliseconds.
+const REMEMBERED_MS: u64 = 2_000;
 
 /// Shortest delay of a VM that has to ask again, in milliseconds.
 const WAIT_MIN_MS: u64 = 20;
@@ -144,7 +147,7 @@
     fn ask(&mut self, vm: u64, level: UrgencyLevel, now_ms: u64) -> Verdict {
         self.asked_at_ms = now_ms;
         self.waiting
-            .retain(|waiter| now_ms < waiter.due_ms + NO_SHOW_MS);
+            .retain(|waiter| now_ms < waiter.due_ms + REMEMBERED_MS);
         let known = self
             .waiting
             .iter()
@@ -162,7 +165,7 @@
         let mut ahead = 0;
         let mut due_ahead = 0;
         for waiter in &self.waiting {
-            if waiter.rank(now_ms) > rank {
+            if waiter.rank(now_ms) > rank || now_ms >= waiter.due_ms + RESERVED_MS {
                 continue;
             }
             ahead += 1;
--- a/crates/core/tests/limited_engines.rs
+++ b/crates/core/tests/limited_engines.rs
@@ -419,3 +419,17 @@
         }
     }
 }
+
+/// Guards against permits that nobody uses while requests are refused.
+#[test]
+fn all_limited() {
+    for seed in 0..5 {
+        let served = serve(seed, &limited(0..ENGINES, LIMIT_PER_S));
+        println!("seed {seed}, all limited: {served:?}");
+        let permits =
+            LIMIT_PER_S * ENGINES as f64 * (LIMITED_MS.end - LIMITED_MS.start) as f64 / 1_000.0;
+        assert!(served.refused > 0);
+        assert!(served.at_limited as f64 >= permits * 0.8);
+        assert!(served.at_limited as f64 <= permits + ENGINES as f64);
+    }
+}
