--- a/crates/core/tests/permits.rs
+++ b/crates/core/tests/permits.rs
@@ -327,6 +327,7 @@
 
     fn assert_limit_kept(&self, limit_per_s: f64, what: &str) {
         let most = most_in_window(&self.sends());
+        println!("{what}: {most} requests in 4 s");
         assert!(
             most as f64 <= allowed(limit_per_s),
             "{what}: {most} requests in 4 s, allowed {}",
@@ -422,6 +423,38 @@
     assert!(after >= 20, "{after} requests in 19 s");
 }
 
+/// Guards against VMs that grant permits right after they started, before they have heard the others.
+#[test]
+fn restarts_in_turn() {
+    let vms = 24;
+    let mut fleet = Fleet::new(6, vms, 20.0);
+    fleet.demand_per_s = 100.0;
+    fleet.run(0, 10_000);
+    let mut now_ms = 10_000;
+    for index in 0..vms {
+        fleet.restart(index, now_ms);
+        fleet.run(now_ms, now_ms + 150);
+        now_ms += 150;
+    }
+    fleet.run(now_ms, now_ms + 8_000);
+    // What one allocator grants in a window: the limit for 4 s, and what it saved up in 250 ms.
+    let most = most_in_window(&fleet.sends());
+    assert!(most <= 80 + 6, "{most} requests in 4 s");
+}
+
+/// Guards against an allocator that uses permits of the time in which another VM was the allocator.
+#[test]
+fn regained_endpoint() {
+    let mut permits = Permits::new(0);
+    let limit = RateLimit::PerSecond(20.0);
+    permits.ask(request(0, 0), limit, 1.0, 10_000);
+    permits.retain(|_| false, 10_200);
+    assert!(matches!(
+        permits.ask(request(0, 0), limit, 1.0, 12_000),
+        Verdict::Wait { .. }
+    ));
+}
+
 /// Guards against permits that are saved up while nobody asks, or while the clock is suspended.
 #[test]
 fn nothing_saved() {
