Name the endpoint and the next permit in the line of a request refused for a limit

Cause: the line of a request that was refused with endpoint_limited named no endpoint when all denials were older, so nothing led from it to the limit; and each notice of another VM searched all endpoints for its incarnation.

Change: the request's line ends its runs with ENDPOINT:limited@MS(permit in MS ms); an index by incarnation in the registry, also for leaving notices.

--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -320,6 +320,7 @@
     endpoints: SlotMap<EndpointKey, Endpoint>,
     runs: SlotMap<RunKey, Run>,
     by_id: HashMap<Name, EndpointKey>,
+    by_incarnation: HashMap<Incarnation, EndpointKey>,
     by_service: HashMap<Name, Vec<EndpointKey>>,
     peer_demand: HashMap<Name, Vec<(u64, Demand)>>,
     /// Sum of `peer_demand` over the VMs; maintained incrementally because each request reads it for all endpoints.
@@ -508,6 +509,7 @@
         };
         let key = self.endpoints.insert(endpoint);
         self.by_id.insert(id, key);
+        self.by_incarnation.insert(incarnation, key);
         self.by_service.entry(service).or_default().push(key);
         key
     }
@@ -515,6 +517,7 @@
     fn remove_now(&mut self, id: &Name) -> Option<EndpointKey> {
         let key = self.by_id.remove(id)?;
         let endpoint = self.endpoints.remove(key)?;
+        self.by_incarnation.remove(&endpoint.incarnation);
         self.revisions.note_removal(id);
         if self.removed.len() >= REMOVED_ENTRIES_MAX {
             self.removed.clear();
@@ -656,11 +659,12 @@
                 continue;
             }
             // The endpoint may not be in the registry yet; the notice applies to an entry that arrives later.
-            for (key, endpoint) in &mut self.endpoints {
-                if endpoint.incarnation == *incarnation {
-                    endpoint.is_leaving = true;
-                    newly_leaving.push(key);
-                }
+            let Some(key) = self.find_incarnation(*incarnation) else {
+                continue;
+            };
+            if let Some(endpoint) = self.endpoints.get_mut(key) {
+                endpoint.is_leaving = true;
+                newly_leaving.push(key);
             }
         }
         newly_leaving
@@ -740,16 +744,9 @@
 
     /// Removes limits that need not be reported any longer.
     pub fn expire_limits(&mut self, now_ms: u64) {
-        if self.limits.is_empty() {
-            return;
-        }
-        let endpoints = &self.endpoints;
-        let listed: HashSet<Incarnation> = endpoints
-            .values()
-            .map(|endpoint| endpoint.incarnation)
-            .collect();
+        let listed = &self.by_incarnation;
         self.limits
-            .expire(|incarnation| listed.contains(&incarnation), now_ms);
+            .expire(|incarnation| listed.contains_key(&incarnation), now_ms);
     }
 
     /// Records that this VM was denied a permit; until it may ask again, requests of this level go elsewhere.
@@ -761,9 +758,7 @@
 
     /// Returns the key of an incarnation that has an entry.
     pub fn find_incarnation(&self, incarnation: Incarnation) -> Option<EndpointKey> {
-        let mut endpoints = self.endpoints.iter();
-        let found = endpoints.find(|(_, endpoint)| endpoint.incarnation == incarnation);
-        found.map(|(key, _)| key)
+        self.by_incarnation.get(&incarnation).copied()
     }
 
     /// Releases a run whose caller disconnected, without an effect on the endpoint's health.
--- a/crates/core/src/forwarding/endpoints/limits.rs
+++ b/crates/core/src/forwarding/endpoints/limits.rs
@@ -169,11 +169,6 @@
         }
     }
 
-    /// Returns whether no limit is known.
-    pub fn is_empty(&self) -> bool {
-        self.known.is_empty()
-    }
-
     /// Removes the limits that were lifted a while ago, and those of endpoints that are gone.
     pub fn expire(&mut self, is_listed: impl Fn(Incarnation) -> bool, now_ms: u64) {
         self.known.retain(|incarnation, known| {
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -156,6 +156,8 @@
 /// When an endpoint of a service is available again, and why none is now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Opening {
+    /// The endpoint.
+    pub endpoint: EndpointKey,
     /// Time until then, in milliseconds.
     pub wait_ms: u64,
     /// Whether a rate limit is the reason; otherwise it is a pause.
@@ -171,7 +173,7 @@
     now_ms: u64,
 ) -> Option<Opening> {
     let mut next: Option<Opening> = None;
-    for (_, endpoint) in endpoints.of_service(service) {
+    for (key, endpoint) in endpoints.of_service(service) {
         if endpoint.is_available(level, now_ms) {
             return None;
         }
@@ -181,6 +183,7 @@
         let (paused_until_ms, denied_until_ms) =
             (endpoint.paused_until_ms(), endpoint.denied_until_ms(level));
         let opening = Opening {
+            endpoint: key,
             wait_ms: paused_until_ms.max(denied_until_ms) - now_ms,
             is_limited: denied_until_ms > paused_until_ms,
         };
--- a/crates/core/tests/endpoint_notices.rs
+++ b/crates/core/tests/endpoint_notices.rs
@@ -120,6 +120,7 @@
             2_000
         ),
         Some(Opening {
+            endpoint: key,
             wait_ms: 100,
             is_limited: false
         })
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -567,6 +567,12 @@
                 Refusal::may_have_run(reason, 0, "the endpoint gave no usable answer")
             }
         };
+        if let Some(opening) = opening.filter(|opening| opening.is_limited) {
+            let endpoints = self.gateway.endpoints.borrow();
+            let endpoint = endpoints.get(opening.endpoint);
+            let id = endpoint.map_or("", |endpoint| endpoint.entry.id.as_str());
+            self.trace.record_limited(id, opening.wait_ms);
+        }
         let mut response = refusal_response(&self.gateway, self.trace.request_id(), &refusal);
         *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
         metrics::counter!(metric::REFUSALS, "reason" => reason.as_str()).increment(1);
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -105,6 +105,15 @@
         );
     }
 
+    /// Adds the endpoint whose rate limit admits another request first, `wait_ms` from now.
+    pub(crate) fn record_limited(&mut self, endpoint: &str, wait_ms: u64) {
+        let elapsed_ms = self.elapsed_ms();
+        let _ = write!(
+            self.runs,
+            "{endpoint}:limited@{elapsed_ms}(permit in {wait_ms} ms) "
+        );
+    }
+
     pub(crate) fn record_first_byte(&mut self) {
         if self.first_byte_ms.is_some() {
             return;
