Name permit messages queries and replies

Cause: the rest of the code calls such messages so; question and answer read like private terms.

Change: renames only.

--- a/crates/gateway/src/adverts.rs
+++ b/crates/gateway/src/adverts.rs
@@ -198,12 +198,12 @@
                 relay_summary(&gateway, &socket, &summary).await;
                 apply_summary(&gateway, summary)
             }
-            Ok(Datagram::PermitQuestion(question)) => {
-                gateway.answer_permit(question, from).await;
+            Ok(Datagram::PermitQuery(query)) => {
+                gateway.answer_permit(query, from).await;
                 continue;
             }
-            Ok(Datagram::PermitAnswer(answer)) => {
-                gateway.permits.resolve(answer);
+            Ok(Datagram::PermitReply(reply)) => {
+                gateway.permits.resolve(reply);
                 continue;
             }
             Err(error) => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -49,7 +49,7 @@
 use crate::fleet;
 use crate::fleet::Fleet;
 use crate::metric;
-use crate::permits::PermitExchange;
+use crate::permits::PermitService;
 use crate::server;
 use crate::settings::Settings;
 use crate::signals::Signals;
@@ -105,7 +105,7 @@
     pub(crate) summaries: RefCell<Summaries>,
     pub(crate) evidence: RefCell<Evidence>,
     pub(crate) fleet: Fleet,
-    pub(crate) permits: PermitExchange,
+    pub(crate) permits: PermitService,
     pub(crate) in_progress: Cell<u32>,
     pub(crate) buffered_bytes: Cell<usize>,
     idle: RefCell<HashMap<EndpointKey, Vec<Connection>>>,
@@ -154,7 +154,7 @@
             summaries: RefCell::default(),
             evidence: RefCell::new(Evidence::new(EVIDENCE_LIFETIME_MS, EVIDENCE_MAX)),
             fleet: Fleet::new(settings.log_service.bound_ms()),
-            permits: PermitExchange::new(clock.now_ms()),
+            permits: PermitService::new(clock.now_ms()),
             in_progress: Cell::new(0),
             buffered_bytes: Cell::new(0),
             idle: RefCell::new(HashMap::new()),
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -20,27 +20,27 @@
 use waxwing_core::hash::hash_name;
 use waxwing_wire::advert;
 use waxwing_wire::advert::Datagram;
-use waxwing_wire::advert::limits::PermitAnswer;
-use waxwing_wire::advert::limits::PermitQuestion;
+use waxwing_wire::advert::limits::PermitQuery;
+use waxwing_wire::advert::limits::PermitReply;
 
 use crate::client::with_timeout;
 use crate::gateway::Gateway;
 use crate::metric;
 
-/// Time for the answer of an allocator, in milliseconds; a permit that arrives later is not used.
-const ANSWER_MS: u64 = 100;
+/// Time for the reply of an allocator, in milliseconds; a permit that arrives later is not used.
+const REPLY_MS: u64 = 100;
 
 /// Time after which an allocator that did not answer, or is none, is asked again, in milliseconds.
 const RETRY_MS: u64 = 300;
 
-/// Permits that this VM grants, and its questions to other allocators.
-pub(crate) struct PermitExchange {
+/// Permits that this VM grants, and its queries to other allocators.
+pub(crate) struct PermitService {
     permits: RefCell<Permits>,
     socket: OnceCell<Rc<Async<UdpSocket>>>,
-    pending: RefCell<HashMap<u64, flume::Sender<PermitAnswer>>>,
+    pending: RefCell<HashMap<u64, flume::Sender<PermitReply>>>,
 }
 
-impl PermitExchange {
+impl PermitService {
     pub(crate) fn new(started_at_ms: u64) -> Self {
         Self {
             permits: RefCell::new(Permits::new(started_at_ms)),
@@ -55,11 +55,11 @@
         let _ = self.socket.set(socket);
     }
 
-    /// Passes an answer to the request that waits for it; an answer that is late is dropped.
-    pub(crate) fn resolve(&self, answer: PermitAnswer) {
-        if let Some(sender) = self.pending.borrow_mut().remove(&answer.id) {
+    /// Passes a reply to the request that waits for it; a late reply is dropped.
+    pub(crate) fn resolve(&self, reply: PermitReply) {
+        if let Some(sender) = self.pending.borrow_mut().remove(&reply.id) {
             // Fails only if the request has been abandoned.
-            let _ = sender.try_send(answer);
+            let _ = sender.try_send(reply);
         }
     }
 }
@@ -91,7 +91,7 @@
         };
         let now_ms = self.clock.now_ms();
         // Also holds for a VM that was suspended after the permit arrived.
-        let is_late = now_ms - asked_at_ms > ANSWER_MS;
+        let is_late = now_ms - asked_at_ms > REPLY_MS;
         let (outcome, level, for_ms) = match verdict {
             Some(Verdict::Granted) if !is_late => ("granted", level, 0),
             Some(Verdict::Wait { for_ms }) => ("denied", level, for_ms),
@@ -120,7 +120,7 @@
     /// Asks another VM; returns `None` if it does not answer in time.
     async fn ask(&self, allocator: SocketAddr, request: PermitRequest) -> Option<Verdict> {
         let now_ms = self.clock.now_ms();
-        let question = PermitQuestion {
+        let query = PermitQuery {
             id: self.draw(),
             request,
             notice: self
@@ -130,23 +130,23 @@
         };
         let (sender, receiver) = flume::bounded(1);
         let pending = &self.permits.pending;
-        pending.borrow_mut().insert(question.id, sender);
-        self.send_datagram(&Datagram::PermitQuestion(question), allocator)
+        pending.borrow_mut().insert(query.id, sender);
+        self.send_datagram(&Datagram::PermitQuery(query), allocator)
             .await;
-        let answer = with_timeout(ANSWER_MS, receiver.recv_async()).await;
-        pending.borrow_mut().remove(&question.id);
-        let answer = answer?.ok()?;
-        self.merge_limits(&[answer.notice], "allocator");
-        Some(answer.verdict)
+        let reply = with_timeout(REPLY_MS, receiver.recv_async()).await;
+        pending.borrow_mut().remove(&query.id);
+        let reply = reply?.ok()?;
+        self.merge_limits(&[reply.notice], "allocator");
+        Some(reply.verdict)
     }
 
-    /// Answers the question of another VM.
-    pub(crate) async fn answer_permit(&self, question: PermitQuestion, from: SocketAddr) {
-        let PermitQuestion {
+    /// Replies to the query of another VM.
+    pub(crate) async fn answer_permit(&self, query: PermitQuery, from: SocketAddr) {
+        let PermitQuery {
             id,
             request,
             notice,
-        } = question;
+        } = query;
         self.merge_limits(&[notice], "permit request");
         let verdict = match self.remote_allocator(request.endpoint) {
             None => self.decide(request),
@@ -158,12 +158,12 @@
             .endpoints
             .borrow()
             .limit_notice(request.endpoint, now_ms);
-        let answer = PermitAnswer {
+        let reply = PermitReply {
             id,
             verdict,
             notice,
         };
-        self.send_datagram(&Datagram::PermitAnswer(answer), from)
+        self.send_datagram(&Datagram::PermitReply(reply), from)
             .await;
     }
 
--- a/crates/wire/src/advert.rs
+++ b/crates/wire/src/advert.rs
@@ -20,11 +20,11 @@
 use waxwing_core::state::evidence::ContentHash;
 use waxwing_core::state::evidence::CrashFinding;
 
-use crate::advert::limits::PermitAnswer;
-use crate::advert::limits::PermitQuestion;
+use crate::advert::limits::PermitQuery;
+use crate::advert::limits::PermitReply;
 use crate::advert::limits::WireLimit;
-use crate::advert::limits::WirePermitAnswer;
-use crate::advert::limits::WirePermitQuestion;
+use crate::advert::limits::WirePermitQuery;
+use crate::advert::limits::WirePermitReply;
 
 pub mod limits;
 
@@ -65,17 +65,17 @@
     /// State and load of a data centre, sent by one of its VMs.
     Summary(Summary),
     /// Request for a permit to send to an endpoint with a rate limit.
-    PermitQuestion(PermitQuestion),
-    /// Answer to such a request.
-    PermitAnswer(PermitAnswer),
+    PermitQuery(PermitQuery),
+    /// Reply to such a request.
+    PermitReply(PermitReply),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
 enum WireDatagram {
     Advert(WireAdvert),
     Summary(WireSummary),
-    PermitQuestion(WirePermitQuestion),
-    PermitAnswer(WirePermitAnswer),
+    PermitQuery(WirePermitQuery),
+    PermitReply(WirePermitReply),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -342,12 +342,8 @@
                     &advert.limits,
                 ),
             }),
-            Datagram::PermitQuestion(question) => {
-                WireDatagram::PermitQuestion(WirePermitQuestion::from(question))
-            }
-            Datagram::PermitAnswer(answer) => {
-                WireDatagram::PermitAnswer(WirePermitAnswer::from(answer))
-            }
+            Datagram::PermitQuery(query) => WireDatagram::PermitQuery(WirePermitQuery::from(query)),
+            Datagram::PermitReply(reply) => WireDatagram::PermitReply(WirePermitReply::from(reply)),
             Datagram::Summary(summary) => WireDatagram::Summary(WireSummary {
                 data_centre: summary.data_centre.as_str().to_owned(),
                 vm: summary.vm.as_str().to_owned(),
@@ -374,11 +370,11 @@
 
     fn try_from(wire: WireDatagram) -> Result<Self> {
         match wire {
-            WireDatagram::PermitQuestion(wire) => {
-                Ok(Datagram::PermitQuestion(PermitQuestion::try_from(wire)?))
+            WireDatagram::PermitQuery(wire) => {
+                Ok(Datagram::PermitQuery(PermitQuery::try_from(wire)?))
             }
-            WireDatagram::PermitAnswer(wire) => {
-                Ok(Datagram::PermitAnswer(PermitAnswer::try_from(wire)?))
+            WireDatagram::PermitReply(wire) => {
+                Ok(Datagram::PermitReply(PermitReply::try_from(wire)?))
             }
             WireDatagram::Advert(wire) => {
                 let load = Load::try_from(wire.load)?;
--- a/crates/wire/src/advert/limits.rs
+++ b/crates/wire/src/advert/limits.rs
@@ -17,8 +17,8 @@
 
 /// Request of a VM to the VM that grants the permits of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PermitQuestion {
-    /// Number that the answer repeats.
+pub struct PermitQuery {
+    /// Id that the reply repeats.
     pub id: u64,
     /// The request.
     pub request: PermitRequest,
@@ -26,10 +26,10 @@
     pub notice: LimitNotice,
 }
 
-/// Answer to a [`PermitQuestion`].
+/// Reply to a [`PermitQuery`].
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PermitAnswer {
-    /// Number of the question.
+pub struct PermitReply {
+    /// Id of the query.
     pub id: u64,
     /// Whether a request may be sent now.
     pub verdict: Verdict,
@@ -47,7 +47,7 @@
 }
 
 #[derive(Debug, Serialize, Deserialize)]
-pub(super) struct WirePermitQuestion {
+pub(super) struct WirePermitQuery {
     id: u64,
     vm: [u8; 8],
     level: u8,
@@ -55,7 +55,7 @@
 }
 
 #[derive(Debug, Serialize, Deserialize)]
-pub(super) struct WirePermitAnswer {
+pub(super) struct WirePermitReply {
     id: u64,
     /// Time to wait, in milliseconds; `None` grants the permit.
     wait_ms: Option<u64>,
@@ -97,21 +97,21 @@
     }
 }
 
-impl From<&PermitQuestion> for WirePermitQuestion {
-    fn from(question: &PermitQuestion) -> Self {
+impl From<&PermitQuery> for WirePermitQuery {
+    fn from(query: &PermitQuery) -> Self {
         Self {
-            id: question.id,
-            vm: question.request.vm.to_le_bytes(),
-            level: question.request.level.into(),
-            limit: WireLimit::from(&question.notice),
+            id: query.id,
+            vm: query.request.vm.to_le_bytes(),
+            level: query.request.level.into(),
+            limit: WireLimit::from(&query.notice),
         }
     }
 }
 
-impl TryFrom<WirePermitQuestion> for PermitQuestion {
+impl TryFrom<WirePermitQuery> for PermitQuery {
     type Error = Error;
 
-    fn try_from(wire: WirePermitQuestion) -> Result<Self> {
+    fn try_from(wire: WirePermitQuery) -> Result<Self> {
         let notice = LimitNotice::try_from(wire.limit)?;
         Ok(Self {
             id: wire.id,
@@ -125,23 +125,23 @@
     }
 }
 
-impl From<&PermitAnswer> for WirePermitAnswer {
-    fn from(answer: &PermitAnswer) -> Self {
+impl From<&PermitReply> for WirePermitReply {
+    fn from(reply: &PermitReply) -> Self {
         Self {
-            id: answer.id,
-            wait_ms: match answer.verdict {
+            id: reply.id,
+            wait_ms: match reply.verdict {
                 Verdict::Granted => None,
                 Verdict::Wait { for_ms } => Some(for_ms),
             },
-            limit: WireLimit::from(&answer.notice),
+            limit: WireLimit::from(&reply.notice),
         }
     }
 }
 
-impl TryFrom<WirePermitAnswer> for PermitAnswer {
+impl TryFrom<WirePermitReply> for PermitReply {
     type Error = Error;
 
-    fn try_from(wire: WirePermitAnswer) -> Result<Self> {
+    fn try_from(wire: WirePermitReply) -> Result<Self> {
         let verdict = match wire.wait_ms {
             None => Verdict::Granted,
             Some(for_ms) if for_ms <= AGE_MAX_MS => Verdict::Wait { for_ms },
--- a/crates/wire/tests/advert.rs
+++ b/crates/wire/tests/advert.rs
@@ -19,8 +19,8 @@
 use waxwing_wire::advert;
 use waxwing_wire::advert::Datagram;
 use waxwing_wire::advert::Error;
-use waxwing_wire::advert::limits::PermitAnswer;
-use waxwing_wire::advert::limits::PermitQuestion;
+use waxwing_wire::advert::limits::PermitQuery;
+use waxwing_wire::advert::limits::PermitReply;
 
 fn new_demand() -> Demand {
     Demand {
@@ -49,7 +49,7 @@
 
 fn new_permit_datagrams() -> [Datagram; 3] {
     let notice = new_notice(RateLimit::PerSecond(0.25));
-    let question = PermitQuestion {
+    let query = PermitQuery {
         id: u64::MAX,
         request: PermitRequest {
             endpoint: notice.endpoint,
@@ -59,14 +59,14 @@
         notice,
     };
     let answer = |verdict| {
-        Datagram::PermitAnswer(PermitAnswer {
+        Datagram::PermitReply(PermitReply {
             id: 1,
             verdict,
             notice,
         })
     };
     [
-        Datagram::PermitQuestion(question),
+        Datagram::PermitQuery(query),
         answer(Verdict::Granted),
         answer(Verdict::Wait { for_ms: 700 }),
     ]
