Exchange adverts as soon as a VM starts

What callers saw: a VM that had just started sent to a limited endpoint without a limit for up to 300 ms, until the next adverts of the others, if the endpoint itself did not state its limit meanwhile.

Cause: a VM sent its first advert with the next round, and others replied with theirs.

Change: a VM sends an advert to the VMs that it finds in the log service at once, and each replies at once to the first advert of an incarnation. The requests of the first milliseconds stay uncounted, as before a limit is known at all.

Why it works: what is missing is one round trip after the VMs are found, not an interval.

--- a/crates/core/src/forwarding/peers.rs
+++ b/crates/core/src/forwarding/peers.rs
@@ -162,6 +162,12 @@
         (true, change)
     }
 
+    /// Returns whether an incarnation of a VM is newer than the one of its latest advert.
+    pub fn is_new_incarnation(&self, vm: &Name, incarnation: u64) -> bool {
+        let latest = self.peers.get(vm).and_then(|peer| peer.latest.as_ref());
+        latest.is_none_or(|latest| latest.order.0 < incarnation)
+    }
+
     /// Returns the VMs that were alive at `before_ms` and count as dead at `now_ms`.
     pub fn lost_since(&self, before_ms: u64, now_ms: u64) -> Vec<Change> {
         let mut lost = Vec::new();
@@ -229,6 +235,11 @@
         recipients
     }
 
+    /// Returns the addresses of all other VMs, alive or not.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.peers.values().map(|peer| peer.address).collect()
+    }
+
     /// Returns the other living VMs of this data centre, with their addresses.
     pub fn local_peers(&self, now_ms: u64) -> Vec<(&Name, SocketAddr)> {
         let mut local_peers = Vec::new();
--- a/crates/gateway/src/adverts.rs
+++ b/crates/gateway/src/adverts.rs
@@ -49,7 +49,8 @@
 
 pub(crate) async fn run(gateway: Rc<Gateway>, socket: Async<UdpSocket>) {
     let socket = Rc::new(socket);
-    gateway.permits.set_socket(Rc::clone(&socket));
+    // Set once, since this runs once.
+    let _ = gateway.peer_socket.set(Rc::clone(&socket));
     join(
         send(Rc::clone(&gateway), Rc::clone(&socket)),
         receive(gateway, socket),
@@ -58,19 +59,16 @@
 }
 
 async fn send(gateway: Rc<Gateway>, socket: Rc<Async<UdpSocket>>) {
-    let mut sequence = 0;
     let mut checked_at_ms = gateway.clock.now_ms();
+    let mut round = 0;
     loop {
         Timer::after(Duration::from_millis(ADVERT_INTERVAL_MS)).await;
         let now_ms = gateway.clock.now_ms();
         expire_peers(&gateway, checked_at_ms, now_ms);
         checked_at_ms = now_ms;
-        sequence += 1;
-        let recipients = gateway.peers.borrow().advert_recipients(sequence, now_ms);
-        if !recipients.is_empty() {
-            let advert = build_advert(&gateway, sequence);
-            send_to(&socket, &Datagram::Advert(advert), &recipients).await;
-        }
+        round += 1;
+        let recipients = gateway.peers.borrow().advert_recipients(round, now_ms);
+        send_advert(&gateway, &socket, &recipients).await;
         let recipients = {
             let peers = gateway.peers.borrow();
             let is_representative = peers.uses_summaries() && peers.is_representative(now_ms);
@@ -79,12 +77,31 @@
         let Some(recipients) = recipients else {
             continue;
         };
+        let sequence = gateway.next_sequence();
         for part in build_summary(&gateway, sequence).split() {
             send_to(&socket, &Datagram::Summary(part), &recipients).await;
         }
     }
 }
 
+impl Gateway {
+    /// Sends an advert to the VMs that were found, so that they reply with theirs before callers come.
+    pub async fn announce(&self) {
+        let recipients = self.peers.borrow().addresses();
+        if let Some(socket) = self.peer_socket.get() {
+            send_advert(self, socket, &recipients).await;
+        }
+    }
+}
+
+async fn send_advert(gateway: &Gateway, socket: &Async<UdpSocket>, recipients: &[SocketAddr]) {
+    if recipients.is_empty() {
+        return;
+    }
+    let advert = build_advert(gateway, gateway.next_sequence());
+    send_to(socket, &Datagram::Advert(advert), recipients).await;
+}
+
 async fn send_to(socket: &Async<UdpSocket>, datagram: &Datagram, recipients: &[SocketAddr]) {
     let bytes = match advert::to_bytes(datagram) {
         Ok(bytes) => bytes,
@@ -193,7 +210,15 @@
             }
         };
         let outcome = match advert::from_bytes(&buffer[..length]) {
-            Ok(Datagram::Advert(advert)) => apply_advert(&gateway, advert),
+            Ok(Datagram::Advert(advert)) => {
+                let address = advert.peer;
+                let (outcome, is_new) = apply_advert(&gateway, advert);
+                if is_new {
+                    // A VM that has just started knows no limits of endpoints yet.
+                    send_advert(&gateway, &socket, &[address]).await;
+                }
+                outcome
+            }
             Ok(Datagram::Summary(summary)) => {
                 relay_summary(&gateway, &socket, &summary).await;
                 apply_summary(&gateway, summary)
@@ -247,15 +272,20 @@
     }
 }
 
-fn apply_advert(gateway: &Gateway, advert: Advert) -> &'static str {
+/// Applies an advert; returns the outcome for the metrics, and whether it is the first one of its incarnation.
+fn apply_advert(gateway: &Gateway, advert: Advert) -> (&'static str, bool) {
     if advert.vm == gateway.vm {
-        return "old";
+        return ("old", false);
     }
     let now_ms = gateway.clock.now_ms();
+    let is_first = gateway
+        .peers
+        .borrow()
+        .is_new_incarnation(&advert.vm, advert.incarnation);
     let (is_newer, change) = gateway.peers.borrow_mut().apply_advert(&advert, now_ms);
     log_seen_peers(change);
     if !is_newer {
-        return "old";
+        return ("old", false);
     }
     gateway
         .evidence
@@ -271,7 +301,7 @@
     if !is_covered {
         gateway.set_peer_load(advert.vm, advert.demands, advert.service_demands);
     }
-    "news"
+    ("news", is_first)
 }
 
 fn apply_summary(gateway: &Gateway, summary: Summary) -> &'static str {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,13 +1,16 @@
 //! The state that the tasks of a process share, and the tasks that it starts.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::net::UdpSocket;
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
+use async_io::Async;
 use async_io::Timer;
 use hyper::Response;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -106,6 +109,8 @@
     pub(crate) evidence: RefCell<Evidence>,
     pub(crate) fleet: Fleet,
     pub(crate) permits: PermitService,
+    /// Socket for datagrams to other VMs; set when the VM starts to serve.
+    pub(crate) peer_socket: OnceCell<Rc<Async<UdpSocket>>>,
     pub(crate) in_progress: Cell<u32>,
     pub(crate) buffered_bytes: Cell<usize>,
     idle: RefCell<HashMap<EndpointKey, Vec<Connection>>>,
@@ -116,6 +121,8 @@
     idle_timeout_ms: Rc<Cell<u64>>,
     random: RefCell<ChaCha8Rng>,
     stopping_since_ms: Cell<Option<u64>>,
+    /// Sequence number of the last advert or summary.
+    advert_sequence: Cell<u64>,
 }
 
 impl Gateway {
@@ -155,6 +162,8 @@
             evidence: RefCell::new(Evidence::new(EVIDENCE_LIFETIME_MS, EVIDENCE_MAX)),
             fleet: Fleet::new(settings.log_service.bound_ms()),
             permits: PermitService::new(clock.now_ms()),
+            peer_socket: OnceCell::new(),
+            advert_sequence: Cell::new(0),
             in_progress: Cell::new(0),
             buffered_bytes: Cell::new(0),
             idle: RefCell::new(HashMap::new()),
@@ -384,6 +393,12 @@
         metrics::counter!(metric::ENDPOINT_CHANGES, "change" => change).increment(1);
     }
 
+    /// Returns the sequence number of the next advert or summary.
+    pub(crate) fn next_sequence(&self) -> u64 {
+        self.advert_sequence.set(self.advert_sequence.get() + 1);
+        self.advert_sequence.get()
+    }
+
     /// Adds a VM that was found, so that it gets adverts.
     pub fn add_peer(&self, vm: Name, address: SocketAddr) {
         if vm != self.vm {
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -1,13 +1,9 @@
 //! Asks for permits to send to endpoints with a rate limit, and grants those that this VM is the allocator of.
 
-use std::cell::OnceCell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::net::UdpSocket;
-use std::rc::Rc;
 
-use async_io::Async;
 use waxwing_core::forwarding::EndpointKey;
 use waxwing_core::forwarding::endpoints::UrgencyLevel;
 use waxwing_core::forwarding::endpoints::limits::RateLimit;
@@ -36,7 +32,6 @@
 /// Permits that this VM grants, and its queries to other allocators.
 pub(crate) struct PermitService {
     permits: RefCell<Permits>,
-    socket: OnceCell<Rc<Async<UdpSocket>>>,
     pending: RefCell<HashMap<u64, flume::Sender<PermitReply>>>,
 }
 
@@ -44,17 +39,10 @@
     pub(crate) fn new(started_at_ms: u64) -> Self {
         Self {
             permits: RefCell::new(Permits::new(started_at_ms)),
-            socket: OnceCell::new(),
             pending: RefCell::default(),
         }
     }
 
-    /// Sets the socket for datagrams to other VMs; before that, only this VM's own permits can be used.
-    pub(crate) fn set_socket(&self, socket: Rc<Async<UdpSocket>>) {
-        // Set once, when the process starts to send adverts.
-        let _ = self.socket.set(socket);
-    }
-
     /// Passes a reply to the request that waits for it; a late reply is dropped.
     pub(crate) fn resolve(&self, reply: PermitReply) {
         if let Some(sender) = self.pending.borrow_mut().remove(&reply.id) {
@@ -198,7 +186,7 @@
     }
 
     async fn send_datagram(&self, datagram: &Datagram, address: SocketAddr) {
-        let Some(socket) = self.permits.socket.get() else {
+        let Some(socket) = self.peer_socket.get() else {
             return;
         };
         match advert::to_bytes(datagram) {
