Split the allocator's decision and forget abandoned permit queries

Cause: a request whose caller left while it waited for a lost reply stayed in the table of pending queries; the decision of the allocator was one long function; in a fleet with summaries each VM of all data centres replied to the first advert of a VM that starts.

Change: pending queries without a waiting request are removed with the next one; Bucket::ask is split; replies to first advert stay within the data centre where summaries are used.

--- a/crates/core/src/forwarding/permits.rs
+++ b/crates/core/src/forwarding/permits.rs
@@ -106,7 +106,8 @@
 #[derive(Debug)]
 struct Bucket {
     rate_per_s: f64,
-    /// Time at which all past permits are paid for at the current rate, in milliseconds.
+    /// Theoretical arrival time of the algorithm: when all past permits are paid for at the current rate, in
+    /// milliseconds.
     paid_at_ms: f64,
     asked_at_ms: u64,
     waiting: Vec<Waiter>,
@@ -148,11 +149,27 @@
         self.asked_at_ms = now_ms;
         self.waiting
             .retain(|waiter| now_ms < waiter.due_ms + REMEMBERED_MS);
-        let known = self
-            .waiting
-            .iter()
-            .position(|waiter| waiter.vm == vm && waiter.level == level);
-        let mut asking = match known {
+        let mut asking = self.take_waiter(vm, level, now_ms);
+        let (ahead, due_ahead) = self.count_ahead(&asking, now_ms);
+        if self.available_at_ms(due_ahead, now_ms) <= now_ms as f64 {
+            self.paid_at_ms = self.paid_at_ms.max(now_ms as f64) + self.interval_ms();
+            return Verdict::Granted;
+        }
+        let due_ms = self.available_at_ms(ahead, now_ms).ceil() as u64;
+        let for_ms = due_ms
+            .saturating_sub(now_ms)
+            .clamp(WAIT_MIN_MS, WAIT_MAX_MS);
+        asking.due_ms = now_ms + for_ms;
+        if self.waiting.len() < WAITERS_MAX {
+            self.waiting.push(asking);
+        }
+        Verdict::Wait { for_ms }
+    }
+
+    /// Removes and returns the waiter of a VM and level, or a new one.
+    fn take_waiter(&mut self, vm: u64, level: UrgencyLevel, now_ms: u64) -> Waiter {
+        let mut waiting = self.waiting.iter();
+        match waiting.position(|waiter| waiter.vm == vm && waiter.level == level) {
             Some(index) => self.waiting.swap_remove(index),
             None => Waiter {
                 vm,
@@ -160,7 +177,11 @@
                 since_ms: now_ms,
                 due_ms: now_ms,
             },
-        };
+        }
+    }
+
+    /// Returns how many waiters have a permit reserved before `asking`, and how many of these are due now.
+    fn count_ahead(&self, asking: &Waiter, now_ms: u64) -> (usize, usize) {
         let rank = asking.rank(now_ms);
         let mut ahead = 0;
         let mut due_ahead = 0;
@@ -171,19 +192,7 @@
             ahead += 1;
             due_ahead += usize::from(waiter.due_ms <= now_ms);
         }
-        if self.available_at_ms(due_ahead, now_ms) <= now_ms as f64 {
-            self.paid_at_ms = self.paid_at_ms.max(now_ms as f64) + self.interval_ms();
-            return Verdict::Granted;
-        }
-        let due_ms = self.available_at_ms(ahead, now_ms).ceil() as u64;
-        let for_ms = due_ms
-            .saturating_sub(now_ms)
-            .clamp(WAIT_MIN_MS, WAIT_MAX_MS);
-        asking.due_ms = now_ms + for_ms;
-        if self.waiting.len() < WAITERS_MAX {
-            self.waiting.push(asking);
-        }
-        Verdict::Wait { for_ms }
+        (ahead, due_ahead)
     }
 }
 
--- a/crates/gateway/src/adverts.rs
+++ b/crates/gateway/src/adverts.rs
@@ -212,8 +212,10 @@
         let outcome = match advert::from_bytes(&buffer[..length]) {
             Ok(Datagram::Advert(advert)) => {
                 let address = advert.peer;
-                let (outcome, is_new) = apply_advert(&gateway, advert);
-                if is_new {
+                let is_recipient = !gateway.peers.borrow().uses_summaries()
+                    || advert.data_centre == gateway.data_centre;
+                let (outcome, is_first) = apply_advert(&gateway, advert);
+                if is_first && is_recipient {
                     // A VM that has just started knows no limits of endpoints yet.
                     send_advert(&gateway, &socket, &[address]).await;
                 }
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -43,6 +43,15 @@
         }
     }
 
+    fn expect_reply(&self, id: u64) -> flume::Receiver<PermitReply> {
+        let (sender, receiver) = flume::bounded(1);
+        let mut pending = self.pending.borrow_mut();
+        // Requests that timed out or whose callers left remove nothing themselves.
+        pending.retain(|_, sender| !sender.is_disconnected());
+        pending.insert(id, sender);
+        receiver
+    }
+
     /// Passes a reply to the request that waits for it; a late reply is dropped.
     pub(crate) fn resolve(&self, reply: PermitReply) {
         if let Some(sender) = self.pending.borrow_mut().remove(&reply.id) {
@@ -52,6 +61,10 @@
     }
 }
 
+fn count_permit(outcome: &'static str) {
+    metrics::counter!(metric::PERMITS, "outcome" => outcome).increment(1);
+}
+
 impl Gateway {
     /// Obtains permission to send one request to an endpoint; returns whether it may be sent.
     ///
@@ -80,21 +93,29 @@
         let now_ms = self.clock.now_ms();
         // Also holds for a VM that was suspended after the permit arrived.
         let is_late = now_ms - asked_at_ms > REPLY_MS;
-        let (outcome, level, for_ms) = match verdict {
-            Some(Verdict::Granted) if !is_late => ("granted", level, 0),
-            Some(Verdict::Wait { for_ms }) => ("denied", level, for_ms),
-            // The allocator is not asked for more urgent requests either.
-            Some(Verdict::Granted) | None => ("unanswered", UrgencyLevel::default(), RETRY_MS),
-        };
-        metrics::counter!(metric::PERMITS, "outcome" => outcome).increment(1);
-        if outcome == "granted" {
-            return true;
+        match verdict {
+            Some(Verdict::Granted) if !is_late => {
+                count_permit("granted");
+                return true;
+            }
+            Some(Verdict::Wait { for_ms }) => {
+                count_permit("denied");
+                self.deny(key, level, for_ms);
+            }
+            Some(Verdict::Granted) | None => {
+                count_permit("unanswered");
+                // The allocator is not asked for more urgent requests either.
+                self.deny(key, UrgencyLevel::default(), RETRY_MS);
+            }
         }
-        let until_ms = now_ms.saturating_add(for_ms);
-        self.endpoints.borrow_mut().deny(key, level, until_ms);
         false
     }
 
+    fn deny(&self, key: EndpointKey, level: UrgencyLevel, for_ms: u64) {
+        let until_ms = self.clock.now_ms().saturating_add(for_ms);
+        self.endpoints.borrow_mut().deny(key, level, until_ms);
+    }
+
     /// Returns the address of the VM that grants the permits of an endpoint; `None` if this VM does.
     fn remote_allocator(&self, endpoint: Incarnation) -> Option<SocketAddr> {
         let members = self.peers.borrow().members(self.clock.now_ms());
@@ -116,13 +137,10 @@
                 .borrow()
                 .limit_notice(request.endpoint, now_ms),
         };
-        let (sender, receiver) = flume::bounded(1);
-        let pending = &self.permits.pending;
-        pending.borrow_mut().insert(query.id, sender);
+        let receiver = self.permits.expect_reply(query.id);
         self.send_datagram(&Datagram::PermitQuery(query), allocator)
             .await;
         let reply = with_timeout(REPLY_MS, receiver.recv_async()).await;
-        pending.borrow_mut().remove(&query.id);
         let reply = reply?.ok()?;
         self.merge_limits(&[reply.notice], "allocator");
         Some(reply.verdict)
