Log by how many VMs the slack of the repeat budget is divided, and count runs given up unanswered

The report of repeats beyond the budget cannot be traced to a cause: no line tells how many VMs a process believed to share the budget, and no counter tells requests that were given up and may still arrive from those that did arrive.

repeat_share is logged when the number changes, waxwing_gateway_repeat_vms and waxwing_gateway_runs_unanswered_total are new. No decision changes.

--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -47,6 +47,8 @@
     pub(crate) began_ms: u64,
     /// Load that the endpoint stated in its answer.
     load: Option<Load>,
+    /// Whether the request may be on its way to the endpoint, of which nothing has come back yet.
+    is_unanswered: bool,
     key: Option<RunKey>,
 }
 
@@ -55,6 +57,7 @@
         let Some(key) = self.key.take() else {
             return;
         };
+        self.is_unanswered &= matches!(outcome, RunOutcome::Stalled | RunOutcome::Expired);
         metrics::counter!(metric::RUN_ENDS, "end" => outcome.as_str()).increment(1);
         let now_ms = self.gateway.clock.now_ms();
         let became_suspect = self
@@ -84,6 +87,9 @@
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
+        if self.is_unanswered {
+            metrics::counter!(metric::RUNS_UNANSWERED).increment(1);
+        }
         if let Some(key) = self.key.take() {
             self.gateway.endpoints.borrow_mut().release_run(key);
         }
@@ -140,6 +146,7 @@
             endpoint_id,
             began_ms: now_ms,
             load: None,
+            is_unanswered: true,
             key: Some(run_key),
         };
         self.trace.begin_run(&run.endpoint_id, now_ms);
@@ -151,6 +158,7 @@
                 return Err(outcome);
             }
         };
+        run.is_unanswered = false;
         let response_info = self
             .gateway
             .adapter
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -121,6 +121,8 @@
     idle_timeout_ms: Rc<Cell<u64>>,
     random: RefCell<ChaCha8Rng>,
     stopping_since_ms: Cell<Option<u64>>,
+    /// Number of VMs in the last log line about the shares of the repeat budget.
+    logged_repeat_vms: Cell<usize>,
     /// Sequence number of the last advert or summary.
     advert_sequence: Cell<u64>,
 }
@@ -173,6 +175,7 @@
             idle_timeout_ms: Rc::new(Cell::new(15_000)),
             random: RefCell::new(ChaCha8Rng::from_os_rng()),
             stopping_since_ms: Cell::new(None),
+            logged_repeat_vms: Cell::new(0),
             settings,
         })
     }
@@ -569,6 +572,20 @@
         Ok(())
     }
 
+    /// Logs a change in the number of VMs that this VM divides the slack of the repeat budget by.
+    fn log_repeat_vms(&self) {
+        let vms = self.peers.borrow().budget_vm_count(self.clock.now_ms());
+        let before = self.logged_repeat_vms.replace(vms);
+        if before == vms {
+            return;
+        }
+        log::info!(
+            event = "repeat_share", vms = vms, before = before;
+            "the slack of the repeat budget is divided by another number of VMs"
+        );
+        metrics::gauge!(metric::REPEAT_VMS).set(vms as f64);
+    }
+
     fn connections_max(&self) -> usize {
         let free = self
             .settings
@@ -613,6 +630,7 @@
         gateway.evidence.borrow_mut().expire(now_ms);
         gateway.endpoints.borrow_mut().expire_limits(now_ms);
         gateway.retain_permits();
+        gateway.log_repeat_vms();
     }
 }
 
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -11,6 +11,10 @@
 pub const REPEATS: &str = "waxwing_gateway_repeats_total";
 /// Counter of repeats that the budget did not cover.
 pub const REPEATS_REFUSED: &str = "waxwing_gateway_repeats_refused_total";
+/// Gauge of the VMs that this VM believes to share the repeat budget, including itself.
+pub const REPEAT_VMS: &str = "waxwing_gateway_repeat_vms";
+/// Counter of runs given up before their endpoint sent anything, whose requests may still arrive there.
+pub const RUNS_UNANSWERED: &str = "waxwing_gateway_runs_unanswered_total";
 /// Counter of ended runs by outcome.
 pub const RUN_ENDS: &str = "waxwing_gateway_run_ends_total";
 /// Counter of requests sent to endpoints that state a rate limit.
