Give a process no share of the repeat slack until it can know that share

Cause: each process used half of its share of the slack from its first millisecond, whatever the process before it had used, and a share of one for as long as it knew no other VM. Five VMs that restart together while the log service takes no writes use 5 x 0.5 of the slack, and 5 x 1 from their tenth second on; 412 VMs 206 and 412 times.

A silent VM counts for an hour instead of a minute; partitions of an hour are expected. A VM that was listed but never heard now stops counting after that hour too. What a VM earns by its own requests is available from its start, as before.

The sum of the slack is at most one share for each VM known, each by the same count, so it holds without communication.

Tests changed: fresh_process expected half a share after a start, which was the fault; it now expects none until two windows have passed. silent_vm, found_vm and adverts_within count VMs only once the list is complete; found_vm also checks that an outdated address stops counting.

--- a/crates/core/src/forwarding/peers.rs
+++ b/crates/core/src/forwarding/peers.rs
@@ -31,8 +31,13 @@
 /// Silence up to which dead VMs are still listed for callers if no VM is alive, in milliseconds.
 const PARTITION_GRACE_MS: u64 = 3_000;
 
-/// Silence after which a VM no longer shares the repeat budget and the limits of endpoints, in milliseconds.
-const BUDGET_SHARE_TIMEOUT_MS: u64 = 60_000;
+/// Silence after which a VM no longer shares the limits of endpoints, in milliseconds.
+const LIMIT_SHARE_TIMEOUT_MS: u64 = 60_000;
+
+/// Silence after which a VM no longer shares the repeat budget, in milliseconds.
+///
+/// A VM that is gone costs the others only its part of the slack, and a partition may last that long.
+const REPEAT_SHARE_TIMEOUT_MS: u64 = 3_600_000;
 
 /// Periodic message of a VM to the other VMs.
 #[derive(Clone, Debug, PartialEq)]
@@ -79,6 +84,7 @@
 struct Peer {
     latest: Option<LatestAdvert>,
     address: SocketAddr,
+    added_at_ms: u64,
     last_advert_ms: Option<u64>,
 }
 
@@ -110,6 +116,8 @@
 pub struct Peers {
     config: PeersConfig,
     peers: HashMap<Name, Peer>,
+    /// Whether all VMs that started together with this one, or before it, have been added.
+    is_complete: bool,
 }
 
 impl Peers {
@@ -118,14 +126,21 @@
         Self {
             config,
             peers: HashMap::new(),
+            is_complete: false,
         }
     }
 
+    /// Records that all VMs that started together with this one, or before it, have been added.
+    pub fn mark_complete(&mut self) {
+        self.is_complete = true;
+    }
+
     /// Adds a discovered VM, so that adverts are sent to it.
-    pub fn add(&mut self, vm: Name, address: SocketAddr) {
+    pub fn add(&mut self, vm: Name, address: SocketAddr, now_ms: u64) {
         let peer = self.peers.entry(vm).or_insert(Peer {
             latest: None,
             address,
+            added_at_ms: now_ms,
             last_advert_ms: None,
         });
         if peer.last_advert_ms.is_none() {
@@ -137,7 +152,7 @@
     ///
     /// Adverts can arrive out of order; an outdated one is ignored.
     pub fn apply_advert(&mut self, advert: &Advert, now_ms: u64) -> (bool, Option<Change>) {
-        self.add(advert.vm.clone(), advert.peer);
+        self.add(advert.vm.clone(), advert.peer, now_ms);
         let was_alive = self.is_vm_alive(&advert.vm, now_ms);
         let Some(peer) = self.peers.get_mut(&advert.vm) else {
             return (false, None);
@@ -186,7 +201,7 @@
     pub fn apply_summary(&mut self, summary: &Summary, now_ms: u64) -> Vec<Change> {
         let mut changes = Vec::new();
         for state in &summary.vms {
-            self.add(state.vm.clone(), state.peer);
+            self.add(state.vm.clone(), state.peer, now_ms);
             let was_alive = self.is_vm_alive(&state.vm, now_ms);
             let Some(peer) = self.peers.get_mut(&state.vm) else {
                 continue;
@@ -345,18 +360,19 @@
         members
     }
 
-    /// Returns the number of VMs that share the repeat budget, including this one.
-    pub fn budget_vm_count(&self, now_ms: u64) -> usize {
+    /// Returns the number of VMs that share the repeat budget, including this one; `None` while some may be unknown.
+    pub fn budget_vm_count(&self, now_ms: u64) -> Option<usize> {
+        if !self.is_complete {
+            return None;
+        }
         let mut count = 1;
         for peer in self.peers.values() {
-            let last_advert_ms = peer.last_advert_ms;
-            if last_advert_ms
-                .is_none_or(|at_ms| now_ms.saturating_sub(at_ms) < BUDGET_SHARE_TIMEOUT_MS)
-            {
+            let known_at_ms = peer.last_advert_ms.unwrap_or(peer.added_at_ms);
+            if now_ms.saturating_sub(known_at_ms) < REPEAT_SHARE_TIMEOUT_MS {
                 count += 1;
             }
         }
-        count
+        Some(count)
     }
 
     /// Returns the fraction of the VMs that this VM hears, including itself.
@@ -374,7 +390,7 @@
             }
             let was_ready = peer.latest.as_ref().is_some_and(|latest| latest.is_ready);
             let silence_ms = now_ms.saturating_sub(peer.last_advert_ms.unwrap_or(0));
-            if was_ready && silence_ms < BUDGET_SHARE_TIMEOUT_MS {
+            if was_ready && silence_ms < LIMIT_SHARE_TIMEOUT_MS {
                 known += 1.0;
             }
         }
--- a/crates/core/src/forwarding/repeat_budget.rs
+++ b/crates/core/src/forwarding/repeat_budget.rs
@@ -29,6 +29,12 @@
 /// Usable fraction of the budget; the rest is a margin for requests that two VMs count differently.
 const USABLE_FRACTION: f64 = 0.8;
 
+/// Windows after its start in which a process has no share of the slack.
+///
+/// In the first one the repeats of the previous process on this VM still count, and in the second one those of VMs that
+/// have not yet counted this one.
+const SETTLE_WINDOWS: u64 = 2;
+
 #[derive(Debug, Default)]
 struct Counts {
     requests: VecDeque<u64>,
@@ -47,8 +53,8 @@
 
 /// Sliding-window budget of repeats for each service.
 ///
-/// Each VM uses its share of the slack, and the ratio applied to the requests that it sent itself, so the limits on the
-/// sum over all VMs hold without communication.
+/// Each VM uses its share of the slack, and the ratio applied to the requests that it sent itself. A process that cannot
+/// know its share has none, so the limits on the sum over all VMs hold from the start of any number of processes on.
 #[derive(Debug)]
 pub struct RepeatBudget {
     config: Config,
@@ -71,8 +77,10 @@
         self.counts(service, now_ms).requests.push_back(now_ms);
     }
 
-    /// Takes a repeat from the budget; returns `false` if it is exhausted. `vms` is the number of VMs that share it.
-    pub fn try_take(&mut self, service: &Name, vms: usize, now_ms: u64) -> bool {
+    /// Takes a repeat from the budget; returns `false` if it is exhausted.
+    ///
+    /// `vms` is the number of VMs that share the slack, or `None` if this VM cannot know it.
+    pub fn try_take(&mut self, service: &Name, vms: Option<usize>, now_ms: u64) -> bool {
         if !self.can_take(service, vms, now_ms) {
             return false;
         }
@@ -81,15 +89,23 @@
     }
 
     /// Returns whether the budget allows a repeat.
-    pub fn can_take(&mut self, service: &Name, vms: usize, now_ms: u64) -> bool {
+    pub fn can_take(&mut self, service: &Name, vms: Option<usize>, now_ms: u64) -> bool {
         let config = self.config;
-        // A previous process on this VM may have used its share within the same window.
-        let is_starting = now_ms.saturating_sub(self.started_at_ms) < config.window_ms;
-        let slack_share = if is_starting { 0.5 } else { 1.0 };
-        let slack = config.slack * USABLE_FRACTION * slack_share / vms.max(1) as f64;
+        let slack = self.slack_share(vms, now_ms);
         let counts = self.counts(service, now_ms);
-        let earned = counts.requests.len() as f64 * config.ratio * USABLE_FRACTION;
-        counts.repeats.len() as f64 + 1.0 <= earned + slack
+        let earned = counts.requests.len() as f64 * config.ratio;
+        counts.repeats.len() as f64 + 1.0 <= (earned + slack) * USABLE_FRACTION
+    }
+
+    /// Returns this VM's share of the slack.
+    fn slack_share(&self, vms: Option<usize>, now_ms: u64) -> f64 {
+        let uptime_ms = now_ms.saturating_sub(self.started_at_ms);
+        match vms {
+            Some(vms) if uptime_ms >= SETTLE_WINDOWS * self.config.window_ms => {
+                self.config.slack / vms.max(1) as f64
+            }
+            _ => 0.0,
+        }
     }
 
     fn counts(&mut self, service: &Name, now_ms: u64) -> &mut Counts {
--- a/crates/core/tests/peer_adverts.rs
+++ b/crates/core/tests/peer_adverts.rs
@@ -61,9 +61,11 @@
     let fronts = peers.front_addresses(&Name::from("a"), 1_500);
     assert_eq!(fronts, vec!["127.0.0.1:2000".parse().unwrap()]);
     assert_eq!(peers.alive_count(1_500), 1);
+    assert_eq!(peers.budget_vm_count(1_500), None, "others may be unknown");
+    peers.mark_complete();
     assert_eq!(
         peers.budget_vm_count(1_500),
-        3,
+        Some(3),
         "a silent VM may still use its share of the budget"
     );
 }
@@ -91,9 +93,20 @@
 #[test]
 fn found_vm() {
     let mut peers = start(LOCAL_VM);
-    peers.add(Name::from("v"), "127.0.0.1:1001".parse().unwrap());
+    peers.add(Name::from("v"), "127.0.0.1:1001".parse().unwrap(), 0);
     assert_eq!(peers.advert_recipients(5, 0).len(), 1);
     assert!(peers.front_addresses(&Name::from("a"), 0).is_empty());
+    peers.mark_complete();
+    assert_eq!(
+        peers.budget_vm_count(0),
+        Some(2),
+        "it may be alive and not heard"
+    );
+    assert_eq!(
+        peers.budget_vm_count(3_600_000),
+        Some(1),
+        "its address is out of date"
+    );
 }
 
 const LOCAL_VM: &str = "own";
@@ -151,7 +164,8 @@
     let near = vec!["127.0.0.1:1001".parse().unwrap()];
     assert_eq!(peers.advert_recipients(5, 100), near);
     assert_eq!(peers.front_addresses(&a, 100).len(), 3);
-    assert_eq!(peers.budget_vm_count(100), 4);
+    peers.mark_complete();
+    assert_eq!(peers.budget_vm_count(100), Some(4));
     assert_eq!(peers.members(100).len(), 3);
     // The representative of the other data centre, and its successor.
     assert_eq!(peers.summary_recipients(100).len(), 2);
--- a/crates/core/tests/permits.rs
+++ b/crates/core/tests/permits.rs
@@ -104,7 +104,7 @@
     for index in 0..vms {
         let other = vm_name(index);
         if other != *name {
-            peers.add(other, "127.0.0.1:1".parse().unwrap());
+            peers.add(other, "127.0.0.1:1".parse().unwrap(), 0);
         }
     }
     peers
--- a/crates/core/tests/repeat_budget.rs
+++ b/crates/core/tests/repeat_budget.rs
@@ -17,32 +17,46 @@
     let service = Name::from("pool");
     let mut budget = RepeatBudget::new(CONFIG, 0);
     let mut taken = 0;
-    while budget.try_take(&service, 4, 20_000) {
+    while budget.try_take(&service, Some(4), 20_000) {
         taken += 1;
     }
     assert_eq!(taken, 10, "a quarter of the usable slack");
-    assert!(!budget.try_take(&service, 4, 29_999));
-    assert!(budget.try_take(&service, 4, 30_001));
+    assert!(!budget.try_take(&service, Some(4), 29_999));
+    assert!(budget.try_take(&service, Some(4), 30_001));
 }
 
-/// Guards against a restart that doubles a VM's share: the new process does not know what the previous one used.
+/// Guards against a restart that adds to a VM's share: the new process does not know what the previous one used, nor whether
+/// all other VMs count it.
 #[test]
 fn fresh_process() {
     let service = Name::from("pool");
     let mut budget = RepeatBudget::new(CONFIG, 20_000);
+    assert!(!budget.try_take(&service, Some(4), 39_999));
+    assert!(budget.try_take(&service, Some(4), 40_000));
+}
+
+/// Guards against a process that takes the slack for itself because it knows no other VM.
+#[test]
+fn unknown_share() {
+    let service = Name::from("pool");
+    let mut budget = RepeatBudget::new(CONFIG, 0);
+    assert!(!budget.try_take(&service, None, 60_000));
+    for _ in 0..100 {
+        budget.record_request(&service, 60_000);
+    }
     let mut taken = 0;
-    while budget.try_take(&service, 4, 20_000) {
+    while budget.try_take(&service, None, 60_000) {
         taken += 1;
     }
-    assert_eq!(taken, 5);
+    assert_eq!(taken, 16, "requests earn repeats at any time");
 }
 
 /// Guards against a service that exhausts the budget of another.
 #[test]
 fn separate_services() {
     let mut budget = RepeatBudget::new(CONFIG, 0);
-    while budget.try_take(&Name::from("a"), 1, 20_000) {}
-    assert!(budget.try_take(&Name::from("b"), 1, 20_000));
+    while budget.try_take(&Name::from("a"), Some(1), 20_000) {}
+    assert!(budget.try_take(&Name::from("b"), Some(1), 20_000));
 }
 
 proptest! {
@@ -59,7 +73,7 @@
             if is_request {
                 budget.record_request(&service, now_ms);
                 requests.push(now_ms);
-            } else if budget.try_take(&service, vms, now_ms) {
+            } else if budget.try_take(&service, Some(vms), now_ms) {
                 repeats.push(now_ms);
             }
             let since_ms = now_ms - CONFIG.window_ms;
--- a/crates/core/tests/repeat_sum.rs
+++ b/crates/core/tests/repeat_sum.rs
@@ -115,6 +115,7 @@
                     vm.peers.apply_advert(advert, now_ms);
                 }
             }
+            vm.peers.mark_complete();
         }
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -121,7 +121,7 @@
     idle_timeout_ms: Rc<Cell<u64>>,
     random: RefCell<ChaCha8Rng>,
     stopping_since_ms: Cell<Option<u64>>,
-    /// Number of VMs in the last log line about the shares of the repeat budget.
+    /// Number of VMs in the last log line about the shares of the repeat budget; 0 if it was unknown.
     logged_repeat_vms: Cell<usize>,
     /// Sequence number of the last advert or summary.
     advert_sequence: Cell<u64>,
@@ -405,10 +405,16 @@
     /// Adds a VM that was found, so that it gets adverts.
     pub fn add_peer(&self, vm: Name, address: SocketAddr) {
         if vm != self.vm {
-            self.peers.borrow_mut().add(vm, address);
+            let now_ms = self.clock.now_ms();
+            self.peers.borrow_mut().add(vm, address, now_ms);
         }
     }
 
+    /// Records that all VMs that started together with this one, or before it, were found.
+    pub fn mark_peers_complete(&self) {
+        self.peers.borrow_mut().mark_complete();
+    }
+
     /// Replaces the load reported by another VM or a summary.
     pub(crate) fn set_peer_load(
         &self,
@@ -575,6 +581,7 @@
     /// Logs a change in the number of VMs that this VM divides the slack of the repeat budget by.
     fn log_repeat_vms(&self) {
         let vms = self.peers.borrow().budget_vm_count(self.clock.now_ms());
+        let vms = vms.unwrap_or(0);
         let before = self.logged_repeat_vms.replace(vms);
         if before == vms {
             return;
