Count a repeat until it can no longer arrive

What callers saw: repeats of an endpoint service beyond the budget of all VMs.

Cause: a repeat counted for 10 s after it was charged, but the bound counts when it arrives. While an endpoint stands still or a link is cut, the requests sent to it arrive later; with those of the next window they came at once.

Change: a repeat counts as under way from its charge until the endpoint has begun to answer. If the run is given up before that and the endpoint has sent nothing to others since, it counts as arriving up to 15 s later; the same holds for the run that it replaces, since the later arrival of the two is the repeat. A repeat that finds no endpoint, or whose caller leaves before it is sent, goes back to the budget.

Each way out of a run, and what may have reached an endpoint by it: - a kept connection fails before anything was written: nothing; the same charge serves the new connection - unreachable: nothing; the charge serves the next endpoint - 421, 503, 500, an answer to another request, a broken connection: the request; the next run is charged - a stalled run that is replaced, one that expires, a caller that leaves: perhaps later; held for 15 s - a resumed stream: charged like any repeat - a wait for a permit: the charge is taken before, and returned without one - moves of memory and calls made by engines: not sent by this router

--- a/crates/core/src/forwarding/repeat_budget.rs
+++ b/crates/core/src/forwarding/repeat_budget.rs
@@ -3,6 +3,9 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
 use crate::Name;
 
 /// Limits of the budget, summed over all VMs.
@@ -31,10 +34,15 @@
 
 /// Windows after its start in which a process has no share of the slack.
 ///
-/// In the first one the repeats of the previous process on this VM still count, and in the second one those of VMs that
-/// have not yet counted this one.
+/// In the first one the repeats of the previous process on this VM still count, and in the second one those of it that
+/// arrive late, and those of VMs that have not yet counted this one.
 const SETTLE_WINDOWS: u64 = 2;
 
+/// Time for which a request that was given up may still arrive at a silent endpoint, in milliseconds.
+///
+/// It waits behind a broken link or in an endpoint that is suspended.
+pub const LATE_ARRIVAL_MS: u64 = 15_000;
+
 /// Slots into which a window is divided for counting.
 const WINDOW_SLOTS: u64 = 100;
 
@@ -47,11 +55,26 @@
 /// no weighted mean of them exceeds it, and a mean with the same weights on all VMs can be added up.
 const SAME_WINDOW_WEIGHT: f64 = 0.5;
 
+new_key_type! {
+    /// Key of a service in the budget.
+    struct ServiceKey;
+}
+
+/// A repeat that was taken from the budget; it counts as under way until it is settled or cancelled.
+#[derive(Debug)]
+#[must_use]
+pub struct Repeat {
+    service: ServiceKey,
+}
+
 /// Counts of a service by time slot.
 #[derive(Debug, Default)]
 struct Counts {
     requests: BTreeMap<u64, u32>,
+    /// Repeats by the slot in which they arrive at the latest, which may be in the future.
     repeats: BTreeMap<u64, u32>,
+    /// Repeats whose latest arrival is not known yet.
+    under_way: u32,
 }
 
 impl Counts {
@@ -72,6 +95,12 @@
     fn covers_repeat(&self, config: Config, slack: f64, now_slot: u64) -> bool {
         let requests = CumulativeCounts::new(&self.requests, now_slot);
         let repeats = CumulativeCounts::new(&self.repeats, now_slot);
+        let later: u32 = self
+            .repeats
+            .range(now_slot + 1..)
+            .map(|(_, count)| count)
+            .sum();
+        let unarrived = f64::from(later + self.under_way);
         for last in now_slot..=now_slot + WINDOW_SLOTS {
             let first = last - WINDOW_SLOTS;
             // What was counted so far in the current slot lies before now.
@@ -81,7 +110,7 @@
             let earlier = requests.between(first + 1 - half, last - half);
             let earned = SAME_WINDOW_WEIGHT * same + (1.0 - SAME_WINDOW_WEIGHT) * earlier;
             let allowed = (earned * config.ratio + slack) * USABLE_FRACTION;
-            if repeats.between(first, last + 1) + 1.0 > allowed {
+            if unarrived + repeats.between(first, last + 1) + 1.0 > allowed {
                 return false;
             }
         }
@@ -127,7 +156,8 @@
 pub struct RepeatBudget {
     config: Config,
     started_at_ms: u64,
-    services: HashMap<Name, Counts>,
+    keys: HashMap<Name, ServiceKey>,
+    services: SlotMap<ServiceKey, Counts>,
 }
 
 impl RepeatBudget {
@@ -136,7 +166,8 @@
         Self {
             config,
             started_at_ms: now_ms,
-            services: HashMap::new(),
+            keys: HashMap::new(),
+            services: SlotMap::with_key(),
         }
     }
 
@@ -146,16 +177,29 @@
         *self.counts(service, slot).requests.entry(slot).or_default() += 1;
     }
 
-    /// Takes a repeat from the budget; returns `false` if it is exhausted.
+    /// Takes a repeat from the budget; returns `None` if it is exhausted.
     ///
     /// `vms` is the number of VMs that share the slack, or `None` if this VM cannot know it.
-    pub fn try_take(&mut self, service: &Name, vms: Option<usize>, now_ms: u64) -> bool {
+    pub fn try_take(&mut self, service: &Name, vms: Option<usize>, now_ms: u64) -> Option<Repeat> {
         if !self.can_take(service, vms, now_ms) {
-            return false;
+            return None;
         }
-        let slot = self.slot(now_ms);
-        *self.counts(service, slot).repeats.entry(slot).or_default() += 1;
-        true
+        let service = self.service_key(service);
+        self.services[service].under_way += 1;
+        Some(Repeat { service })
+    }
+
+    /// Records that a repeat arrives at `latest_ms` at the latest, or has arrived by then.
+    pub fn settle(&mut self, repeat: Repeat, latest_ms: u64) {
+        let slot = self.slot(latest_ms);
+        let counts = &mut self.services[repeat.service];
+        counts.under_way -= 1;
+        *counts.repeats.entry(slot).or_default() += 1;
+    }
+
+    /// Returns a repeat that was not sent to the budget.
+    pub fn cancel(&mut self, repeat: Repeat) {
+        self.services[repeat.service].under_way -= 1;
     }
 
     /// Returns whether the budget allows a repeat.
@@ -183,8 +227,20 @@
         KEPT_SLOTS + at_ms / (self.config.window_ms / WINDOW_SLOTS).max(1)
     }
 
+    fn service_key(&mut self, service: &Name) -> ServiceKey {
+        match self.keys.get(service) {
+            Some(key) => *key,
+            None => {
+                let key = self.services.insert(Counts::default());
+                self.keys.insert(service.clone(), key);
+                key
+            }
+        }
+    }
+
     fn counts(&mut self, service: &Name, now_slot: u64) -> &mut Counts {
-        let counts = self.services.entry(service.clone()).or_default();
+        let key = self.service_key(service);
+        let counts = &mut self.services[key];
         counts.expire(now_slot);
         counts
     }
--- a/crates/core/tests/repeat_budget.rs
+++ b/crates/core/tests/repeat_budget.rs
@@ -17,12 +17,12 @@
     let service = Name::from("pool");
     let mut budget = RepeatBudget::new(CONFIG, 0);
     let mut taken = 0;
-    while budget.try_take(&service, Some(4), 20_000) {
+    while repeat(&mut budget, &service, Some(4), 20_000) {
         taken += 1;
     }
     assert_eq!(taken, 10, "a quarter of the usable slack");
-    assert!(!budget.try_take(&service, Some(4), 30_000));
-    assert!(budget.try_take(&service, Some(4), 30_100));
+    assert!(!repeat(&mut budget, &service, Some(4), 30_000));
+    assert!(repeat(&mut budget, &service, Some(4), 30_100));
 }
 
 /// Guards against a restart that adds to a VM's share: the new process does not know what the previous one used, nor whether
@@ -31,8 +31,8 @@
 fn fresh_process() {
     let service = Name::from("pool");
     let mut budget = RepeatBudget::new(CONFIG, 20_000);
-    assert!(!budget.try_take(&service, Some(4), 39_999));
-    assert!(budget.try_take(&service, Some(4), 40_000));
+    assert!(!repeat(&mut budget, &service, Some(4), 39_999));
+    assert!(repeat(&mut budget, &service, Some(4), 40_000));
 }
 
 /// Guards against a process that takes the slack for itself because it knows no other VM.
@@ -40,23 +40,60 @@
 fn unknown_share() {
     let service = Name::from("pool");
     let mut budget = RepeatBudget::new(CONFIG, 0);
-    assert!(!budget.try_take(&service, None, 60_000));
+    assert!(!repeat(&mut budget, &service, None, 60_000));
     for _ in 0..100 {
         budget.record_request(&service, 60_000);
     }
     let mut taken = 0;
-    while budget.try_take(&service, None, 60_000) {
+    while repeat(&mut budget, &service, None, 60_000) {
         taken += 1;
     }
     assert_eq!(taken, 8, "requests earn repeats at any time");
 }
 
+/// Guards against a repeat that is forgotten while it may still arrive, and against one that counts though it was not sent.
+#[test]
+fn unsettled_repeat() {
+    let service = Name::from("pool");
+    let mut budget = RepeatBudget::new(CONFIG, 0);
+    let mut under_way = Vec::new();
+    while let Some(repeat) = budget.try_take(&service, Some(4), 20_000) {
+        under_way.push(repeat);
+    }
+    assert_eq!(under_way.len(), 10);
+    assert!(
+        budget.try_take(&service, Some(4), 60_000).is_none(),
+        "all are under way"
+    );
+    budget.cancel(under_way.pop().unwrap());
+    assert!(repeat(&mut budget, &service, Some(4), 60_000));
+    budget.settle(under_way.pop().unwrap(), 75_000);
+    assert!(
+        !repeat(&mut budget, &service, Some(4), 70_000),
+        "the last one still counts"
+    );
+    assert!(repeat(&mut budget, &service, Some(4), 70_100));
+    assert!(
+        !repeat(&mut budget, &service, Some(4), 80_000),
+        "two count until 85 s"
+    );
+}
+
 /// Guards against a service that exhausts the budget of another.
 #[test]
 fn separate_services() {
     let mut budget = RepeatBudget::new(CONFIG, 0);
-    while budget.try_take(&Name::from("a"), Some(1), 20_000) {}
-    assert!(budget.try_take(&Name::from("b"), Some(1), 20_000));
+    while repeat(&mut budget, &Name::from("a"), Some(1), 20_000) {}
+    assert!(repeat(&mut budget, &Name::from("b"), Some(1), 20_000));
+}
+
+/// Takes a repeat that arrives at once; returns whether the budget allows it.
+fn repeat(budget: &mut RepeatBudget, service: &Name, vms: Option<usize>, now_ms: u64) -> bool {
+    let Some(repeat) = budget.try_take(service, vms, now_ms) else {
+        return false;
+    };
+    budget.settle(repeat, now_ms);
+    true
 }
 
 proptest! {
@@ -73,7 +110,7 @@
             if is_request {
                 budget.record_request(&service, now_ms);
                 requests.push(now_ms);
-            } else if budget.try_take(&service, Some(vms), now_ms) {
+            } else if repeat(budget, &service, Some(vms), now_ms) {
                 repeats.push(now_ms);
             }
             let since_ms = now_ms - CONFIG.window_ms;
--- a/crates/core/tests/repeat_sum.rs
+++ b/crates/core/tests/repeat_sum.rs
@@ -7,6 +7,8 @@
 use waxwing_core::forwarding::peers::Peers;
 use waxwing_core::forwarding::peers::PeersConfig;
 use waxwing_core::forwarding::repeat_budget::Config;
+use waxwing_core::forwarding::repeat_budget::LATE_ARRIVAL_MS;
+use waxwing_core::forwarding::repeat_budget::Repeat;
 use waxwing_core::forwarding::repeat_budget::RepeatBudget;
 
 const WINDOW_MS: u64 = 10_000;
@@ -14,6 +16,9 @@
 /// Time between two steps of a scenario, in milliseconds.
 const STEP_MS: u64 = 20;
 
+/// Time after which a VM gives up a repeat that has not arrived, in milliseconds.
+const GIVE_UP_MS: u64 = 1_000;
+
 /// When the scenarios begin, in milliseconds.
 const BEGIN_MS: u64 = 100_000;
 
@@ -24,6 +29,8 @@
     sequence: u64,
     budget: RepeatBudget,
     peers: Peers,
+    /// Repeats that have not arrived, with the times at which they are given up.
+    under_way: Vec<(u64, Repeat)>,
 }
 
 impl Vm {
@@ -40,6 +47,17 @@
             sequence: 0,
             budget: RepeatBudget::new(config, now_ms),
             peers: Peers::new(peers_config),
+            under_way: Vec::new(),
+        }
+    }
+
+    /// Gives up the repeats that have been under way for too long.
+    fn give_up(&mut self, now_ms: u64) {
+        let due = self
+            .under_way
+            .partition_point(|(due_ms, _)| *due_ms <= now_ms);
+        for (due_ms, repeat) in self.under_way.drain(..due) {
+            self.budget.settle(repeat, due_ms + LATE_ARRIVAL_MS);
         }
     }
 
@@ -129,9 +147,16 @@
     /// Lets a VM repeat a request, which arrives at `arrival_ms`; the VM gives it up before that if it is late.
     fn repeat(&mut self, index: usize, now_ms: u64, arrival_ms: u64) {
         let vm = &mut self.vms[index];
+        vm.give_up(now_ms);
         let vms = vm.peers.budget_vm_count(now_ms);
-        if vm.budget.try_take(&Name::from("pool"), vms, now_ms) {
-            self.arrivals_ms.push(arrival_ms);
+        let Some(repeat) = vm.budget.try_take(&Name::from("pool"), vms, now_ms) else {
+            return;
+        };
+        self.arrivals_ms.push(arrival_ms);
+        if arrival_ms > now_ms {
+            vm.under_way.push((now_ms + GIVE_UP_MS, repeat));
+        } else {
+            vm.budget.settle(repeat, now_ms);
         }
     }
 
@@ -416,4 +441,32 @@
         let (arrivals, allowed) = fleet.worst_window();
         prop_assert!(arrivals as f64 <= allowed, "{arrivals} arrivals in a window, allowed {allowed}");
     }
+
+    /// Guards against repeats that arrive late, each at its own time or many at once, beyond the budget in some window.
+    ///
+    /// Callers send as much as before while repeats are late; the budget cannot take back what was earned.
+    #[test]
+    fn random_delays(
+        vms in 1_usize..6,
+        released_ms in 1_u64..15_000,
+        delays_ms in prop::collection::vec(0_u64..15_000, 200),
+        is_released_at_once in any::<bool>(),
+    ) {
+        let mut fleet = Fleet::new(vms, 54.0, BEGIN_MS);
+        fleet.meet(BEGIN_MS);
+        let failing_ms = BEGIN_MS + 40_000;
+        for now_ms in steps(failing_ms - 20_000, 60_000) {
+            let index = (now_ms / STEP_MS) as usize;
+            fleet.send(index % vms, now_ms);
+            if now_ms >= failing_ms {
+                let delay_ms = match is_released_at_once {
+                    true => (failing_ms + released_ms).saturating_sub(now_ms),
+                    false => delays_ms[index % delays_ms.len()],
+                };
+                fleet.repeat(index % vms, now_ms, now_ms + delay_ms);
+            }
+        }
+        let (arrivals, allowed) = fleet.worst_window();
+        prop_assert!(arrivals as f64 <= allowed, "{arrivals} arrivals in a window, allowed {allowed}");
+    }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -42,11 +42,13 @@
 use crate::adapter::RequestInfo;
 use crate::body::Body;
 use crate::client::with_timeout;
+use crate::exchange::repeat::RepeatGuard;
 use crate::gateway::Gateway;
 use crate::metric;
 use crate::relay;
 use crate::trace::Trace;
 
+mod repeat;
 mod send;
 
 pub(crate) use send::EndpointResponse;
@@ -93,6 +95,10 @@
     /// Engine from which the endpoint that was chosen last fetches the shared part of the prompt.
     pub(crate) source: Option<EndpointKey>,
     pub(crate) progress: Progress,
+    /// Repeat taken for the run in progress, or for the next one, until it is certain that it arrived.
+    repeat: Option<RepeatGuard>,
+    /// Until when runs that were given up may still arrive at their endpoints, in milliseconds.
+    late_until_ms: u64,
     /// Endpoint chosen for a repeat while the run before it has not ended, with its permit.
     reserved: RefCell<Option<Choice>>,
     /// Whether a rate limit kept the request from an endpoint.
@@ -251,6 +257,8 @@
         tried: Vec::new(),
         source: None,
         progress: Progress::new(limit_ms),
+        repeat: None,
+        late_until_ms: 0,
         reserved: RefCell::new(None),
         was_denied: Cell::new(false),
         in_progress,
@@ -450,20 +458,15 @@
 
     /// Takes a repeat from the service's budget and returns whether the budget allowed it; `outcome` is how the
     /// previous run ended. A repeat is free if that run's endpoint received nothing.
-    fn take_repeat(&self, outcome: RunOutcome) -> bool {
-        let now_ms = self.gateway.clock.now_ms();
-        let vms = self.gateway.peers.borrow().budget_vm_count(now_ms);
+    fn take_repeat(&mut self, outcome: RunOutcome) -> bool {
         // An endpoint that was not reached received nothing, so nothing is repeated.
         let is_free = matches!(outcome, RunOutcome::Unreachable | RunOutcome::NotWritten);
-        if !is_free
-            && !self
-                .gateway
-                .budget
-                .borrow_mut()
-                .try_take(&self.service, vms, now_ms)
-        {
-            metrics::counter!(metric::REPEATS_REFUSED).increment(1);
-            return false;
+        if !is_free {
+            self.repeat = RepeatGuard::take(&self.gateway, &self.service, self.late_until_ms);
+            if self.repeat.is_none() {
+                metrics::counter!(metric::REPEATS_REFUSED).increment(1);
+                return false;
+            }
         }
         metrics::counter!(metric::REPEATS, "after" => outcome.as_str()).increment(1);
         true
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -150,15 +150,18 @@
             key: Some(run_key),
         };
         self.trace.begin_run(&run.endpoint_id, now_ms);
+        self.begin_repeat();
         let answered = self.exchange_heads(&run, last_event_id).await;
         let (connection, response) = match answered {
             Ok(answered) => answered,
             Err(outcome) => {
+                self.settle_unanswered(&run, outcome);
                 self.end_run(&mut run, outcome, "");
                 return Err(outcome);
             }
         };
         run.is_unanswered = false;
+        self.settle_answered();
         let response_info = self
             .gateway
             .adapter
