Keep scarce repeats for urgent requests, for those that may have run, and for services that recover

What callers saw: while the budget was exhausted, whoever failed first got a repeat: drafts before bookings' look-ups, and requests before endpoints that all fail, which served nobody and left no repeats when the endpoints recovered.

Change: of the budget a request leaves a part to more urgent requests, in proportion to how many of the recent requests are more urgent (half at most; all requests at one level share it whole). A request that certainly has not run leaves a quarter: it can be refused truthfully, and its caller may come back. If ten repeats of a window ended and none was served, one is tried each second until one is.

The bound on the sum is unchanged: repeat_sum passes.

--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -110,6 +110,9 @@
 }
 
 impl UrgencyLevel {
+    /// The most urgent level.
+    pub const MOST_URGENT: Self = Self(0);
+
     /// Combines the rank of an organisation with the rank of a route.
     ///
     /// The organisation's rank is compared first. The route's rank breaks ties, so that an engine preempts the least
--- a/crates/core/src/forwarding/repeat_budget.rs
+++ b/crates/core/src/forwarding/repeat_budget.rs
@@ -7,6 +7,8 @@
 use slotmap::new_key_type;
 
 use crate::Name;
+use crate::forwarding::endpoints::URGENCY_LEVELS;
+use crate::forwarding::endpoints::UrgencyLevel;
 
 /// Limits of the budget, summed over all VMs.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -55,6 +57,27 @@
 /// no weighted mean of them exceeds it, and a mean with the same weights on all VMs can be added up.
 const SAME_WINDOW_WEIGHT: f64 = 0.5;
 
+/// Fraction of the budget that is reserved for more urgent requests if all requests are more urgent.
+const URGENT_RESERVE: f64 = 0.5;
+
+/// Fraction of the budget that is reserved for requests that may have run.
+const EXECUTED_RESERVE: f64 = 0.25;
+
+/// Repeats within a window after which the service counts as failing as a whole if none of them was served.
+const FUTILE_REPEATS_MIN: u32 = 10;
+
+/// Interval at which a service that fails as a whole is tried by a repeat, in milliseconds.
+const TRIAL_INTERVAL_MS: u64 = 1_000;
+
+/// A request that asks for a repeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// Urgency of the request.
+    pub level: UrgencyLevel,
+    /// Whether the request has certainly not run, so that it can be refused and its caller may send it again.
+    pub is_refusable: bool,
+}
+
 new_key_type! {
     /// Key of a service in the budget.
     struct ServiceKey;
@@ -71,6 +94,10 @@
 #[derive(Debug, Default)]
 struct Counts {
     requests: BTreeMap<u64, u32>,
+    requests_by_level: BTreeMap<u64, [u32; URGENCY_LEVELS]>,
+    served: BTreeMap<u64, u32>,
+    unserved: BTreeMap<u64, u32>,
+    last_taken_ms: u64,
     /// Repeats by the slot in which they arrive at the latest, which may be in the future.
     repeats: BTreeMap<u64, u32>,
     /// Repeats whose latest arrival is not known yet.
@@ -79,20 +106,54 @@
 
 impl Counts {
     fn expire(&mut self, now_slot: u64) {
-        for slots in [&mut self.requests, &mut self.repeats] {
-            while let Some(first) = slots.first_entry() {
-                if first.key() + KEPT_SLOTS >= now_slot {
-                    break;
-                }
-                first.remove();
-            }
+        let kept = now_slot.saturating_sub(KEPT_SLOTS);
+        for slots in [
+            &mut self.requests,
+            &mut self.repeats,
+            &mut self.served,
+            &mut self.unserved,
+        ] {
+            *slots = slots.split_off(&kept);
+        }
+        self.requests_by_level = self.requests_by_level.split_off(&kept);
+    }
+
+    /// Returns the fraction of the budget that a request may use; the rest is reserved for others.
+    fn usable_fraction(&self, candidate: Candidate) -> f64 {
+        let mut all = 0;
+        let mut more_urgent = 0;
+        for levels in self.requests_by_level.values() {
+            all += levels.iter().sum::<u32>();
+            more_urgent += levels[..candidate.level.index()].iter().sum::<u32>();
         }
+        let mut fraction = USABLE_FRACTION;
+        if all > 0 {
+            fraction *= 1.0 - URGENT_RESERVE * f64::from(more_urgent) / f64::from(all);
+        }
+        if candidate.is_refusable {
+            fraction *= 1.0 - EXECUTED_RESERVE;
+        }
+        fraction
+    }
+
+    /// Returns whether recent repeats were all in vain.
+    fn is_futile(&self, now_slot: u64) -> bool {
+        let since = now_slot.saturating_sub(WINDOW_SLOTS);
+        let sum =
+            |slots: &BTreeMap<u64, u32>| slots.range(since..).map(|(_, count)| count).sum::<u32>();
+        sum(&self.served) == 0 && sum(&self.unserved) >= FUTILE_REPEATS_MIN
     }
 
     /// Returns whether one more repeat now is covered in each window that contains it.
     ///
     /// Of the slots that are partly in a window, those of repeats count and those of requests do not.
-    fn covers_repeat(&self, config: Config, slack: f64, now_slot: u64) -> bool {
+    fn covers_repeat(
+        &self,
+        config: Config,
+        slack: f64,
+        usable_fraction: f64,
+        now_slot: u64,
+    ) -> bool {
         let requests = CumulativeCounts::new(&self.requests, now_slot);
         let repeats = CumulativeCounts::new(&self.repeats, now_slot);
         let later: u32 = self
@@ -109,7 +170,7 @@
             let half = WINDOW_SLOTS / 2;
             let earlier = requests.between(first + 1 - half, last - half);
             let earned = SAME_WINDOW_WEIGHT * same + (1.0 - SAME_WINDOW_WEIGHT) * earlier;
-            let allowed = (earned * config.ratio + slack) * USABLE_FRACTION;
+            let allowed = (earned * config.ratio + slack) * usable_fraction;
             if unarrived + repeats.between(first, last + 1) + 1.0 > allowed {
                 return false;
             }
@@ -172,20 +233,41 @@
     }
 
     /// Records a request, when it is first sent.
-    pub fn record_request(&mut self, service: &Name, now_ms: u64) {
+    pub fn record_request(&mut self, service: &Name, level: UrgencyLevel, now_ms: u64) {
+        let slot = self.slot(now_ms);
+        let counts = self.counts(service, slot);
+        *counts.requests.entry(slot).or_default() += 1;
+        counts.requests_by_level.entry(slot).or_default()[level.index()] += 1;
+    }
+
+    /// Records whether a repeat was served, which tells whether further ones are worth their cost.
+    pub fn record_result(&mut self, service: &Name, is_served: bool, now_ms: u64) {
         let slot = self.slot(now_ms);
-        *self.counts(service, slot).requests.entry(slot).or_default() += 1;
+        let counts = self.counts(service, slot);
+        let slots = match is_served {
+            true => &mut counts.served,
+            false => &mut counts.unserved,
+        };
+        *slots.entry(slot).or_default() += 1;
     }
 
     /// Takes a repeat from the budget; returns `None` if it is exhausted.
     ///
     /// `vms` is the number of VMs that share the slack, or `None` if this VM cannot know it.
-    pub fn try_take(&mut self, service: &Name, vms: Option<usize>, now_ms: u64) -> Option<Repeat> {
-        if !self.can_take(service, vms, now_ms) {
+    pub fn try_take(
+        &mut self,
+        service: &Name,
+        candidate: Candidate,
+        vms: Option<usize>,
+        now_ms: u64,
+    ) -> Option<Repeat> {
+        if !self.can_take(service, candidate, vms, now_ms) {
             return None;
         }
         let service = self.service_key(service);
-        self.services[service].under_way += 1;
+        let counts = &mut self.services[service];
+        counts.under_way += 1;
+        counts.last_taken_ms = now_ms;
         Some(Repeat { service })
     }
 
@@ -197,18 +279,31 @@
         *counts.repeats.entry(slot).or_default() += 1;
     }
 
-    /// Returns a repeat that was not sent to the budget.
+    /// Gives back a repeat that was not sent.
     pub fn cancel(&mut self, repeat: Repeat) {
         self.services[repeat.service].under_way -= 1;
     }
 
     /// Returns whether the budget allows a repeat.
-    pub fn can_take(&mut self, service: &Name, vms: Option<usize>, now_ms: u64) -> bool {
+    ///
+    /// What is left of it goes to urgent requests and to those that may have run first. While no repeat is served, only
+    /// one of them is tried now and then.
+    pub fn can_take(
+        &mut self,
+        service: &Name,
+        candidate: Candidate,
+        vms: Option<usize>,
+        now_ms: u64,
+    ) -> bool {
         let config = self.config;
         let slack = self.slack_share(vms, now_ms);
         let slot = self.slot(now_ms);
-        self.counts(service, slot)
-            .covers_repeat(config, slack, slot)
+        let counts = self.counts(service, slot);
+        if counts.is_futile(slot) && now_ms < counts.last_taken_ms + TRIAL_INTERVAL_MS {
+            return false;
+        }
+        let usable_fraction = counts.usable_fraction(candidate);
+        counts.covers_repeat(config, slack, usable_fraction, slot)
     }
 
     /// Returns this VM's share of the slack.
--- a/crates/core/tests/repeat_budget.rs
+++ b/crates/core/tests/repeat_budget.rs
@@ -2,6 +2,8 @@
 
 use proptest::prelude::*;
 use waxwing_core::Name;
+use waxwing_core::forwarding::endpoints::UrgencyLevel;
+use waxwing_core::forwarding::repeat_budget::Candidate;
 use waxwing_core::forwarding::repeat_budget::Config;
 use waxwing_core::forwarding::repeat_budget::RepeatBudget;
 
@@ -11,6 +13,12 @@
     window_ms: 10_000,
 };
 
+/// A request like all others, which may have run.
+const CANDIDATE: Candidate = Candidate {
+    level: UrgencyLevel::MOST_URGENT,
+    is_refusable: false,
+};
+
 /// Guards against repeats beyond the share of a VM, and against a share that is not restored as the window slides.
 #[test]
 fn sliding_window() {
@@ -42,7 +50,7 @@
     let mut budget = RepeatBudget::new(CONFIG, 0);
     assert!(!repeat(&mut budget, &service, None, 60_000));
     for _ in 0..100 {
-        budget.record_request(&service, 60_000);
+        budget.record_request(&service, CANDIDATE.level, 60_000);
     }
     let mut taken = 0;
     while repeat(&mut budget, &service, None, 60_000) {
@@ -57,12 +65,14 @@
     let service = Name::from("pool");
     let mut budget = RepeatBudget::new(CONFIG, 0);
     let mut under_way = Vec::new();
-    while let Some(repeat) = budget.try_take(&service, Some(4), 20_000) {
+    while let Some(repeat) = budget.try_take(&service, CANDIDATE, Some(4), 20_000) {
         under_way.push(repeat);
     }
     assert_eq!(under_way.len(), 10);
     assert!(
-        budget.try_take(&service, Some(4), 60_000).is_none(),
+        budget
+            .try_take(&service, CANDIDATE, Some(4), 60_000)
+            .is_none(),
         "all are under way"
     );
     budget.cancel(under_way.pop().unwrap());
@@ -89,7 +99,7 @@
 
 /// Takes a repeat that arrives at once; returns whether the budget allows it.
 fn repeat(budget: &mut RepeatBudget, service: &Name, vms: Option<usize>, now_ms: u64) -> bool {
-    let Some(repeat) = budget.try_take(service, vms, now_ms) else {
+    let Some(repeat) = budget.try_take(service, CANDIDATE, vms, now_ms) else {
         return false;
     };
     budget.settle(repeat, now_ms);
@@ -108,7 +118,7 @@
             now_ms += pause_ms;
             let budget = &mut budgets[vm % vms];
             if is_request {
-                budget.record_request(&service, now_ms);
+                budget.record_request(&service, CANDIDATE.level, now_ms);
                 requests.push(now_ms);
             } else if repeat(budget, &service, Some(vms), now_ms) {
                 repeats.push(now_ms);
--- a/crates/core/tests/repeat_sum.rs
+++ b/crates/core/tests/repeat_sum.rs
@@ -3,9 +3,11 @@
 
 use proptest::prelude::*;
 use waxwing_core::Name;
+use waxwing_core::forwarding::endpoints::UrgencyLevel;
 use waxwing_core::forwarding::peers::Advert;
 use waxwing_core::forwarding::peers::Peers;
 use waxwing_core::forwarding::peers::PeersConfig;
+use waxwing_core::forwarding::repeat_budget::Candidate;
 use waxwing_core::forwarding::repeat_budget::Config;
 use waxwing_core::forwarding::repeat_budget::LATE_ARRIVAL_MS;
 use waxwing_core::forwarding::repeat_budget::Repeat;
@@ -22,6 +24,12 @@
 /// When the scenarios begin, in milliseconds.
 const BEGIN_MS: u64 = 100_000;
 
+/// A request like all others, which may have run.
+const CANDIDATE: Candidate = Candidate {
+    level: UrgencyLevel::MOST_URGENT,
+    is_refusable: false,
+};
+
 /// A VM: its process, and what that knows of the other VMs.
 struct Vm {
     name: Name,
@@ -141,7 +149,9 @@
     fn send(&mut self, index: usize, now_ms: u64) {
         self.sent_ms.push(now_ms);
         let service = Name::from("pool");
-        self.vms[index].budget.record_request(&service, now_ms);
+        self.vms[index]
+            .budget
+            .record_request(&service, CANDIDATE.level, now_ms);
     }
 
     /// Lets a VM repeat a request, which arrives at `arrival_ms`; the VM gives it up before that if it is late.
@@ -149,7 +159,10 @@
         let vm = &mut self.vms[index];
         vm.give_up(now_ms);
         let vms = vm.peers.budget_vm_count(now_ms);
-        let Some(repeat) = vm.budget.try_take(&Name::from("pool"), vms, now_ms) else {
+        let Some(repeat) = vm
+            .budget
+            .try_take(&Name::from("pool"), CANDIDATE, vms, now_ms)
+        else {
             return;
         };
         self.arrivals_ms.push(arrival_ms);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -382,7 +382,7 @@
         self.gateway
             .budget
             .borrow_mut()
-            .record_request(&self.service, now_ms);
+            .record_request(&self.service, self.level, now_ms);
         self.count_demand(now_ms);
         let mut key = self.take_endpoint().await;
         if let Some(refusal) = key.and_then(|key| self.check_backlog(key)) {
@@ -462,7 +462,7 @@
         // An endpoint that was not reached received nothing, so nothing is repeated.
         let is_free = matches!(outcome, RunOutcome::Unreachable | RunOutcome::NotWritten);
         if !is_free {
-            self.repeat = RepeatGuard::take(&self.gateway, &self.service, self.late_until_ms);
+            self.repeat = RepeatGuard::take(self);
             if self.repeat.is_none() {
                 metrics::counter!(metric::REPEATS_REFUSED).increment(1);
                 return false;
--- a/crates/gateway/src/exchange/repeat.rs
+++ b/crates/gateway/src/exchange/repeat.rs
@@ -2,7 +2,8 @@
 
 use std::rc::Rc;
 
-use waxwing_core::Name;
+use waxwing_core::forwarding::Execution;
+use waxwing_core::forwarding::repeat_budget::Candidate;
 use waxwing_core::forwarding::repeat_budget::LATE_ARRIVAL_MS;
 use waxwing_core::forwarding::repeat_budget::Repeat;
 use waxwing_core::forwarding::run::RunOutcome;
@@ -19,24 +20,28 @@
     gateway: Rc<Gateway>,
     repeat: Option<Repeat>,
     is_sent: bool,
-    /// Until when the runs that it replaces may still arrive, in milliseconds.
+    /// Until when the runs that it replaces may still arrive, in milliseconds. One that arrives after the repeat counts
+    /// as the repeat.
     late_until_ms: u64,
 }
 
 impl RepeatGuard {
-    /// Takes a repeat from the budget of a service; returns `None` if it is exhausted.
-    ///
-    /// `late_until_ms` is when earlier runs of the request can no longer arrive. One of them that arrives after the
-    /// repeat counts as the repeat.
-    pub(crate) fn take(gateway: &Rc<Gateway>, service: &Name, late_until_ms: u64) -> Option<Self> {
+    /// Takes a repeat from the budget of the request's service; returns `None` if it is exhausted.
+    pub(crate) fn take(exchange: &Exchange) -> Option<Self> {
+        let gateway = &exchange.gateway;
         let now_ms = gateway.clock.now_ms();
         let vms = gateway.peers.borrow().budget_vm_count(now_ms);
-        let repeat = gateway.budget.borrow_mut().try_take(service, vms, now_ms)?;
+        let repeat = gateway.budget.borrow_mut().try_take(
+            &exchange.service,
+            exchange.repeat_candidate(exchange.progress.execution),
+            vms,
+            now_ms,
+        )?;
         Some(Self {
             gateway: Rc::clone(gateway),
             repeat: Some(repeat),
             is_sent: false,
-            late_until_ms,
+            late_until_ms: exchange.late_until_ms,
         })
     }
 
@@ -60,6 +65,33 @@
 }
 
 impl Exchange {
+    /// Returns what the budget has to know of the request; `execution` is the state of the runs to be replaced.
+    fn repeat_candidate(&self, execution: Execution) -> Candidate {
+        Candidate {
+            level: self.level,
+            is_refusable: execution == Execution::NotRun,
+        }
+    }
+
+    /// Returns whether the budget allows to replace a run that may have been executed.
+    pub(crate) fn can_replace(&self) -> bool {
+        let now_ms = self.gateway.clock.now_ms();
+        let vms = self.gateway.peers.borrow().budget_vm_count(now_ms);
+        let candidate = self.repeat_candidate(Execution::Unknown);
+        let mut budget = self.gateway.budget.borrow_mut();
+        budget.can_take(&self.service, candidate, vms, now_ms)
+    }
+
+    /// Records whether a repeat was served; does nothing for the first run of a request.
+    pub(crate) fn record_repeat_result(&self, is_served: bool) {
+        if self.tried.len() < 2 {
+            return;
+        }
+        let now_ms = self.gateway.clock.now_ms();
+        let mut budget = self.gateway.budget.borrow_mut();
+        budget.record_result(&self.service, is_served, now_ms);
+    }
+
     /// Records that the next run is about to be sent.
     pub(crate) fn begin_repeat(&mut self) {
         if let Some(repeat) = &mut self.repeat {
@@ -90,6 +122,7 @@
             }
             _ => {}
         }
+        self.record_repeat_result(false);
         if let Some(mut repeat) = self.repeat.take() {
             repeat.settle(now_ms.max(self.late_until_ms));
         }
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -197,7 +197,12 @@
             response,
             response_info,
         };
-        self.check_response(received)
+        let checked = self.check_response(received);
+        let is_served = checked
+            .as_ref()
+            .is_ok_and(|received| !received.response.status().is_server_error());
+        self.record_repeat_result(is_served);
+        checked
     }
 
     /// Returns whether a response is to an earlier request on the connection.
@@ -276,14 +281,7 @@
         if !self.can_repeat() {
             return false;
         }
-        let now_ms = self.gateway.clock.now_ms();
-        let vms = self.gateway.peers.borrow().budget_vm_count(now_ms);
-        let is_covered = self
-            .gateway
-            .budget
-            .borrow_mut()
-            .can_take(&self.service, vms, now_ms);
-        is_covered && self.reserve_endpoint().await
+        self.can_replace() && self.reserve_endpoint().await
     }
 
     async fn exchange_heads(
