--- a/crates/core/src/forwarding/prompt.rs
+++ b/crates/core/src/forwarding/prompt.rs
@@ -32,13 +32,18 @@
         self.parts.get(count - 2).copied()
     }
 
+    /// Returns the parts that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[Part] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
     /// Returns the number of tokens of all parts but the last.
     pub fn shared_tokens(&self) -> u64 {
-        let count = self.parts.len().saturating_sub(1);
-        self.parts[..count]
-            .iter()
-            .map(|part| u64::from(part.tokens))
-            .sum()
+        let mut tokens = 0;
+        for part in self.shared_parts() {
+            tokens += u64::from(part.tokens);
+        }
+        tokens
     }
 }
 
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one endpoint and receives the head of its response.
 
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,7 +9,9 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body;
 use hyper::body::Incoming;
+use hyper::header::TRANSFER_ENCODING;
 use waxwing_core::Name;
 use waxwing_core::forwarding::EndpointKey;
 use waxwing_core::forwarding::endpoints::Load;
@@ -38,6 +41,32 @@
 /// Delay before an endpoint that broke a connection is probed with a new one, in milliseconds.
 const CRASH_CHECK_MS: u64 = 100;
 
+/// How the end of a response is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// By a length, or by the last chunk.
+    Explicit,
+    /// By the end of the connection, which a crash looks like too.
+    Connection,
+}
+
+impl Framing {
+    fn new(response: &Response<Incoming>) -> Self {
+        let is_chunked = response.headers().contains_key(TRANSFER_ENCODING);
+        match response.body().size_hint().exact() {
+            None if !is_chunked => Self::Connection,
+            _ => Self::Explicit,
+        }
+    }
+
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Explicit => "explicit",
+            Self::Connection => "connection",
+        }
+    }
+}
+
 /// A run at an endpoint; released when it is dropped.
 pub(crate) struct RunGuard {
     gateway: Rc<Gateway>,
@@ -49,6 +78,12 @@
     load: Option<Load>,
     /// Whether the request may be on its way to the endpoint, of which nothing has come back yet.
     is_unanswered: bool,
+    /// When the first byte of the answer arrived, in milliseconds.
+    first_byte_at_ms: Option<u64>,
+    /// Complete events of the answer that have arrived.
+    pub(crate) events: u64,
+    /// How the end of the answer is marked; `None` before its head.
+    framing: Option<Framing>,
     key: Option<RunKey>,
 }
 
@@ -74,8 +109,10 @@
         }
     }
 
-    pub(crate) fn record_first_byte(&self) {
-        let waited_ms = self.gateway.clock.now_ms() - self.began_ms;
+    pub(crate) fn record_first_byte(&mut self) {
+        let now_ms = self.gateway.clock.now_ms();
+        self.first_byte_at_ms.get_or_insert(now_ms);
+        let waited_ms = now_ms - self.began_ms;
         if let Some(key) = self.key {
             self.gateway
                 .endpoints
@@ -147,6 +184,9 @@
             began_ms: now_ms,
             load: None,
             is_unanswered: true,
+            first_byte_at_ms: None,
+            events: 0,
+            framing: None,
             key: Some(run_key),
         };
         self.trace.begin_run(&run.endpoint_id, now_ms);
@@ -161,6 +201,7 @@
             }
         };
         run.is_unanswered = false;
+        run.framing = Some(Framing::new(&response));
         self.settle_answered();
         let response_info = self
             .gateway
@@ -267,10 +308,31 @@
             .record_run_end(run.endpoint_id.as_str(), run.began_ms, outcome, &detail);
         run.end(outcome);
         if outcome == RunOutcome::Lost {
+            self.log_lost(run);
             check_for_crash(&self.gateway, run, self.content);
         }
     }
 
+    /// Logs how far a lost run of a prompt had come, and which parts the prompt shares with others.
+    fn log_lost(&self, run: &RunGuard) {
+        let Some(prompt) = &self.request_info.prompt else {
+            return;
+        };
+        let now_ms = self.gateway.clock.now_ms();
+        let answering_ms = run.first_byte_at_ms.map(|at_ms| now_ms - at_ms);
+        let mut parts = String::new();
+        for part in prompt.shared_parts() {
+            // Writing to a string cannot fail.
+            let _ = write!(parts, "{:016x} ", part.id);
+        }
+        log::info!(
+            event = "run_lost", request = self.trace.request_id(), endpoint = run.endpoint_id.as_str(),
+            events = run.events, answering_ms = answering_ms, framing = run.framing.map_or("none", Framing::as_str),
+            parts = parts.trim_end();
+            "the connection ended before the answer"
+        );
+    }
+
     /// Returns whether the route allows another run.
     fn can_repeat(&self) -> bool {
         self.route.is_repeatable() && self.progress.runs + 1 < self.route.attempts_max
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -275,6 +275,7 @@
             continue;
         }
         if splitter.event_count() > events_before {
+            source.run.events += splitter.event_count() - events_before;
             events_before = splitter.event_count();
             since_ms = exchange.gateway.clock.now_ms();
         }
