Show each VM's share of the repeat slack, and let tests wait for it

A process has no share of the slack for two windows after its start, and one request earns a fifth of a repeat.

That is the intended price of the bound: the process cannot know what the one before it used.

waxwing_gateway_repeat_slack is new, and repeat_share logs the share.

--- a/crates/core/src/forwarding/repeat_budget.rs
+++ b/crates/core/src/forwarding/repeat_budget.rs
@@ -306,8 +306,8 @@
         counts.covers_repeat(config, slack, usable_fraction, slot)
     }
 
-    /// Returns this VM's share of the slack.
-    fn slack_share(&self, vms: Option<usize>, now_ms: u64) -> f64 {
+    /// Returns this VM's share of the slack, in repeats within the window; 0 while it cannot know its share.
+    pub fn slack_share(&self, vms: Option<usize>, now_ms: u64) -> f64 {
         let uptime_ms = now_ms.saturating_sub(self.started_at_ms);
         match vms {
             Some(vms) if uptime_ms >= SETTLE_WINDOWS * self.config.window_ms => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -121,8 +121,8 @@
     idle_timeout_ms: Rc<Cell<u64>>,
     random: RefCell<ChaCha8Rng>,
     stopping_since_ms: Cell<Option<u64>>,
-    /// Number of VMs in the last log line about the shares of the repeat budget; 0 if it was unknown.
-    logged_repeat_vms: Cell<usize>,
+    /// Share of the slack of the repeat budget in the last log line about it.
+    logged_repeat_slack: Cell<f64>,
     /// Sequence number of the last advert or summary.
     advert_sequence: Cell<u64>,
 }
@@ -175,7 +175,7 @@
             idle_timeout_ms: Rc::new(Cell::new(15_000)),
             random: RefCell::new(ChaCha8Rng::from_os_rng()),
             stopping_since_ms: Cell::new(None),
-            logged_repeat_vms: Cell::new(0),
+            logged_repeat_slack: Cell::new(0.0),
             settings,
         })
     }
@@ -578,19 +578,21 @@
         Ok(())
     }
 
-    /// Logs a change in the number of VMs that this VM divides the slack of the repeat budget by.
-    fn log_repeat_vms(&self) {
-        let vms = self.peers.borrow().budget_vm_count(self.clock.now_ms());
-        let vms = vms.unwrap_or(0);
-        let before = self.logged_repeat_vms.replace(vms);
-        if before == vms {
+    /// Logs a change in this VM's share of the slack of the repeat budget.
+    fn log_repeat_share(&self) {
+        let now_ms = self.clock.now_ms();
+        let vms = self.peers.borrow().budget_vm_count(now_ms);
+        let slack = self.budget.borrow().slack_share(vms, now_ms);
+        let before = self.logged_repeat_slack.replace(slack);
+        metrics::gauge!(metric::REPEAT_VMS).set(vms.unwrap_or(0) as f64);
+        metrics::gauge!(metric::REPEAT_SLACK).set(slack);
+        if before == slack {
             return;
         }
         log::info!(
-            event = "repeat_share", vms = vms, before = before;
-            "the slack of the repeat budget is divided by another number of VMs"
+            event = "repeat_share", vms = vms.unwrap_or(0), slack = slack, before = before;
+            "this VM has another share of the slack of the repeat budget"
         );
-        metrics::gauge!(metric::REPEAT_VMS).set(vms as f64);
     }
 
     fn connections_max(&self) -> usize {
@@ -637,7 +639,7 @@
         gateway.evidence.borrow_mut().expire(now_ms);
         gateway.endpoints.borrow_mut().expire_limits(now_ms);
         gateway.retain_permits();
-        gateway.log_repeat_vms();
+        gateway.log_repeat_share();
     }
 }
 
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -13,6 +13,8 @@
 pub const REPEATS_REFUSED: &str = "waxwing_gateway_repeats_refused_total";
 /// Gauge of the VMs that this VM believes to share the repeat budget, including itself.
 pub const REPEAT_VMS: &str = "waxwing_gateway_repeat_vms";
+/// Gauge of this VM's share of the slack of the repeat budget, in repeats within the window.
+pub const REPEAT_SLACK: &str = "waxwing_gateway_repeat_slack";
 /// Counter of runs given up before their endpoint sent anything, whose requests may still arrive there.
 pub const RUNS_UNANSWERED: &str = "waxwing_gateway_runs_unanswered_total";
 /// Counter of ended runs by outcome.
