Treat an answer that ends with its endpoint as broken off

What callers saw: a stream without a length or chunks that broke off when its engine ended arrived as complete, with half an event or without its last ones. It also cleared its content of the crash.

Cause: the end of the connection was taken for the end of the answer.

Change: if an answer has neither a length nor chunks, a stream that ends inside an event is broken off, and any answer is if nobody listens at the endpoint's address at once or 30 ms later. Such a run counts as lost: it is resumed where the route allows it, or else cut without a final chunk. Blank lines and comments after the last event are no event. An endpoint that announced that it leaves may end after its answer.

--- a/crates/core/src/forwarding/event_stream.rs
+++ b/crates/core/src/forwarding/event_stream.rs
@@ -55,6 +55,11 @@
         self.pending.len() > EVENT_MAX_BYTES
     }
 
+    /// Returns whether an event has begun that is not complete; comments and blank lines are none.
+    pub fn has_incomplete(&self) -> bool {
+        !is_comment(&self.pending)
+    }
+
     /// Removes and returns the bytes after the last complete event, for a body that ended properly.
     pub fn take_remainder(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.pending)
--- a/crates/core/tests/event_splitter.rs
+++ b/crates/core/tests/event_splitter.rs
@@ -71,3 +71,22 @@
         prop_assert_eq!(splitter.last_id(), Some(last.as_str()));
     }
 }
+
+/// Guards against blank lines and comments after the last event that make a whole stream look broken off.
+#[test]
+fn incomplete_event() {
+    for (rest, is_incomplete) in [
+        ("", false),
+        ("\n", false),
+        ("\r\n", false),
+        (": still there", false),
+        ("id: 8", true),
+        ("\nda", true),
+        (": still there\nda", true),
+    ] {
+        let mut splitter = EventSplitter::new(None);
+        splitter.push(b"id: 7\ndata: a\n\n");
+        splitter.push(rest.as_bytes());
+        assert_eq!(splitter.has_incomplete(), is_incomplete, "{rest:?}");
+    }
+}
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -54,3 +54,13 @@
 
 /// Result of the gateway.
 pub type Result<T> = std::result::Result<T, Error>;
+
+impl Error {
+    /// Returns whether nobody listens at the address of a connection that could not be made.
+    pub(crate) fn is_refused(&self) -> bool {
+        match self {
+            Self::Connect { source, .. } => source.kind() == std::io::ErrorKind::ConnectionRefused,
+            _ => false,
+        }
+    }
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -48,10 +48,12 @@
 use crate::relay;
 use crate::trace::Trace;
 
+mod crash;
 mod repeat;
 mod send;
 
 pub(crate) use send::EndpointResponse;
+pub(crate) use send::Framing;
 pub(crate) use send::RunGuard;
 
 /// Time after which a caller may retry at another VM, in milliseconds.
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -3,9 +3,7 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
-use async_io::Timer;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -20,7 +18,6 @@
 use waxwing_core::forwarding::endpoints::limits::RateLimit;
 use waxwing_core::forwarding::run::RunOutcome;
 use waxwing_core::forwarding::run::StallTimeouts;
-use waxwing_core::state::evidence::ContentHash;
 
 use crate::adapter::Instructions;
 use crate::adapter::ResponseInfo;
@@ -38,9 +35,6 @@
 /// Time beyond the time limit in which the endpoint's timeout response can still arrive, in milliseconds.
 const LIMIT_SLACK_MS: u64 = 60;
 
-/// Delay before an endpoint that broke a connection is probed with a new one, in milliseconds.
-const CRASH_CHECK_MS: u64 = 100;
-
 /// How the end of a response is marked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Framing {
@@ -70,7 +64,7 @@
 /// A run at an endpoint; released when it is dropped.
 pub(crate) struct RunGuard {
     gateway: Rc<Gateway>,
-    address: SocketAddr,
+    pub(super) address: SocketAddr,
     pub(crate) endpoint: EndpointKey,
     pub(crate) endpoint_id: Name,
     pub(crate) began_ms: u64,
@@ -83,7 +77,7 @@
     /// Complete events of the answer that have arrived.
     pub(crate) events: u64,
     /// How the end of the answer is marked; `None` before its head.
-    framing: Option<Framing>,
+    pub(crate) framing: Option<Framing>,
     key: Option<RunKey>,
 }
 
@@ -309,7 +303,7 @@
         run.end(outcome);
         if outcome == RunOutcome::Lost {
             self.log_lost(run);
-            check_for_crash(&self.gateway, run, self.content);
+            self.check_for_crash(run);
         }
     }
 
@@ -489,37 +483,3 @@
         load.running, load.waiting, load.slowness_percent
     )
 }
-
-/// Checks whether an endpoint that broke a connection has crashed, and if so records the content as a suspect.
-fn check_for_crash(gateway: &Rc<Gateway>, run: &RunGuard, content: ContentHash) {
-    let gateway = Rc::clone(gateway);
-    let (key, address) = (run.endpoint, run.address);
-    let endpoint_id = run.endpoint_id.clone();
-    let executor = gateway.executor;
-    let check = async move {
-        Timer::after(Duration::from_millis(CRASH_CHECK_MS)).await;
-        if Connection::open(executor, address, CONNECT_MS)
-            .await
-            .is_ok()
-        {
-            return;
-        }
-        let now_ms = gateway.clock.now_ms();
-        let born_ms = {
-            let mut endpoints = gateway.endpoints.borrow_mut();
-            endpoints.suspect(key, now_ms);
-            endpoints
-                .get(key)
-                .and_then(|endpoint| endpoint.entry.born_ms)
-        };
-        gateway.drop_idle(key);
-        log::warn!(event = "endpoint_crashed", endpoint = endpoint_id.as_str(); "refuses connections after a reset");
-        let incarnation = format!("{}@{}", endpoint_id.as_str(), born_ms.unwrap_or(0));
-        let incarnation = Name::from(incarnation);
-        gateway
-            .evidence
-            .borrow_mut()
-            .record(content, &incarnation, now_ms);
-    };
-    executor.spawn(check).detach();
-}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,6 +19,7 @@
 use crate::exchange::Delivery;
 use crate::exchange::EndpointResponse;
 use crate::exchange::Exchange;
+use crate::exchange::Framing;
 use crate::exchange::RunGuard;
 use crate::headers;
 use crate::metric;
@@ -114,6 +115,9 @@
     {
         Err(outcome) => Some(outcome),
         Ok(Err(_)) => Some(RunOutcome::Lost),
+        Ok(Ok(())) if bytes.len() < WHOLE_MAX_BYTES && exchange.is_cut(&source.run).await => {
+            Some(RunOutcome::Lost)
+        }
         Ok(Ok(())) => None,
     };
     if let Some(outcome) = outcome {
@@ -182,6 +186,7 @@
                 next = frame.into_data().ok();
                 continue;
             }
+            Some(None) if exchange.is_cut(&source.run).await => RunOutcome::Lost,
             Some(None) => break,
             Some(Some(Err(_))) => RunOutcome::Lost,
             None => RunOutcome::Expired,
@@ -259,6 +264,11 @@
                 Err(_) => continue,
             },
             Ok(None) => {
+                let is_unframed = source.run.framing == Some(Framing::Connection);
+                if (is_unframed && splitter.has_incomplete()) || exchange.is_cut(&source.run).await
+                {
+                    return Err(RelayError::Run(RunOutcome::Lost));
+                }
                 let rest = splitter.take_remainder();
                 if !rest.is_empty() {
                     send_chunk(exchange, chunks, rest).await?;
