Attribute crashes of endpoints to parts that prompts share

Cause: crashes were counted by a hash of organisation, method, path and body.

Change: a VM reports the shared parts of each run that an endpoint had not begun to answer, or only just, when it crashed (refuses connections at once or 30 ms after the connection ended). An answer that goes on clears its parts. Reports and clearances are told to all VMs at once and repeated; merging them does not depend on their order. A part is refused when it was in three events (endpoints lost within 250 ms are one), or in five crashes, and nothing has cleared it. If other parts were in all of these prompts too, only prompts with all of them are refused. Before that, requests with a suspected part are sent one at a time over all VMs, to the endpoint with the fewest runs; a repeat waits for the check whether its last endpoint has crashed. What waits is checked again right before it is sent. A refused part is tried three times: 10 s, a minute and five minutes after the last crash. Reports count for one organisation and service, or for all if three organisations were hit, so nobody can get the part of another refused. The refusal is crashing_part, not run, with the time of the next trial.

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod configuration;
+pub mod crashing_parts;
 pub mod endpoints;
 pub mod event_stream;
 pub mod lanes;
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -96,6 +96,8 @@
     pub tried: &'a [EndpointKey],
     /// Whether endpoints with a rate limit are left out.
     pub avoids_limited: bool,
+    /// Whether it may crash its endpoint, so that the one with the fewest runs is chosen.
+    pub is_trial: bool,
     /// A random number that breaks ties.
     pub draw: u64,
 }
@@ -133,12 +135,15 @@
             continue;
         }
         let rank = health_rank(endpoint.health(now_ms), request);
-        let mut cost_ms = placement_cost_ms(config, endpoints, endpoint, request, now_ms);
+        let mut cost_ms = match request.is_trial {
+            true => f64::from(endpoints.total_demand(endpoint).runs),
+            false => placement_cost_ms(config, endpoints, endpoint, request, now_ms),
+        };
         let mut choice = Choice {
             endpoint: key,
             source: None,
         };
-        if let Some((lanes, prompt)) = &lanes {
+        if let Some((lanes, prompt)) = lanes.as_ref().filter(|_| !request.is_trial) {
             let (part_cost_ms, fetches) = lanes.lane_cost_ms(config, endpoint, prompt);
             cost_ms += part_cost_ms;
             choice.source = source.filter(|_| fetches);
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -103,6 +103,8 @@
     UnknownRoute "unknown_route" 404;
     /// The request's content has crashed endpoints; requests with other content are not affected.
     Crashing "crashing" 503;
+    /// A part of the request's prompt has crashed endpoints; requests without it are not affected.
+    CrashingPart "crashing_part" 503;
     /// The job does not exist.
     UnknownJob "unknown_job" 404;
 }
--- a/crates/core/tests/endpoint_notices.rs
+++ b/crates/core/tests/endpoint_notices.rs
@@ -39,6 +39,7 @@
         data_centre: &data_centre,
         tried: &[],
         avoids_limited: false,
+        is_trial: false,
         draw: 1,
     };
     let choice = placement::choose(&config, endpoints, &request, now_ms)?;
--- a/crates/core/tests/limited_engines.rs
+++ b/crates/core/tests/limited_engines.rs
@@ -212,6 +212,7 @@
                 data_centre: &data_centre,
                 tried: &[],
                 avoids_limited: asked == 3,
+                is_trial: false,
                 draw,
             };
             let config = placement::Config::default();
--- a/crates/core/tests/prompt_placement.rs
+++ b/crates/core/tests/prompt_placement.rs
@@ -73,6 +73,7 @@
             data_centre: &self.data_centre,
             tried,
             avoids_limited: false,
+            is_trial: false,
             draw: 7,
         };
         placement::choose(
@@ -305,6 +306,7 @@
         data_centre: &vm.data_centre,
         tried: &[],
         avoids_limited: false,
+        is_trial: false,
         draw: 7,
     };
     let config = placement::Config::default();
@@ -332,6 +334,7 @@
             data_centre: &vm.data_centre,
             tried: &[],
             avoids_limited: false,
+            is_trial: false,
             draw: 7,
         };
         let config = placement::Config {
--- a/crates/gateway/src/adverts.rs
+++ b/crates/gateway/src/adverts.rs
@@ -74,6 +74,7 @@
             let is_representative = peers.uses_summaries() && peers.is_representative(now_ms);
             is_representative.then(|| peers.summary_recipients(now_ms))
         };
+        gateway.send_part_round().await;
         let Some(recipients) = recipients else {
             continue;
         };
@@ -216,8 +217,9 @@
                     || advert.data_centre == gateway.data_centre;
                 let (outcome, is_first) = apply_advert(&gateway, advert);
                 if is_first && is_recipient {
-                    // A VM that has just started knows no limits of endpoints yet.
+                    // A VM that has just started knows no limits of endpoints and no parts of prompts yet.
                     send_advert(&gateway, &socket, &[address]).await;
+                    gateway.send_all_parts(address).await;
                 }
                 outcome
             }
@@ -229,6 +231,18 @@
                 gateway.answer_permit(query, from).await;
                 continue;
             }
+            Ok(Datagram::CrashNotice(notice)) => {
+                gateway.merge_part_notice(&notice);
+                continue;
+            }
+            Ok(Datagram::TrialQuery(query)) => {
+                gateway.answer_trial(query, from).await;
+                continue;
+            }
+            Ok(Datagram::TrialReply(reply)) => {
+                gateway.part_service.resolve(reply);
+                continue;
+            }
             Ok(Datagram::PermitReply(reply)) => {
                 gateway.permits.resolve(reply);
                 continue;
--- /dev/null
+++ b/crates/gateway/src/crashing_parts.rs
@@ -0,0 +1,259 @@
+//! Shares what is known of prompt parts that crash endpoints with other VMs, and allows trials of them.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+
+use waxwing_core::forwarding::crashing_parts::CrashingParts;
+use waxwing_core::forwarding::crashing_parts::PartKey;
+use waxwing_core::forwarding::crashing_parts::PartState;
+use waxwing_core::forwarding::crashing_parts::Scope;
+use waxwing_core::forwarding::crashing_parts::Standing;
+use waxwing_core::forwarding::crashing_parts::Transition;
+use waxwing_core::forwarding::crashing_parts::Trials;
+use waxwing_core::forwarding::endpoints::notices::Incarnation;
+use waxwing_wire::advert::Datagram;
+use waxwing_wire::advert::crashes::CrashNotice;
+use waxwing_wire::advert::crashes::TrialQuery;
+use waxwing_wire::advert::crashes::TrialReply;
+
+use crate::client::with_timeout;
+use crate::gateway::Gateway;
+use crate::metric;
+use crate::replies::PendingReplies;
+
+/// Time for the reply of the VM that allows trials, in milliseconds.
+const REPLY_MS: u64 = 100;
+
+/// Time for which each round of adverts repeats a finding, in milliseconds; some of the datagrams may be lost.
+const NEWS_MS: u64 = 3_000;
+
+/// Number of rounds of adverts of which one repeats all findings.
+const ALL_ROUNDS: u64 = 10;
+
+/// Most reports in one datagram.
+const REPORTS_MAX: usize = 16;
+
+/// Most clearances in one datagram.
+const CLEARANCES_MAX: usize = 64;
+
+/// What this VM knows of prompt parts that crash endpoints.
+pub(crate) struct PartService {
+    parts: RefCell<CrashingParts>,
+    trials: RefCell<Trials>,
+    replies: PendingReplies<bool>,
+    round: Cell<u64>,
+}
+
+impl PartService {
+    pub(crate) fn new() -> Self {
+        Self {
+            parts: RefCell::new(CrashingParts::new()),
+            trials: RefCell::default(),
+            replies: PendingReplies::new(),
+            round: Cell::new(0),
+        }
+    }
+
+    /// Passes a reply to the request that waits for it.
+    pub(crate) fn resolve(&self, reply: TrialReply) {
+        self.replies.resolve(reply.id, reply.is_allowed);
+    }
+}
+
+impl Gateway {
+    /// Returns what is known of the shared parts of a prompt.
+    pub(crate) fn judge_parts(&self, scope: Scope, parts: &[PartKey]) -> Standing {
+        let known = self.part_service.parts.borrow();
+        known.judge(scope, parts, self.clock.now_ms())
+    }
+
+    /// Records the parts of a run that an endpoint had only begun to answer when it crashed, and tells other VMs.
+    pub(crate) async fn record_part_crash(
+        &self,
+        endpoint: Incarnation,
+        scope: Scope,
+        parts: &[PartKey],
+        at_ms: u64,
+    ) {
+        let now_ms = self.clock.now_ms();
+        self.part_service
+            .parts
+            .borrow_mut()
+            .record_crash(endpoint, scope, parts, at_ms, now_ms);
+        self.part_service.trials.borrow_mut().end(parts);
+        metrics::counter!(metric::PART_CRASHES, "source" => "local").increment(1);
+        self.update_parts();
+        self.send_part_news(now_ms).await;
+    }
+
+    /// Records that an answer to a prompt went on, and tells other VMs if that clears one of its parts.
+    pub(crate) async fn record_part_answer(&self, scope: Scope, parts: &[PartKey]) {
+        let now_ms = self.clock.now_ms();
+        let is_news = self
+            .part_service
+            .parts
+            .borrow_mut()
+            .record_answer(scope, parts, now_ms);
+        if is_news {
+            self.update_parts();
+            self.send_part_news(now_ms).await;
+        }
+    }
+
+    /// Merges the findings of another VM.
+    pub(crate) fn merge_part_notice(&self, notice: &CrashNotice) {
+        let now_ms = self.clock.now_ms();
+        let mut known = self.part_service.parts.borrow_mut();
+        let is_news = known.merge(&notice.reports, &notice.clearances, now_ms);
+        drop(known);
+        if is_news {
+            let mut trials = self.part_service.trials.borrow_mut();
+            for report in &notice.reports {
+                trials.end(&report.parts);
+            }
+            drop(trials);
+            metrics::counter!(metric::PART_CRASHES, "source" => "peer").increment(1);
+            self.update_parts();
+        }
+    }
+
+    /// Sends what was learned now to the VMs that get adverts and summaries.
+    async fn send_part_news(&self, now_ms: u64) {
+        let recipients = self.notice_recipients(now_ms);
+        self.send_part_notices(now_ms, now_ms, &recipients).await;
+    }
+
+    /// Sends the findings that are due in a round of adverts.
+    pub(crate) async fn send_part_round(&self) {
+        let now_ms = self.clock.now_ms();
+        let round = self.part_service.round.get() + 1;
+        self.part_service.round.set(round);
+        let since_ms = match round.is_multiple_of(ALL_ROUNDS) {
+            true => 0,
+            false => now_ms.saturating_sub(NEWS_MS),
+        };
+        let recipients = self.notice_recipients(now_ms);
+        self.send_part_notices(since_ms, now_ms, &recipients).await;
+    }
+
+    /// Sends all findings to a VM that has just started.
+    pub(crate) async fn send_all_parts(&self, recipient: SocketAddr) {
+        let now_ms = self.clock.now_ms();
+        self.send_part_notices(0, now_ms, &[recipient]).await;
+    }
+
+    /// Returns the VMs that get adverts, and those that get summaries and pass them on.
+    fn notice_recipients(&self, now_ms: u64) -> Vec<SocketAddr> {
+        let peers = self.peers.borrow();
+        // Round 1 leaves out the VMs that are not alive.
+        let mut recipients = peers.advert_recipients(1, now_ms);
+        if peers.uses_summaries() {
+            recipients.extend(peers.summary_recipients(now_ms));
+        }
+        recipients
+    }
+
+    async fn send_part_notices(&self, since_ms: u64, now_ms: u64, recipients: &[SocketAddr]) {
+        let (reports, clearances) = self.part_service.parts.borrow().findings(since_ms, now_ms);
+        let mut reports = reports.chunks(REPORTS_MAX);
+        let mut clearances = clearances.chunks(CLEARANCES_MAX);
+        loop {
+            let notice = CrashNotice {
+                reports: reports.next().unwrap_or_default().to_vec(),
+                clearances: clearances.next().unwrap_or_default().to_vec(),
+            };
+            if notice == CrashNotice::default() {
+                return;
+            }
+            let datagram = Datagram::CrashNotice(notice);
+            for recipient in recipients {
+                self.send_datagram(&datagram, *recipient).await;
+            }
+        }
+    }
+
+    /// Obtains permission to send one request with a suspected part; no other VM gets one for `hold_ms`.
+    pub(crate) async fn acquire_trial(&self, part: PartKey, hold_ms: u64) -> bool {
+        let is_allowed = match self.remote_allocator(Incarnation(part.0)) {
+            None => {
+                let now_ms = self.clock.now_ms();
+                let mut trials = self.part_service.trials.borrow_mut();
+                trials.ask(part, hold_ms, now_ms)
+            }
+            Some(address) => self.ask_trial(part, hold_ms, address).await,
+        };
+        let outcome = if is_allowed { "allowed" } else { "denied" };
+        metrics::counter!(metric::PART_TRIALS, "outcome" => outcome).increment(1);
+        is_allowed
+    }
+
+    async fn ask_trial(&self, part: PartKey, hold_ms: u64, allocator: SocketAddr) -> bool {
+        let query = TrialQuery {
+            id: self.draw(),
+            part,
+            hold_ms,
+        };
+        let receiver = self.part_service.replies.expect(query.id);
+        self.send_datagram(&Datagram::TrialQuery(query), allocator)
+            .await;
+        // Without a reply the request stays where it is.
+        let reply = with_timeout(REPLY_MS, receiver.recv_async()).await;
+        matches!(reply, Some(Ok(true)))
+    }
+
+    /// Replies to the query of another VM.
+    pub(crate) async fn answer_trial(&self, query: TrialQuery, from: SocketAddr) {
+        // The VMs see different members for a moment.
+        let is_allocator = self.remote_allocator(Incarnation(query.part.0)).is_none();
+        let now_ms = self.clock.now_ms();
+        let is_allowed = is_allocator && {
+            let mut trials = self.part_service.trials.borrow_mut();
+            trials.ask(query.part, query.hold_ms, now_ms)
+        };
+        let reply = TrialReply {
+            id: query.id,
+            is_allowed,
+        };
+        self.send_datagram(&Datagram::TrialReply(reply), from).await;
+    }
+
+    /// Drops what has expired, and logs the parts whose state has changed.
+    pub(crate) fn update_parts(&self) {
+        let now_ms = self.clock.now_ms();
+        let transitions = self.part_service.parts.borrow_mut().update(now_ms);
+        for transition in transitions {
+            self.log_part(&transition);
+        }
+    }
+
+    fn log_part(&self, transition: &Transition) {
+        let state = match (transition.state, transition.is_cleared) {
+            (Some(PartState::Suspect), _) => "suspect",
+            (Some(PartState::Refused), _) => "refused",
+            (None, true) => "cleared",
+            (None, false) => "expired",
+        };
+        let mut companions = String::new();
+        for part in &transition.companions {
+            companions.push_str(&format!("{:016x} ", part.0));
+        }
+        let mut crashed = String::new();
+        let endpoints = self.endpoints.borrow();
+        for incarnation in &transition.endpoints {
+            let key = endpoints.find_incarnation(*incarnation);
+            match key.and_then(|key| endpoints.get(key)) {
+                Some(endpoint) => crashed.push_str(endpoint.entry.id.as_str()),
+                None => crashed.push_str(&format!("{:016x}", incarnation.0)),
+            }
+            crashed.push(' ');
+        }
+        log::warn!(
+            event = "prompt_part", state = state, part = format!("{:016x}", transition.part.0),
+            organisation = format!("{:016x}", transition.scope.organisation),
+            crashed = crashed.trim_end(), companions = companions.trim_end();
+            "endpoints crashed when they began to answer prompts with this part"
+        );
+        metrics::counter!(metric::PART_CHANGES, "state" => state).increment(1);
+    }
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -42,6 +42,7 @@
 use crate::adapter::RequestInfo;
 use crate::body::Body;
 use crate::client::with_timeout;
+use crate::exchange::parts::PartGate;
 use crate::exchange::repeat::RepeatGuard;
 use crate::gateway::Gateway;
 use crate::metric;
@@ -49,9 +50,11 @@
 use crate::trace::Trace;
 
 mod crash;
+mod parts;
 mod repeat;
 mod send;
 
+pub(crate) use parts::RefusedPart;
 pub(crate) use send::EndpointResponse;
 pub(crate) use send::Framing;
 pub(crate) use send::RunGuard;
@@ -97,6 +100,8 @@
     /// Engine from which the endpoint that was chosen last fetches the shared part of the prompt.
     pub(crate) source: Option<EndpointKey>,
     pub(crate) progress: Progress,
+    /// Whether the request may be sent, as far as the parts of its prompt are concerned.
+    part_gate: PartGate,
     /// Repeat taken for the run in progress, or for the next one, until it is certain that it arrived.
     repeat: Option<RepeatGuard>,
     /// Until when runs that were given up may still arrive at their endpoints, in milliseconds.
@@ -241,6 +246,8 @@
     let known = configuration
         .as_ref()
         .and_then(|known| known.service(&service));
+    let prompt = request_info.prompt.as_ref();
+    let part_gate = PartGate::new(organisation.as_ref(), &service, prompt);
     let mut exchange = Exchange {
         gateway: Rc::clone(gateway),
         trace,
@@ -259,6 +266,7 @@
         tried: Vec::new(),
         source: None,
         progress: Progress::new(limit_ms),
+        part_gate,
         repeat: None,
         late_until_ms: 0,
         reserved: RefCell::new(None),
@@ -418,6 +426,7 @@
     async fn take_endpoint(&mut self) -> Option<EndpointKey> {
         let choice = match self.reserved.take() {
             Some(reserved) => reserved,
+            None if !self.admit_parts().await => return None,
             None => self.place().await?,
         };
         self.tried.push(choice.endpoint);
@@ -427,6 +436,9 @@
 
     /// Chooses an endpoint for a repeat before the current run is given up; returns whether there is one.
     pub(crate) async fn reserve_endpoint(&self) -> bool {
+        if !self.has_clear_parts() {
+            return false;
+        }
         let choice = self.place().await;
         let is_found = choice.is_some();
         *self.reserved.borrow_mut() = choice;
@@ -448,6 +460,7 @@
 
     /// Chooses the endpoint for a repeat after a run ended; returns `None` if the request is to be given up.
     pub(crate) async fn take_next_endpoint(&mut self, outcome: RunOutcome) -> Option<EndpointKey> {
+        self.await_crash_check().await;
         self.progress.add(outcome);
         self.progress.remaining_ms = self.remaining_ms();
         if decide_repeat(&self.route, &self.progress) == RepeatDecision::GiveUp
@@ -528,6 +541,7 @@
             data_centre: &gateway.data_centre,
             tried: &self.tried,
             avoids_limited,
+            is_trial: self.part_gate.is_trial(),
             draw: gateway.draw(),
         };
         let endpoints = gateway.endpoints.borrow();
@@ -551,7 +565,9 @@
             now_ms,
         );
         let is_limited = self.was_denied.get() || opening.is_some_and(|opening| opening.is_limited);
+        let refused_part = self.part_gate.refused();
         let reason = match (execution, is_expired) {
+            _ if refused_part.is_some() => Reason::CrashingPart,
             (Execution::NotRun, false) if is_limited => Reason::EndpointLimited,
             (Execution::NotRun, false) => Reason::NoEndpoint,
             (Execution::NotRun, true) => Reason::DeadlineUnreachable,
@@ -559,6 +575,10 @@
             (_, false) => Reason::EndpointFailed,
         };
         let refusal = match execution {
+            Execution::NotRun if let Some(refused) = refused_part => {
+                let message = "endpoints crashed when they began to answer prompts with this part";
+                Refusal::not_run(reason, refused.retry_after_ms, message)
+            }
             Execution::NotRun => {
                 let message = match is_limited {
                     true => "the endpoints are at their rate limits",
@@ -572,6 +592,9 @@
                 Refusal::may_have_run(reason, 0, "the endpoint gave no usable answer")
             }
         };
+        if let Some(refused) = &refused_part {
+            self.trace.record_refused_part(refused);
+        }
         if let Some(opening) = opening.filter(|opening| opening.is_limited) {
             let endpoints = self.gateway.endpoints.borrow();
             let endpoint = endpoints.get(opening.endpoint);
--- a/crates/gateway/src/exchange/crash.rs
+++ b/crates/gateway/src/exchange/crash.rs
@@ -6,6 +6,9 @@
 
 use async_io::Timer;
 use waxwing_core::Name;
+use waxwing_core::forwarding::EndpointKey;
+use waxwing_core::forwarding::endpoints::notices::Incarnation;
+use waxwing_core::state::evidence::ContentHash;
 
 use crate::client::Connection;
 use crate::exchange::Exchange;
@@ -32,17 +35,21 @@
     }
 }
 
+/// Returns whether nobody listens at an address, now or a moment later.
+async fn is_gone(gateway: &Gateway, address: SocketAddr) -> bool {
+    if is_refused(gateway, address).await {
+        return true;
+    }
+    Timer::after(Duration::from_millis(SECOND_PROBE_MS)).await;
+    is_refused(gateway, address).await
+}
+
 impl Exchange {
     /// Returns whether an answer that ended may have been broken off by the end of its endpoint.
     pub(crate) async fn is_cut(&self, run: &RunGuard) -> bool {
-        if run.framing != Some(Framing::Connection) || !self.is_usable(run) {
-            return false;
-        }
-        if is_refused(&self.gateway, run.address).await {
-            return true;
-        }
-        Timer::after(Duration::from_millis(SECOND_PROBE_MS)).await;
-        is_refused(&self.gateway, run.address).await
+        run.framing == Some(Framing::Connection)
+            && self.is_usable(run)
+            && is_gone(&self.gateway, run.address).await
     }
 
     /// Returns whether the endpoint of a run is not about to leave.
@@ -52,35 +59,77 @@
         endpoint.is_some_and(|endpoint| endpoint.is_usable())
     }
 
-    /// Checks whether an endpoint that broke a connection has crashed, and if so records the content as a suspect.
-    pub(super) fn check_for_crash(&self, run: &RunGuard) {
-        let gateway = Rc::clone(&self.gateway);
-        let (key, address) = (run.endpoint, run.address);
-        let endpoint_id = run.endpoint_id.clone();
-        let content = self.content;
-        let executor = gateway.executor;
+    /// Checks whether an endpoint that broke a connection has crashed, and if so records the content, and the parts of a
+    /// prompt that it had only begun to answer, as suspects.
+    pub(super) fn check_for_crash(&mut self, run: &RunGuard) {
+        let lost_at_ms = self.gateway.clock.now_ms();
+        let is_suspect = !run.is_established(lost_at_ms) && self.is_usable(run);
+        let checked = is_suspect.then(|| self.begin_crash_check());
+        let crash = Crash {
+            gateway: Rc::clone(&self.gateway),
+            endpoint: run.endpoint,
+            endpoint_id: run.endpoint_id.clone(),
+            content: self.content,
+        };
+        let (scope, parts) = self.part_gate.subject();
+        let address = run.address;
+        let executor = self.gateway.executor;
         let check = async move {
-            Timer::after(Duration::from_millis(CRASH_CHECK_MS)).await;
-            if Connection::open(executor, address, PROBE_MS).await.is_ok() {
+            let gateway = &crash.gateway;
+            if checked.is_some() && !parts.is_empty() && is_gone(gateway, address).await {
+                if let Some(incarnation) = crash.incarnation() {
+                    gateway
+                        .record_part_crash(incarnation, scope, &parts, lost_at_ms)
+                        .await;
+                }
+                drop(checked);
+                crash.record();
                 return;
             }
-            let now_ms = gateway.clock.now_ms();
-            let born_ms = {
-                let mut endpoints = gateway.endpoints.borrow_mut();
-                endpoints.suspect(key, now_ms);
-                endpoints
-                    .get(key)
-                    .and_then(|endpoint| endpoint.entry.born_ms)
-            };
-            gateway.drop_idle(key);
-            log::warn!(event = "endpoint_crashed", endpoint = endpoint_id.as_str(); "refuses connections after a reset");
-            let incarnation = format!("{}@{}", endpoint_id.as_str(), born_ms.unwrap_or(0));
-            let incarnation = Name::from(incarnation);
-            gateway
-                .evidence
-                .borrow_mut()
-                .record(content, &incarnation, now_ms);
+            drop(checked);
+            Timer::after(Duration::from_millis(CRASH_CHECK_MS)).await;
+            let probe = Connection::open(gateway.executor, address, PROBE_MS).await;
+            if probe.is_err() {
+                crash.record();
+            }
         };
         executor.spawn(check).detach();
     }
 }
+
+/// An endpoint that may have crashed while it ran a request.
+struct Crash {
+    gateway: Rc<Gateway>,
+    endpoint: EndpointKey,
+    endpoint_id: Name,
+    content: ContentHash,
+}
+
+impl Crash {
+    fn incarnation(&self) -> Option<Incarnation> {
+        let endpoints = self.gateway.endpoints.borrow();
+        let endpoint = endpoints.get(self.endpoint)?;
+        Some(endpoint.incarnation)
+    }
+
+    /// Records the content as a suspect, and avoids the endpoint.
+    fn record(&self) {
+        let gateway = &self.gateway;
+        let now_ms = gateway.clock.now_ms();
+        let endpoint_id = self.endpoint_id.as_str();
+        let born_ms = {
+            let mut endpoints = gateway.endpoints.borrow_mut();
+            endpoints.suspect(self.endpoint, now_ms);
+            endpoints
+                .get(self.endpoint)
+                .and_then(|endpoint| endpoint.entry.born_ms)
+        };
+        gateway.drop_idle(self.endpoint);
+        log::warn!(event = "endpoint_crashed", endpoint = endpoint_id; "refuses connections after a reset");
+        let incarnation = Name::from(format!("{endpoint_id}@{}", born_ms.unwrap_or(0)));
+        gateway
+            .evidence
+            .borrow_mut()
+            .record(self.content, &incarnation, now_ms);
+    }
+}
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -73,7 +73,7 @@
     /// Whether the request may be on its way to the endpoint, of which nothing has come back yet.
     is_unanswered: bool,
     /// When the first byte of the answer arrived, in milliseconds.
-    first_byte_at_ms: Option<u64>,
+    pub(super) first_byte_at_ms: Option<u64>,
     /// Complete events of the answer that have arrived.
     pub(crate) events: u64,
     /// How the end of the answer is marked; `None` before its head.
@@ -144,6 +144,9 @@
         key: EndpointKey,
         last_event_id: Option<&str>,
     ) -> Result<EndpointResponse, RunOutcome> {
+        if !self.may_send_parts() {
+            return Err(RunOutcome::NotWritten);
+        }
         let now_ms = self.gateway.clock.now_ms();
         let prompt = self.request_info.prompt.as_ref();
         let (address, endpoint_id, run_key) = {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -47,6 +47,7 @@
 use crate::client::Connection;
 use crate::clock::Clock;
 use crate::clock::unix_now_ms;
+use crate::crashing_parts::PartService;
 use crate::error::Result;
 use crate::exchange;
 use crate::fleet;
@@ -109,6 +110,7 @@
     pub(crate) evidence: RefCell<Evidence>,
     pub(crate) fleet: Fleet,
     pub(crate) permits: PermitService,
+    pub(crate) part_service: PartService,
     /// Socket for datagrams to other VMs; set when the VM starts to serve.
     pub(crate) peer_socket: OnceCell<Rc<Async<UdpSocket>>>,
     pub(crate) in_progress: Cell<u32>,
@@ -164,6 +166,7 @@
             evidence: RefCell::new(Evidence::new(EVIDENCE_LIFETIME_MS, EVIDENCE_MAX)),
             fleet: Fleet::new(settings.log_service.bound_ms()),
             permits: PermitService::new(clock.now_ms()),
+            part_service: PartService::new(),
             peer_socket: OnceCell::new(),
             advert_sequence: Cell::new(0),
             in_progress: Cell::new(0),
@@ -639,6 +642,7 @@
         gateway.evidence.borrow_mut().expire(now_ms);
         gateway.endpoints.borrow_mut().expire_limits(now_ms);
         gateway.retain_permits();
+        gateway.update_parts();
         gateway.log_repeat_share();
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,12 +17,14 @@
 
 mod adverts;
 mod budgeted_stream;
+mod crashing_parts;
 mod exchange;
 mod fleet;
 mod gateway;
 mod headers;
 mod permits;
 mod relay;
+mod replies;
 mod trace;
 
 pub use adapter::Adapter;
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -23,6 +23,12 @@
 pub const LIMITED_RUNS: &str = "waxwing_gateway_limited_runs_total";
 /// Counter of permits for endpoints with a rate limit by outcome: `granted`, `denied` or `unanswered`.
 pub const PERMITS: &str = "waxwing_gateway_permits_total";
+/// Counter of crashes under parts of prompts by source: `local` or `peer`.
+pub const PART_CRASHES: &str = "waxwing_gateway_part_crashes_total";
+/// Counter of trials of suspected parts of prompts by outcome: `allowed` or `denied`.
+pub const PART_TRIALS: &str = "waxwing_gateway_part_trials_total";
+/// Counter of changes in what is known of parts of prompts by state: `suspect`, `refused`, `cleared` or `expired`.
+pub const PART_CHANGES: &str = "waxwing_gateway_part_changes_total";
 /// Histogram of the time to the first byte, in seconds, by route kind.
 pub const FIRST_BYTE: &str = "waxwing_gateway_first_byte_seconds";
 /// Histogram of the time to the whole answer, in seconds, by route kind.
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -1,7 +1,6 @@
 //! Asks for permits to send to endpoints with a rate limit, and grants those that this VM is the allocator of.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use waxwing_core::forwarding::EndpointKey;
@@ -22,6 +21,7 @@
 use crate::client::with_timeout;
 use crate::gateway::Gateway;
 use crate::metric;
+use crate::replies::PendingReplies;
 
 /// Time for the reply of an allocator, in milliseconds; a permit that arrives later is not used.
 const REPLY_MS: u64 = 100;
@@ -32,32 +32,20 @@
 /// Permits that this VM grants, and its queries to other allocators.
 pub(crate) struct PermitService {
     permits: RefCell<Permits>,
-    pending: RefCell<HashMap<u64, flume::Sender<PermitReply>>>,
+    replies: PendingReplies<PermitReply>,
 }
 
 impl PermitService {
     pub(crate) fn new(started_at_ms: u64) -> Self {
         Self {
             permits: RefCell::new(Permits::new(started_at_ms)),
-            pending: RefCell::default(),
+            replies: PendingReplies::new(),
         }
     }
 
-    fn expect_reply(&self, id: u64) -> flume::Receiver<PermitReply> {
-        let (sender, receiver) = flume::bounded(1);
-        let mut pending = self.pending.borrow_mut();
-        // Requests that timed out or whose callers left remove nothing themselves.
-        pending.retain(|_, sender| !sender.is_disconnected());
-        pending.insert(id, sender);
-        receiver
-    }
-
-    /// Passes a reply to the request that waits for it; a late reply is dropped.
+    /// Passes a reply to the request that waits for it.
     pub(crate) fn resolve(&self, reply: PermitReply) {
-        if let Some(sender) = self.pending.borrow_mut().remove(&reply.id) {
-            // Fails only if the request has been abandoned.
-            let _ = sender.try_send(reply);
-        }
+        self.replies.resolve(reply.id, reply);
     }
 }
 
@@ -116,8 +104,9 @@
         self.endpoints.borrow_mut().deny(key, level, until_ms);
     }
 
-    /// Returns the address of the VM that grants the permits of an endpoint; `None` if this VM does.
-    fn remote_allocator(&self, endpoint: Incarnation) -> Option<SocketAddr> {
+    /// Returns the address of the VM that grants the permits of an endpoint, or the trials of a part; `None` if this VM
+    /// does.
+    pub(crate) fn remote_allocator(&self, endpoint: Incarnation) -> Option<SocketAddr> {
         let members = self.peers.borrow().members(self.clock.now_ms());
         let local = self.is_ready().then_some(&self.vm);
         match permits::select_allocator(endpoint, &members, local) {
@@ -137,7 +126,7 @@
                 .borrow()
                 .limit_notice(request.endpoint, now_ms),
         };
-        let receiver = self.permits.expect_reply(query.id);
+        let receiver = self.permits.replies.expect(query.id);
         self.send_datagram(&Datagram::PermitQuery(query), allocator)
             .await;
         let reply = with_timeout(REPLY_MS, receiver.recv_async()).await;
@@ -203,14 +192,14 @@
         permits.retain(is_local, self.clock.now_ms());
     }
 
-    async fn send_datagram(&self, datagram: &Datagram, address: SocketAddr) {
+    pub(crate) async fn send_datagram(&self, datagram: &Datagram, address: SocketAddr) {
         let Some(socket) = self.peer_socket.get() else {
             return;
         };
         match advert::to_bytes(datagram) {
             // A lost datagram and one that cannot be sent have the same effect.
             Ok(bytes) => drop(socket.send_to(&bytes, address).await),
-            Err(error) => log::error!(event = "permit_not_encoded"; "{error}"),
+            Err(error) => log::error!(event = "datagram_not_encoded"; "{error}"),
         }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -39,6 +39,8 @@
     /// Whether the endpoint closes the connection after the answer.
     closes: bool,
     has_events: bool,
+    /// Whether the answer has gone on long enough to clear the parts of its prompt.
+    is_established: bool,
 }
 
 impl Source {
@@ -66,12 +68,16 @@
             body,
             closes,
             has_events: false,
+            is_established: false,
         };
         (head, source)
     }
 
     /// Ends a run whose response is complete, and keeps the connection for later requests.
-    fn finish(mut self, exchange: &mut Exchange, outcome: RunOutcome) {
+    async fn finish(mut self, exchange: &mut Exchange, outcome: RunOutcome) {
+        if outcome == RunOutcome::Answered {
+            exchange.record_sound_parts().await;
+        }
         exchange.end_run(&mut self.run, outcome, "");
         // A content that ran to completion does not crash endpoints, so earlier crashes had other causes.
         exchange.gateway.clear_content(&exchange.content);
@@ -134,10 +140,10 @@
     let response = Response::from_parts(head, Body::whole(bytes));
     let status = response.status();
     if status.is_server_error() {
-        source.finish(&mut exchange, RunOutcome::Failed);
+        source.finish(&mut exchange, RunOutcome::Failed).await;
         return unusable_delivery(exchange, RunOutcome::Failed, Some(response));
     }
-    source.finish(&mut exchange, RunOutcome::Answered);
+    source.finish(&mut exchange, RunOutcome::Answered).await;
     exchange
         .trace
         .finish("answered", status.as_u16(), Execution::Ran);
@@ -195,7 +201,7 @@
         abort(&mut exchange, &chunks).await;
         return;
     }
-    source.finish(&mut exchange, RunOutcome::Answered);
+    source.finish(&mut exchange, RunOutcome::Answered).await;
     exchange.trace.finish("answered", 200, Execution::Ran);
 }
 
@@ -225,7 +231,7 @@
             }
         }
     }
-    source.finish(&mut exchange, RunOutcome::Answered);
+    source.finish(&mut exchange, RunOutcome::Answered).await;
     exchange.trace.finish("answered", 200, Execution::Ran);
 }
 
@@ -289,6 +295,10 @@
             events_before = splitter.event_count();
             since_ms = exchange.gateway.clock.now_ms();
         }
+        if !source.is_established && source.run.is_established(since_ms) {
+            source.is_established = true;
+            exchange.record_sound_parts().await;
+        }
         if !source.has_events && splitter.event_count() > 0 {
             source.has_events = true;
             source.run.record_first_byte();
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -9,6 +9,7 @@
 use waxwing_core::forwarding::run::RunOutcome;
 
 use crate::clock::Clock;
+use crate::exchange::RefusedPart;
 use crate::metric;
 
 /// Events of one request; a trace that is dropped unfinished is logged as `caller_gone`.
@@ -114,6 +115,22 @@
         );
     }
 
+    /// Adds the part of the prompt for which the request was not sent.
+    pub(crate) fn record_refused_part(&mut self, refused: &RefusedPart) {
+        let elapsed_ms = self.elapsed_ms();
+        let RefusedPart {
+            part,
+            position,
+            count,
+            retry_after_ms,
+        } = refused;
+        let _ = write!(
+            self.runs,
+            "part-{position}-of-{count}:refused@{elapsed_ms}({:016x}, retry in {retry_after_ms} ms) ",
+            part.0
+        );
+    }
+
     pub(crate) fn record_first_byte(&mut self) {
         if self.first_byte_ms.is_some() {
             return;
--- a/crates/wire/src/advert.rs
+++ b/crates/wire/src/advert.rs
@@ -20,12 +20,19 @@
 use waxwing_core::state::evidence::ContentHash;
 use waxwing_core::state::evidence::CrashFinding;
 
+use crate::advert::crashes::CrashNotice;
+use crate::advert::crashes::TrialQuery;
+use crate::advert::crashes::TrialReply;
+use crate::advert::crashes::WireCrashNotice;
+use crate::advert::crashes::WireTrialQuery;
+use crate::advert::crashes::WireTrialReply;
 use crate::advert::limits::PermitQuery;
 use crate::advert::limits::PermitReply;
 use crate::advert::limits::WireLimit;
 use crate::advert::limits::WirePermitQuery;
 use crate::advert::limits::WirePermitReply;
 
+pub mod crashes;
 pub mod limits;
 
 /// Version of the datagram format, sent as the first byte; datagrams of other versions are rejected.
@@ -68,6 +75,12 @@
     PermitQuery(PermitQuery),
     /// Reply to such a request.
     PermitReply(PermitReply),
+    /// Crashes under parts of prompts.
+    CrashNotice(CrashNotice),
+    /// Request to send one request with a suspected part.
+    TrialQuery(TrialQuery),
+    /// Reply to such a request.
+    TrialReply(TrialReply),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -76,6 +89,10 @@
     Summary(WireSummary),
     PermitQuery(WirePermitQuery),
     PermitReply(WirePermitReply),
+    // Older builds reject datagrams of the kinds below and understand the others.
+    CrashNotice(WireCrashNotice),
+    TrialQuery(WireTrialQuery),
+    TrialReply(WireTrialReply),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -344,6 +361,11 @@
             }),
             Datagram::PermitQuery(query) => WireDatagram::PermitQuery(WirePermitQuery::from(query)),
             Datagram::PermitReply(reply) => WireDatagram::PermitReply(WirePermitReply::from(reply)),
+            Datagram::CrashNotice(notice) => {
+                WireDatagram::CrashNotice(WireCrashNotice::from(notice))
+            }
+            Datagram::TrialQuery(query) => WireDatagram::TrialQuery(WireTrialQuery::from(query)),
+            Datagram::TrialReply(reply) => WireDatagram::TrialReply(WireTrialReply::from(reply)),
             Datagram::Summary(summary) => WireDatagram::Summary(WireSummary {
                 data_centre: summary.data_centre.as_str().to_owned(),
                 vm: summary.vm.as_str().to_owned(),
@@ -370,6 +392,11 @@
 
     fn try_from(wire: WireDatagram) -> Result<Self> {
         match wire {
+            WireDatagram::CrashNotice(wire) => {
+                Ok(Datagram::CrashNotice(CrashNotice::try_from(wire)?))
+            }
+            WireDatagram::TrialQuery(wire) => Ok(Datagram::TrialQuery(TrialQuery::try_from(wire)?)),
+            WireDatagram::TrialReply(wire) => Ok(Datagram::TrialReply(TrialReply::from(wire))),
             WireDatagram::PermitQuery(wire) => {
                 Ok(Datagram::PermitQuery(PermitQuery::try_from(wire)?))
             }
--- a/crates/wire/tests/advert.rs
+++ b/crates/wire/tests/advert.rs
@@ -6,6 +6,11 @@
 use waxwing_core::Name;
 use waxwing_core::fleet::Summary;
 use waxwing_core::fleet::summary::VmState;
+use waxwing_core::forwarding::crashing_parts::Clearance;
+use waxwing_core::forwarding::crashing_parts::CrashReport;
+use waxwing_core::forwarding::crashing_parts::PARTS_MAX;
+use waxwing_core::forwarding::crashing_parts::PartKey;
+use waxwing_core::forwarding::crashing_parts::Scope;
 use waxwing_core::forwarding::endpoints::Demand;
 use waxwing_core::forwarding::endpoints::UrgencyLevel;
 use waxwing_core::forwarding::endpoints::limits::LimitNotice;
@@ -19,6 +24,9 @@
 use waxwing_wire::advert;
 use waxwing_wire::advert::Datagram;
 use waxwing_wire::advert::Error;
+use waxwing_wire::advert::crashes::CrashNotice;
+use waxwing_wire::advert::crashes::TrialQuery;
+use waxwing_wire::advert::crashes::TrialReply;
 use waxwing_wire::advert::limits::PermitQuery;
 use waxwing_wire::advert::limits::PermitReply;
 
@@ -130,9 +138,67 @@
         Datagram::Summary(new_summary()),
     ];
     samples.extend(new_permit_datagrams());
+    samples.extend(new_part_datagrams());
     samples
 }
 
+/// Returns a notice of crashes under parts of prompts, a request for a trial, and a reply.
+fn new_part_datagrams() -> [Datagram; 3] {
+    let scope = Scope {
+        organisation: 1,
+        service: u64::MAX,
+    };
+    let notice = CrashNotice {
+        reports: vec![CrashReport {
+            endpoint: Incarnation(7),
+            scope,
+            parts: vec![PartKey(2), PartKey(u64::MAX)],
+            age_ms: 300,
+        }],
+        clearances: vec![Clearance {
+            scope,
+            part: PartKey(2),
+            age_ms: 0,
+        }],
+    };
+    let query = TrialQuery {
+        id: 9,
+        part: PartKey(2),
+        hold_ms: 5_000,
+    };
+    let reply = TrialReply {
+        id: 9,
+        is_allowed: true,
+    };
+    [
+        Datagram::CrashNotice(notice),
+        Datagram::TrialQuery(query),
+        Datagram::TrialReply(reply),
+    ]
+}
+
+/// Guards against reports that take unbounded memory, and ages whose sums overflow.
+#[test]
+fn refused_notices() {
+    let [Datagram::CrashNotice(notice), ..] = new_part_datagrams() else {
+        unreachable!("the first one is a notice");
+    };
+    let mut long = notice.clone();
+    long.reports[0].parts = vec![PartKey(1); PARTS_MAX + 1];
+    let bytes = advert::to_bytes(&Datagram::CrashNotice(long)).unwrap();
+    assert!(matches!(
+        advert::from_bytes(&bytes),
+        Err(Error::Field("parts"))
+    ));
+    let mut old = notice;
+    old.clearances[0].age_ms = u64::MAX;
+    let bytes = advert::to_bytes(&Datagram::CrashNotice(old)).unwrap();
+    let Ok(Datagram::CrashNotice(decoded)) = advert::from_bytes(&bytes) else {
+        panic!("an age that is too high is cut off by the sender");
+    };
+    assert!(decoded.clearances[0].age_ms < u64::MAX / 2);
+}
+
 /// Guards against fields that are lost or changed by encoding and decoding.
 #[test]
 fn round_trip() {
