Keep what is known of crashing parts in the log service

If all VMs start again at once, none is left to tell the others which part crashes endpoints, and it crashes as many again.

Cause: reports lived only in the VMs.

Also from reading the diff: a turn that a request got for one run does not hold for an endpoint reserved later; a test is named after its failure.

--- a/crates/core/src/forwarding/crashing_parts.rs
+++ b/crates/core/src/forwarding/crashing_parts.rs
@@ -468,6 +468,12 @@
         (reports, clearances)
     }
 
+    /// Returns whether a part is refused.
+    pub fn has_refused(&self) -> bool {
+        let mut states = self.states.values();
+        states.any(|state| *state == PartState::Refused)
+    }
+
     /// Returns the number of reports, and of parts whose answers are remembered.
     pub fn sizes(&self) -> (usize, usize) {
         (self.reports.len(), self.cleared_at_ms.len())
--- a/crates/core/tests/crashing_parts.rs
+++ b/crates/core/tests/crashing_parts.rs
@@ -83,7 +83,7 @@
     )));
 }
 
-/// Guards against a crash that is blamed on parts whose answers went on elsewhere.
+/// Guards against a crash that is attributed to parts whose answers went on elsewhere.
 #[test]
 fn sound_beside() {
     let mut known = CrashingParts::new();
@@ -188,7 +188,7 @@
 
 /// Guards against a part that stays refused although an answer with it went on.
 #[test]
-fn wrong_blame() {
+fn sound_after_refusal() {
     let mut known = CrashingParts::new();
     let now_ms = crash(&mut known, OWN, &[SOUND], 3);
     let states = known.update(now_ms);
--- a/crates/gateway/src/crashing_parts.rs
+++ b/crates/gateway/src/crashing_parts.rs
@@ -12,6 +12,7 @@
 use waxwing_core::forwarding::crashing_parts::Transition;
 use waxwing_core::forwarding::crashing_parts::Trials;
 use waxwing_core::forwarding::endpoints::notices::Incarnation;
+use waxwing_wire::advert;
 use waxwing_wire::advert::Datagram;
 use waxwing_wire::advert::crashes::CrashNotice;
 use waxwing_wire::advert::crashes::TrialQuery;
@@ -34,7 +35,10 @@
 /// Most reports in one datagram.
 const REPORTS_MAX: usize = 16;
 
-/// Most clearances in one datagram.
+/// Most reports that are written to the log service.
+const SAVED_REPORTS_MAX: usize = 64;
+
+/// Most clearances in one datagram, or written to the log service.
 const CLEARANCES_MAX: usize = 64;
 
 /// What this VM knows of prompt parts that crash endpoints.
@@ -43,6 +47,11 @@
     trials: RefCell<Trials>,
     replies: PendingReplies<bool>,
     round: Cell<u64>,
+    /// Number of changes of what is known, and their number when it was written to the log service.
+    revision: Cell<u64>,
+    saved_revision: Cell<u64>,
+    /// Whether a part has been refused, so that the log service may hold that.
+    was_refused: Cell<bool>,
 }
 
 impl PartService {
@@ -52,6 +61,9 @@
             trials: RefCell::default(),
             replies: PendingReplies::new(),
             round: Cell::new(0),
+            revision: Cell::new(0),
+            saved_revision: Cell::new(0),
+            was_refused: Cell::new(false),
         }
     }
 
@@ -83,6 +95,7 @@
             .record_crash(endpoint, scope, parts, at_ms, now_ms);
         self.part_service.trials.borrow_mut().end(parts);
         metrics::counter!(metric::PART_CRASHES, "source" => "local").increment(1);
+        self.count_part_change();
         self.update_parts();
         self.send_part_news(now_ms).await;
     }
@@ -114,10 +127,67 @@
             }
             drop(trials);
             metrics::counter!(metric::PART_CRASHES, "source" => "peer").increment(1);
+            self.count_part_change();
             self.update_parts();
         }
     }
 
+    /// Returns what is known of parts that crash endpoints, and its revision, if it has changed since it was written.
+    ///
+    /// Only one VM, the same for all, writes it, and only once a part has been refused.
+    pub fn unsaved_parts(&self) -> Option<(u64, Vec<u8>)> {
+        let service = &self.part_service;
+        let revision = service.revision.get();
+        if revision == service.saved_revision.get() {
+            return None;
+        }
+        let known = service.parts.borrow();
+        if known.has_refused() {
+            service.was_refused.set(true);
+        }
+        if !service.was_refused.get() || self.remote_allocator(Incarnation(0)).is_some() {
+            return None;
+        }
+        let (mut reports, mut clearances) = known.findings(0, self.clock.now_ms());
+        // The newest are kept.
+        reports.sort_by_key(|report| report.age_ms);
+        reports.truncate(SAVED_REPORTS_MAX);
+        clearances.sort_by_key(|clearance| clearance.age_ms);
+        clearances.truncate(CLEARANCES_MAX);
+        let notice = CrashNotice {
+            reports,
+            clearances,
+        };
+        match advert::to_bytes(&Datagram::CrashNotice(notice)) {
+            Ok(bytes) => Some((revision, bytes)),
+            Err(error) => {
+                log::error!(event = "parts_not_encoded"; "{error}");
+                None
+            }
+        }
+    }
+
+    /// Records that what was known at a revision has been written.
+    pub fn mark_parts_saved(&self, revision: u64) {
+        self.part_service.saved_revision.set(revision);
+    }
+
+    /// Merges what was written `age_ms` ago.
+    pub fn restore_parts(&self, findings: &[u8], age_ms: u64) {
+        let mut notice = match advert::from_bytes(findings) {
+            Ok(Datagram::CrashNotice(notice)) => notice,
+            Ok(_) => return log::warn!(event = "parts_undecodable"; "another datagram"),
+            Err(error) => return log::warn!(event = "parts_undecodable"; "{error}"),
+        };
+        for report in &mut notice.reports {
+            report.age_ms = report.age_ms.saturating_add(age_ms);
+        }
+        for clearance in &mut notice.clearances {
+            clearance.age_ms = clearance.age_ms.saturating_add(age_ms);
+        }
+        self.merge_part_notice(&notice);
+    }
+
     /// Sends what was learned now to the VMs that get adverts and summaries.
     async fn send_part_news(&self, now_ms: u64) {
         let recipients = self.notice_recipients(now_ms);
@@ -222,11 +292,19 @@
     pub(crate) fn update_parts(&self) {
         let now_ms = self.clock.now_ms();
         let transitions = self.part_service.parts.borrow_mut().update(now_ms);
+        if !transitions.is_empty() {
+            self.count_part_change();
+        }
         for transition in transitions {
             self.log_part(&transition);
         }
     }
 
+    fn count_part_change(&self) {
+        let revision = &self.part_service.revision;
+        revision.set(revision.get() + 1);
+    }
+
     fn log_part(&self, transition: &Transition) {
         let state = match (transition.state, transition.is_cleared) {
             (Some(PartState::Suspect), _) => "suspect",
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -425,7 +425,10 @@
     /// Chooses an endpoint that the request was not sent to yet and that may take it now.
     async fn take_endpoint(&mut self) -> Option<EndpointKey> {
         let choice = match self.reserved.take() {
-            Some(reserved) => reserved,
+            Some(reserved) => {
+                self.part_gate.end_turn();
+                reserved
+            }
             None if !self.admit_parts().await => return None,
             None => self.place().await?,
         };
--- a/crates/gateway/src/exchange/parts.rs
+++ b/crates/gateway/src/exchange/parts.rs
@@ -83,6 +83,11 @@
         self.has_turn.get()
     }
 
+    /// Ends the turn of the last run.
+    pub(super) fn end_turn(&self) {
+        self.has_turn.set(false);
+    }
+
     /// Returns the part for which the request was refused.
     pub(super) fn refused(&self) -> Option<RefusedPart> {
         self.refused.get()
@@ -108,7 +113,7 @@
     /// Waits until the request may be sent; returns `false` if it is refused.
     pub(super) async fn admit_parts(&self) -> bool {
         let gate = &self.part_gate;
-        gate.has_turn.set(false);
+        gate.end_turn();
         let clock = self.gateway.clock;
         let limit_ms = clock.now_ms() + TURN_MAX_MS.min(self.remaining_ms() / 2);
         loop {
