--- a/crates/core/src/forwarding/repeat_budget.rs
+++ b/crates/core/src/forwarding/repeat_budget.rs
@@ -95,6 +95,7 @@
 struct Counts {
     requests: BTreeMap<u64, u32>,
     requests_by_level: BTreeMap<u64, [u32; URGENCY_LEVELS]>,
+    /// Repeats that were served, by the slot in which they ended, and those that were not.
     served: BTreeMap<u64, u32>,
     unserved: BTreeMap<u64, u32>,
     last_taken_ms: u64,
@@ -146,7 +147,7 @@
 
     /// Returns whether one more repeat now is covered in each window that contains it.
     ///
-    /// Of the slots that are partly in a window, those of repeats count and those of requests do not.
+    /// These are the windows that end between now and one window from now. Of the slots that are partly in a window, those of repeats count and those of requests do not.
     fn covers_repeat(
         &self,
         config: Config,
