--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -13,6 +13,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::StatusCode;
 use hyper::body::Bytes;
@@ -128,6 +129,8 @@
 pub struct Reply {
     /// Status.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -197,6 +200,7 @@
         self.connection = Some(connection);
         Ok(Reply {
             status: head.status,
+            headers: head.headers,
             body,
         })
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -51,6 +51,8 @@
     timing: Timing,
     endpoints: Cell<SyncState>,
     configuration: Cell<SyncState>,
+    /// Newest timeline that the log service stated; 0 before it stated one.
+    timeline: Cell<u64>,
     /// Wakes the view requests that wait for changes.
     waiting: RefCell<Vec<flume::Sender<()>>>,
 }
@@ -61,6 +63,7 @@
             timing: Timing { bound_ms },
             endpoints: Cell::default(),
             configuration: Cell::default(),
+            timeline: Cell::default(),
             waiting: RefCell::default(),
         }
     }
@@ -183,7 +186,11 @@
     /// Records that a read succeeded and that nothing beyond `offset` existed at a time; `take` applies what it brought.
     pub fn finish_read(&self, feed: Feed, offset: u64, as_of_ms: u64, take: impl FnOnce()) {
         if self.fleet.update(feed, SyncState::record_success) {
-            log::info!(event = "log_service_regained", feed:? = feed; "reads succeed again");
+            let before = self.fleet.sync_state(feed).offset().unwrap_or(0);
+            log::info!(
+                event = "log_service_regained", feed:? = feed, offset_before = before, offset = offset;
+                "reads succeed again"
+            );
         }
         // A reader may have supplied newer state meanwhile.
         if self.fleet.sync_state(feed).accepts(offset) {
@@ -192,6 +199,24 @@
         }
     }
 
+    /// Records the timeline that an answer of the log service stated; `source` names the call.
+    ///
+    /// The log service counts its timeline up when it continues from an older copy of its data.
+    pub fn record_timeline(&self, timeline: u64, source: &str) {
+        let before = self.fleet.timeline.get();
+        if timeline <= before {
+            return;
+        }
+        self.fleet.timeline.set(timeline);
+        metrics::gauge!(metric::LOG_TIMELINE).set(timeline as f64);
+        let offset = |feed| self.fleet.sync_state(feed).offset().unwrap_or(0);
+        log::info!(
+            event = "log_timeline", before = before, timeline = timeline, source = source,
+            endpoints_offset = offset(Feed::Endpoints), configuration_offset = offset(Feed::Configuration);
+            "the log service states a new timeline"
+        );
+    }
+
     /// Records that a read failed; returns whether it is the first one in a row.
     pub fn record_read_failure(&self, feed: Feed) -> bool {
         self.fleet.update(feed, SyncState::record_failure)
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -51,6 +51,8 @@
 pub const ADVERTS: &str = "waxwing_gateway_adverts_total";
 /// Counter of answers of readers by outcome: `fresh`, `stale` or `failed`.
 pub const VIEWS: &str = "waxwing_gateway_views_total";
+/// Gauge of the timeline of the log service; 0 before it stated one.
+pub const LOG_TIMELINE: &str = "waxwing_gateway_log_timeline";
 /// Counter of calls to the log service by call and outcome.
 pub const LOG_CALLS: &str = "waxwing_gateway_log_calls_total";
 /// Counter of log records by topic and outcome.
