Order positions in the log by timeline before offset

What callers saw: after the log service continued from an older copy, a route or key that had been added and confirmed was answered 404 or 401 at all VMs until the next change, or for good.

Cause: an offset orders records only within one history of the log service, and it was kept, compared and passed on without naming that history. (1) A VM read on from its old offset. If the restored topic had grown back to that offset before, the read got neither 410 nor the records below it. (2) A VM that had listed the restored topic had a lower offset than one that had not: its view was refused as old, while the other one's was taken and set it back. (3) The pages of a list could come from two histories.

A position is timeline and offset, ordered in this sequence; views and requests for them carry it (absent in earlier builds, whose positions count as timeline 0). A newer timeline, from whatever call or VM, lets the next read list everything: readers at once, followers only after 40 to 80 % of the bound, so that readers answer most of them first. Answers of an earlier timeline are refused. Configurations are ordered by their versions alone and are taken from any view. Without a stated timeline a VM lists after each failed call, and accepts a list that ends before its position; a log service that states none, loses records between two reads of all readers, and grows back before the next is not noticed.

Why it works: no offset is used in a timeline in which it was not read, and positions of all VMs have one order, in which a new timeline follows all of the old one.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -13,6 +13,7 @@
 
 pub use readers::Member;
 pub use summary::Summary;
+pub use sync_state::Position;
 pub use sync_state::Role;
 pub use sync_state::SyncState;
 pub use sync_state::Timing;
--- a/crates/core/src/fleet/sync_state.rs
+++ b/crates/core/src/fleet/sync_state.rs
@@ -1,4 +1,6 @@
-//! Staleness of a VM's copy of a topic, and the schedule of its reads of the log service.
+//! Position and staleness of a VM's copy of a topic, and the schedule of its reads of the log service.
+
+use std::ops::Range;
 
 /// Pause after the first failed read, in milliseconds; doubles with each further failure.
 const RETRY_MIN_MS: u64 = 100;
@@ -15,6 +17,19 @@
     Follower,
 }
 
+/// Position in a topic.
+///
+/// The log service can lose its latest records and continue from an older copy of its data, and then gives out their
+/// offsets again. It starts a new timeline each time. Offsets of different timelines cannot be compared, and positions are
+/// ordered by their timeline first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Position {
+    /// Timeline of the log service; 0 if it states none.
+    pub timeline: u64,
+    /// Offset after the last record.
+    pub offset: u64,
+}
+
 /// Intervals of the reads, derived from the staleness bound.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timing {
@@ -47,29 +62,77 @@
         self.bound_ms * 15 / 100
     }
 
+    /// Returns the range of the delay with which a follower lists a topic in a new timeline, in milliseconds.
+    ///
+    /// The readers list it at once and answer most followers within the delay.
+    pub fn list_delay_ms(self) -> Range<u64> {
+        self.bound_ms * 40 / 100..self.bound_ms * 80 / 100
+    }
+
     /// Returns the maximum pause of a follower after failed reads, in milliseconds.
     fn retry_max_ms(self) -> u64 {
         self.bound_ms * 50 / 100
     }
 }
 
-/// Offset and staleness of a VM's copy of one topic, and the state of its reads of the log service.
+/// Position and staleness of a VM's copy of one topic, and the state of its reads of the log service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SyncState {
-    /// Offset after the last applied record; `None` before the first full list.
-    offset: Option<u64>,
-    /// Monotonic time at which the log was known to end at `offset`, in milliseconds.
+    /// Position after the last applied record; `None` before the first full list.
+    confirmed: Option<Position>,
+    /// Newest known timeline of the log service.
+    timeline: u64,
+    /// Whether records are missing, so that the next read must list everything.
+    must_list: bool,
+    /// Monotonic time at which the newest timeline became known, in milliseconds; `None` once the copy belongs to it.
+    timeline_since_ms: Option<u64>,
+    /// Monotonic time at which the log was known to end at `confirmed`, in milliseconds.
     as_of_ms: Option<u64>,
     /// Monotonic time at which this VM's last read began, in milliseconds.
     read_began_ms: Option<u64>,
     /// Consecutive failed reads of this VM.
     failures: u32,
+    /// Whether the log service could not be reached since the last read began.
+    is_interrupted: bool,
 }
 
 impl SyncState {
-    /// Returns the offset of the next read; `None` if it must list everything.
-    pub fn offset(&self) -> Option<u64> {
-        self.offset
+    /// Returns the position of the copy; `None` if records are missing, so that the next read must list everything.
+    pub fn position(&self) -> Option<Position> {
+        self.confirmed.filter(|_| !self.must_list)
+    }
+
+    /// Returns the offset to read on from; `None` if the next read must list everything.
+    ///
+    /// If the log service states no timeline, only a list shows what it lost while it could not be reached.
+    pub fn read_offset(&self) -> Option<u64> {
+        let position = self.position()?;
+        (position.timeline > 0 || !self.is_interrupted).then_some(position.offset)
+    }
+
+    /// Returns the position of the last copy that was complete, also if records are missing since.
+    pub fn last_position(&self) -> Option<Position> {
+        self.confirmed
+    }
+
+    /// Returns the newest known timeline of the log service; 0 if none is known.
+    pub fn timeline(&self) -> u64 {
+        self.timeline
+    }
+
+    /// Returns the time since a new timeline became known to which the copy does not belong yet, in milliseconds.
+    pub fn incomplete_ms(&self, now_ms: u64) -> Option<u64> {
+        let since_ms = self.timeline_since_ms;
+        since_ms.map(|since_ms| now_ms.saturating_sub(since_ms))
+    }
+
+    /// Records a timeline of the log service; a newer one than the known one lets the next read list everything.
+    pub fn record_timeline(&mut self, timeline: u64, now_ms: u64) {
+        if timeline > self.timeline {
+            self.timeline = timeline;
+            self.must_list = true;
+            self.timeline_since_ms = self.confirmed.map(|_| now_ms);
+        }
     }
 
     /// Returns the staleness, in milliseconds; `None` before the first list.
@@ -77,13 +140,23 @@
         self.as_of_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
     }
 
-    /// Records the start of a read of the log service.
-    pub fn begin_read(&mut self, now_ms: u64) {
+    /// Records the start of a read of the log service, and returns the offset to read on from, as
+    /// [`read_offset`](Self::read_offset) does.
+    pub fn begin_read(&mut self, now_ms: u64) -> Option<u64> {
+        let offset = self.read_offset();
         self.read_began_ms = Some(now_ms);
+        self.is_interrupted = false;
+        offset
+    }
+
+    /// Records that the log service could not be reached, by this read or that of another topic.
+    pub fn record_interruption(&mut self) {
+        self.is_interrupted = true;
     }
 
     /// Records a failed read; returns whether it is the first in a row.
     pub fn record_failure(&mut self) -> bool {
+        self.record_interruption();
         self.failures = self.failures.saturating_add(1);
         self.failures == 1
     }
@@ -93,24 +166,36 @@
         std::mem::take(&mut self.failures) > 0
     }
 
-    /// Clears the offset, so that the next read lists everything.
-    pub fn reset_offset(&mut self) {
-        self.offset = None;
-        self.read_began_ms = None;
+    /// Lets the next read list everything; at once, unless the list of a new timeline is due anyway.
+    pub fn require_list(&mut self) {
+        self.must_list = true;
+        if self.timeline_since_ms.is_none() {
+            self.read_began_ms = None;
+        }
+    }
+
+    /// Records that the log service lost records without a new timeline, so that any offset is accepted.
+    pub fn record_loss(&mut self) {
+        self.confirmed = None;
+        self.must_list = true;
     }
 
-    /// Returns whether data up to `offset` may be applied. Older data than the current copy is rejected, whatever its
+    /// Returns whether data up to `position` may be applied. Older data than the current copy is rejected, whatever its
     /// source, so that a VM never goes back to an earlier state.
-    pub fn accepts(&self, offset: u64) -> bool {
-        self.offset.is_none_or(|current| offset >= current)
+    pub fn accepts(&self, position: Position) -> bool {
+        let current = self.confirmed.unwrap_or_default();
+        position.timeline >= self.timeline && position >= current
     }
 
-    /// Records that the log ended at `offset` at `as_of_ms`; returns whether the staleness decreased.
-    pub fn confirm(&mut self, offset: u64, as_of_ms: u64) -> bool {
-        if !self.accepts(offset) {
+    /// Records that the log ended at `position` at `as_of_ms`; returns whether the staleness decreased.
+    pub fn confirm(&mut self, position: Position, as_of_ms: u64) -> bool {
+        if !self.accepts(position) {
             return false;
         }
-        self.offset = Some(offset);
+        self.timeline = position.timeline;
+        self.confirmed = Some(position);
+        self.must_list = false;
+        self.timeline_since_ms = None;
         let is_fresher = self.as_of_ms.is_none_or(|current_ms| as_of_ms > current_ms);
         if is_fresher {
             self.as_of_ms = Some(as_of_ms);
@@ -123,15 +208,22 @@
         let Some(read_began_ms) = self.read_began_ms else {
             return 0;
         };
-        let (scheduled_ms, retry_max_ms) = match role {
-            Role::Reader => (read_began_ms + timing.period_ms(), READER_RETRY_MAX_MS),
-            Role::Follower => {
+        let retry_max_ms = match role {
+            Role::Reader => READER_RETRY_MAX_MS,
+            Role::Follower => timing.retry_max_ms(),
+        };
+        let scheduled_ms = match (role, self.timeline_since_ms) {
+            (Role::Reader, Some(since_ms)) => since_ms,
+            (Role::Reader, None) => read_began_ms + timing.period_ms(),
+            (Role::Follower, Some(since_ms)) => {
+                let delay_ms = timing.list_delay_ms();
+                let range_ms = delay_ms.end - delay_ms.start;
+                since_ms + delay_ms.start + draw % range_ms.max(1)
+            }
+            (Role::Follower, None) => {
                 let jitter_ms = draw % timing.jitter_ms().max(1);
                 let as_of_ms = self.as_of_ms.unwrap_or(0);
-                (
-                    as_of_ms + timing.stale_after_ms() + jitter_ms,
-                    timing.retry_max_ms(),
-                )
+                as_of_ms + timing.stale_after_ms() + jitter_ms
             }
         };
         if self.failures == 0 {
--- a/crates/core/src/fleet/view.rs
+++ b/crates/core/src/fleet/view.rs
@@ -1,6 +1,7 @@
 //! Requests of followers to readers, and the answers.
 
 use crate::Name;
+use crate::fleet::sync_state::Position;
 use crate::forwarding::endpoints::Entry;
 
 /// A topic of the log service that is distributed through readers.
@@ -19,23 +20,25 @@
     pub known: Option<(u64, u64)>,
     /// Version of the configuration at the requesting VM; 0 if there is none.
     pub configuration_version: u64,
+    /// Newest timeline of the log service that the requesting VM knows; 0 if it knows none.
+    pub timeline: u64,
     /// Long-poll timeout, in milliseconds.
     pub wait_ms: u64,
 }
 
-/// Offset and staleness of a reader's copy of a topic.
+/// Position and staleness of a reader's copy of a topic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Watermark {
-    /// Offset after the last applied record.
-    pub offset: u64,
-    /// Time since the log was known to end at that offset, in milliseconds.
+    /// Position after the last applied record.
+    pub position: Position,
+    /// Time since the log was known to end at that position, in milliseconds.
     pub age_ms: u64,
 }
 
 /// A reader's list of endpoints, or the changes of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndpointsView {
-    /// Offset and staleness of the data.
+    /// Position and staleness of the data.
     pub watermark: Watermark,
     /// Revision of the last change within the incarnation.
     pub revision: u64,
@@ -50,7 +53,7 @@
 /// A reader's configuration.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ConfigurationView {
-    /// Offset and staleness of the data.
+    /// Position and staleness of the data.
     pub watermark: Watermark,
     /// Version at the reader.
     pub version: u64,
--- a/crates/core/tests/fleet_staleness.rs
+++ b/crates/core/tests/fleet_staleness.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use waxwing_core::Name;
 use waxwing_core::fleet::Member;
+use waxwing_core::fleet::Position;
 use waxwing_core::fleet::Role;
 use waxwing_core::fleet::SyncState;
 use waxwing_core::fleet::Timing;
@@ -220,7 +221,7 @@
         let draw = self.random.random();
         let may_read = role == Role::Reader || self.disabled != Disabled::FollowerReads;
         let sync_state = &mut self.vms[vm].sync_state;
-        let is_first = sync_state.offset().is_none();
+        let is_first = sync_state.position().is_none();
         if (may_read || is_first) && clock_ms >= sync_state.next_read_ms(self.timing, role, draw) {
             sync_state.begin_read(clock_ms);
             self.reads += 1;
@@ -250,9 +251,10 @@
         let built_ms = now_ms.max(self.vms[reader].paused_until_ms) + 2;
         let state = &self.vms[reader];
         let age_ms = state.sync_state.age_ms(self.clock_ms(reader, built_ms));
-        let (Some(age_ms), Some(offset)) = (age_ms, state.sync_state.offset()) else {
+        let (Some(age_ms), Some(position)) = (age_ms, state.sync_state.position()) else {
             return;
         };
+        let offset = position.offset;
         if self.random.random_ratio(1, 20) {
             return;
         }
@@ -276,13 +278,17 @@
         if is_local_read {
             state.sync_state.record_success();
         }
-        let is_accepted = state.sync_state.accepts(offset);
+        let position = Position {
+            timeline: 0,
+            offset,
+        };
+        let is_accepted = state.sync_state.accepts(position);
         if is_accepted || self.disabled == Disabled::OffsetCheck {
             if offset < state.applied {
                 self.violation = Some(format!("vm {vm} went back at {now_ms} ms"));
             }
             state.applied = offset;
-            state.sync_state.confirm(offset, as_of_ms);
+            state.sync_state.confirm(position, as_of_ms);
         }
         self.check(vm, now_ms);
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -16,6 +16,7 @@
 use waxwing_core::Name;
 use waxwing_core::fleet::Feed;
 use waxwing_core::fleet::Member;
+use waxwing_core::fleet::Position;
 use waxwing_core::fleet::Role;
 use waxwing_core::fleet::SyncState;
 use waxwing_core::fleet::Timing;
@@ -43,6 +44,8 @@
 /// Time for which a reader that failed or was stale is avoided, in milliseconds.
 const AVOID_MS: u64 = 1_000;
 
+const FEEDS: [Feed; 2] = [Feed::Endpoints, Feed::Configuration];
+
 /// Pause of a VM that has no reader to query, in milliseconds.
 const PAUSE_MS: u64 = 200;
 
@@ -51,8 +54,6 @@
     timing: Timing,
     endpoints: Cell<SyncState>,
     configuration: Cell<SyncState>,
-    /// Newest timeline that the log service stated; 0 before it stated one.
-    timeline: Cell<u64>,
     /// Wakes the view requests that wait for changes.
     waiting: RefCell<Vec<flume::Sender<()>>>,
 }
@@ -63,7 +64,6 @@
             timing: Timing { bound_ms },
             endpoints: Cell::default(),
             configuration: Cell::default(),
-            timeline: Cell::default(),
             waiting: RefCell::default(),
         }
     }
@@ -77,8 +77,8 @@
     }
 
     /// Confirms a feed as of a time, and wakes the waiting view requests if that made it fresher.
-    pub(crate) fn confirm(&self, feed: Feed, offset: u64, as_of_ms: u64) {
-        if self.update(feed, |sync_state| sync_state.confirm(offset, as_of_ms)) {
+    pub(crate) fn confirm(&self, feed: Feed, position: Position, as_of_ms: u64) {
+        if self.update(feed, |sync_state| sync_state.confirm(position, as_of_ms)) {
             for sender in self.waiting.take() {
                 // Fails only if the request has been abandoned.
                 let _ = sender.try_send(());
@@ -116,6 +116,10 @@
 pub struct TopicRead {
     /// Offset to read from; `None` asks for a list of everything.
     pub offset: Option<u64>,
+    /// Newest known timeline of the log service.
+    pub timeline: u64,
+    /// Position of the last complete copy.
+    pub last: Option<Position>,
     /// Time for which the read waits for records, in milliseconds.
     pub wait_ms: u64,
     /// Monotonic time at which it begins, in milliseconds.
@@ -171,10 +175,13 @@
             Timer::after(Duration::from_millis(pause_ms)).await;
         };
         let began_ms = self.clock.now_ms();
-        self.fleet
-            .update(feed, |sync_state| sync_state.begin_read(began_ms));
+        let begin = |sync_state: &mut SyncState| sync_state.begin_read(began_ms);
+        let offset = self.fleet.update(feed, begin);
+        let sync_state = self.fleet.sync_state(feed);
         TopicRead {
-            offset: self.fleet.sync_state(feed).offset(),
+            offset,
+            timeline: sync_state.timeline(),
+            last: sync_state.last_position(),
             wait_ms: match role {
                 Role::Reader => timing.period_ms(),
                 Role::Follower => 0,
@@ -183,48 +190,99 @@
         }
     }
 
-    /// Records that a read succeeded and that nothing beyond `offset` existed at a time; `take` applies what it brought.
-    pub fn finish_read(&self, feed: Feed, offset: u64, as_of_ms: u64, take: impl FnOnce()) {
+    /// Records that a read of this VM succeeded.
+    pub fn record_read_success(&self, feed: Feed, read: TopicRead) {
         if self.fleet.update(feed, SyncState::record_success) {
-            let before = self.fleet.sync_state(feed).offset().unwrap_or(0);
             log::info!(
-                event = "log_service_regained", feed:? = feed, offset_before = before, offset = offset;
+                event = "log_service_regained", feed:? = feed, offset:? = read.offset;
                 "reads succeed again"
             );
         }
+    }
+
+    /// Records that nothing beyond `position` existed at a time; `take` applies what the read brought.
+    pub fn finish_read(
+        &self,
+        feed: Feed,
+        read: TopicRead,
+        position: Position,
+        as_of_ms: u64,
+        take: impl FnOnce(),
+    ) {
+        self.record_read_success(feed, read);
+        self.record_timeline(position.timeline, "read");
+        let last = read
+            .last
+            .filter(|last| last.timeline == position.timeline && position < *last);
+        if let Some(last) = last.filter(|_| read.offset.is_none()) {
+            log::warn!(
+                event = "log_went_back", feed:? = feed, timeline = last.timeline, offset_before = last.offset,
+                offset = position.offset;
+                "the log service lost records and states no new timeline"
+            );
+            self.fleet.update(feed, SyncState::record_loss);
+        }
         // A reader may have supplied newer state meanwhile.
-        if self.fleet.sync_state(feed).accepts(offset) {
+        if self.fleet.sync_state(feed).accepts(position) {
             take();
-            self.fleet.confirm(feed, offset, as_of_ms);
+            self.confirm(feed, position, as_of_ms, "log_service");
+        }
+    }
+
+    /// Records that this VM's copy of a topic is complete up to a position as of a time.
+    fn confirm(&self, feed: Feed, position: Position, as_of_ms: u64, source: &str) {
+        let before = self.fleet.sync_state(feed);
+        self.fleet.confirm(feed, position, as_of_ms);
+        if let Some(took_ms) = before.incomplete_ms(self.clock.now_ms()) {
+            let offset_before = before.last_position().unwrap_or_default().offset;
+            log::info!(
+                event = "log_copy_complete", feed:? = feed, timeline = position.timeline,
+                offset_before = offset_before, offset = position.offset, took_ms = took_ms, source = source;
+                "the copy belongs to the new timeline of the log service"
+            );
         }
     }
 
-    /// Records the timeline that an answer of the log service stated; `source` names the call.
-    ///
-    /// The log service counts its timeline up when it continues from an older copy of its data.
+    /// Returns the newest known timeline of the log service; 0 if it states none.
+    pub fn timeline(&self) -> u64 {
+        self.fleet.sync_state(Feed::Configuration).timeline()
+    }
+
+    /// Records a timeline that the log service stated; `source` names the call, or the VM that told it.
     pub fn record_timeline(&self, timeline: u64, source: &str) {
-        let before = self.fleet.timeline.get();
+        let before = self.timeline();
         if timeline <= before {
             return;
         }
-        self.fleet.timeline.set(timeline);
-        metrics::gauge!(metric::LOG_TIMELINE).set(timeline as f64);
-        let offset = |feed| self.fleet.sync_state(feed).offset().unwrap_or(0);
+        let offset = |feed| {
+            let position = self.fleet.sync_state(feed).last_position();
+            position.unwrap_or_default().offset
+        };
         log::info!(
             event = "log_timeline", before = before, timeline = timeline, source = source,
             endpoints_offset = offset(Feed::Endpoints), configuration_offset = offset(Feed::Configuration);
             "the log service states a new timeline"
         );
+        metrics::gauge!(metric::LOG_TIMELINE).set(timeline as f64);
+        let now_ms = self.clock.now_ms();
+        for feed in FEEDS {
+            self.fleet.update(feed, |sync_state| {
+                sync_state.record_timeline(timeline, now_ms)
+            });
+        }
     }
 
     /// Records that a read failed; returns whether it is the first one in a row.
     pub fn record_read_failure(&self, feed: Feed) -> bool {
+        for feed in FEEDS {
+            self.fleet.update(feed, SyncState::record_interruption);
+        }
         self.fleet.update(feed, SyncState::record_failure)
     }
 
     /// Lets the next read list everything, since records are missing.
-    pub fn reset_offset(&self, feed: Feed) {
-        self.fleet.update(feed, SyncState::reset_offset);
+    pub fn require_list(&self, feed: Feed) {
+        self.fleet.update(feed, SyncState::require_list);
     }
 
     /// Applies a reader's view of the endpoints.
@@ -311,6 +369,7 @@
     let view_request = ViewRequest {
         known: source.known,
         configuration_version: gateway.configuration_version(),
+        timeline: gateway.timeline(),
         wait_ms: timing.wait_ms(),
     };
     let bytes = wire::encode_question(&view_request).map_err(|error| error.to_string())?;
@@ -322,34 +381,35 @@
         return Err(format!("the reader answered {}", reply.status.as_u16()));
     }
     let view = wire::decode_view(&reply.body).map_err(|error| error.to_string())?;
+    let reader = source.vm.as_str();
     let endpoints = view.endpoints.watermark;
     let configuration = view.configuration.watermark;
     let as_of_ms = |watermark: Watermark| as_of_ms(sent_ms, view.waited_ms, watermark.age_ms);
-    if gateway
-        .fleet
-        .sync_state(Feed::Configuration)
-        .accepts(configuration.offset)
-    {
-        apply_configuration(gateway, &view.configuration)?;
+    gateway.record_timeline(configuration.position.timeline, reader);
+    // Versions order configurations whatever the state of the log service.
+    apply_configuration(gateway, &view.configuration)?;
+    let sync_state = gateway.fleet.sync_state(Feed::Configuration);
+    let mut is_accepted = sync_state.accepts(configuration.position);
+    if is_accepted {
         let as_of_ms = as_of_ms(configuration);
-        gateway
-            .fleet
-            .confirm(Feed::Configuration, configuration.offset, as_of_ms);
+        gateway.confirm(
+            Feed::Configuration,
+            configuration.position,
+            as_of_ms,
+            reader,
+        );
     }
-    if gateway
-        .fleet
-        .sync_state(Feed::Endpoints)
-        .accepts(endpoints.offset)
-    {
+    let sync_state = gateway.fleet.sync_state(Feed::Endpoints);
+    if sync_state.accepts(endpoints.position) {
         let as_of_ms = as_of_ms(endpoints);
         source.known = Some((view.incarnation, view.endpoints.revision));
         gateway.apply_endpoints(view.endpoints);
-        gateway
-            .fleet
-            .confirm(Feed::Endpoints, endpoints.offset, as_of_ms);
+        gateway.confirm(Feed::Endpoints, endpoints.position, as_of_ms, reader);
+    } else {
+        is_accepted = false;
     }
     let oldest_ms = endpoints.age_ms.max(configuration.age_ms);
-    Ok(oldest_ms < timing.stale_after_ms())
+    Ok(is_accepted && oldest_ms < timing.stale_after_ms())
 }
 
 fn apply_configuration(gateway: &Gateway, view: &ConfigurationView) -> Result<(), String> {
@@ -372,6 +432,7 @@
         Ok(Err(error)) => return failure_response(StatusCode::BAD_REQUEST, &error.to_string()),
         Err(error) => return failure_response(StatusCode::BAD_REQUEST, &error.to_string()),
     };
+    gateway.record_timeline(view_request.timeline, "view request");
     let before = sync_states(&gateway);
     let limit_ms = view_request.wait_ms.min(gateway.fleet.timing().bound_ms);
     while !has_changes(&gateway, &view_request, before) {
@@ -398,7 +459,7 @@
 }
 
 fn sync_states(gateway: &Gateway) -> [SyncState; 2] {
-    [Feed::Endpoints, Feed::Configuration].map(|feed| gateway.fleet.sync_state(feed))
+    FEEDS.map(|feed| gateway.fleet.sync_state(feed))
 }
 
 fn has_changes(gateway: &Gateway, view_request: &ViewRequest, before: [SyncState; 2]) -> bool {
@@ -418,7 +479,7 @@
     let watermark_of = |feed| {
         let sync_state = gateway.fleet.sync_state(feed);
         Some(Watermark {
-            offset: sync_state.offset()?,
+            position: sync_state.position()?,
             age_ms: sync_state.age_ms(now_ms)?,
         })
     };
--- a/crates/wire/src/view.rs
+++ b/crates/wire/src/view.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use waxwing_core::Name;
+use waxwing_core::fleet::Position;
 use waxwing_core::fleet::view;
 use waxwing_core::forwarding::endpoints::Entry;
 
@@ -31,11 +32,17 @@
     v: u8,
     known: Option<(u64, u64)>,
     configuration: u64,
+    /// Absent in requests of earlier builds.
+    #[serde(default)]
+    timeline: u64,
     wait_ms: u64,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
 struct WireWatermark {
+    /// Absent in answers of earlier builds.
+    #[serde(default)]
+    timeline: u64,
     offset: u64,
     age_ms: u64,
 }
@@ -71,7 +78,8 @@
 impl From<view::Watermark> for WireWatermark {
     fn from(watermark: view::Watermark) -> Self {
         Self {
-            offset: watermark.offset,
+            timeline: watermark.position.timeline,
+            offset: watermark.position.offset,
             age_ms: watermark.age_ms,
         }
     }
@@ -80,7 +88,10 @@
 impl From<WireWatermark> for view::Watermark {
     fn from(wire: WireWatermark) -> Self {
         Self {
-            offset: wire.offset,
+            position: Position {
+                timeline: wire.timeline,
+                offset: wire.offset,
+            },
             age_ms: wire.age_ms,
         }
     }
@@ -185,6 +196,7 @@
         v: VERSION,
         known: request.known,
         configuration: request.configuration_version,
+        timeline: request.timeline,
         wait_ms: request.wait_ms,
     })?)
 }
@@ -200,6 +212,7 @@
     Ok(view::ViewRequest {
         known: wire.known,
         configuration_version: wire.configuration,
+        timeline: wire.timeline,
         wait_ms: wire.wait_ms,
     })
 }
--- a/crates/wire/tests/view.rs
+++ b/crates/wire/tests/view.rs
@@ -4,6 +4,7 @@
 use proptest::prelude::any;
 use proptest::proptest;
 use waxwing_core::Name;
+use waxwing_core::fleet::Position;
 use waxwing_core::fleet::view::ConfigurationView;
 use waxwing_core::fleet::view::EndpointsView;
 use waxwing_core::fleet::view::View;
@@ -27,7 +28,10 @@
         sequence: number(4),
     };
     let watermark = |index| Watermark {
-        offset: number(index),
+        position: Position {
+            timeline: number(index + 2),
+            offset: number(index),
+        },
         age_ms: number(index + 1),
     };
     View {
@@ -58,6 +62,7 @@
         let request = ViewRequest {
             known: numbers.first().map(|number| (*number, 1)),
             configuration_version: 5,
+            timeline: numbers.last().copied().unwrap_or(3),
             wait_ms: 800,
         };
         let bytes = view::encode_question(&request).unwrap();
@@ -87,3 +92,33 @@
     let result = view::decode_view(unaddressed.as_bytes());
     assert!(matches!(result, Err(Error::Field("address"))), "{result:?}");
 }
+
+/// Guards against builds that do not understand each other: earlier ones know no timelines.
+#[test]
+fn earlier_build() {
+    let strip = |bytes: &[u8]| {
+        let mut message: serde_json::Value = serde_json::from_slice(bytes).unwrap();
+        let fields = message.as_object_mut().unwrap();
+        fields.remove("timeline");
+        for topic in ["endpoints", "configuration"] {
+            if let Some(watermark) = fields
+                .get_mut(topic)
+                .and_then(|field| field.as_object_mut())
+            {
+                watermark.remove("timeline");
+            }
+        }
+        serde_json::to_vec(&message).unwrap()
+    };
+    let known = view::encode_view(&sample(&[1, 2, 3, 4, 5, 6, 7, 8, 9, 10], "e1")).unwrap();
+    let decoded = view::decode_view(&strip(&known)).unwrap();
+    assert_eq!(decoded.endpoints.watermark.position.timeline, 0);
+    assert_eq!(decoded.configuration.watermark.position.timeline, 0);
+    let request = ViewRequest {
+        timeline: 4,
+        ..ViewRequest::default()
+    };
+    let request = view::encode_question(&request).unwrap();
+    let decoded = view::decode_question(&strip(&request)).unwrap();
+    assert_eq!(decoded.timeline, 0);
+}
