Keep endpoints that a restored list lacks until they had time to write again

What callers saw: after the log service continued from an older copy, engines that had registered since were dropped at once, and their requests ended as no_endpoint or waited for the engine's next entry.

Cause: removals were deferred only by a VM whose own reads had failed. One that never noticed that the log service was away took the list of the new timeline as complete.

Change: the first data of a new timeline, by an own list or a reader's view, lets a VM defer removals of entries that a list lacks by EXPIRY_GRACE_MS. A VM with such deferrals goes on answering views, since all VMs wait for the same entries; without that all followers would read for themselves after each restoring.

Evidence: unlisted_engine fails on with a line that the engine was removed, and passes now, as do restored_list, removal_after_restoring, mutual_views, renewal_in_view and engine_gone_meanwhile.

--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -328,23 +328,42 @@
     peer_demand: HashMap<Name, Vec<(u64, Demand)>>,
     /// Sum of `peer_demand` over the VMs; maintained incrementally because each request reads it for all endpoints.
     peer_sums: HashMap<u64, Demand>,
-    removals_due_ms: HashMap<Name, u64>,
+    deferred: HashMap<Name, Deferral>,
     removed: HashMap<Name, (Option<u64>, u64)>,
     backlog_since_ms: Option<u64>,
     is_source_lost: bool,
+    /// Time until which a list may lack entries of living endpoints, in milliseconds.
+    incomplete_until_ms: u64,
     revisions: Revisions,
     notices: Notices,
     limits: Limits,
 }
 
+/// A removal that is carried out unless the entry is renewed before.
+#[derive(Clone, Copy, Debug)]
+struct Deferral {
+    due_ms: u64,
+    cause: DeferralCause,
+}
+
+/// Reason why an entry may be missing although its endpoint is alive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum DeferralCause {
+    /// It may have expired while this VM could not read the source.
+    SourceLost,
+    /// The source continues from an older copy of its data, for all VMs.
+    SourceRestored,
+}
+
 /// Records of one endpoint that show that the source was available during the gap.
 ///
 /// A source that was unavailable itself holds at most two: one from before its outage and one from after it.
 const SOURCE_ALIVE_RECORDS: usize = 3;
 
-/// Time after the recovery of the registry's source in which expired entries may be renewed, in milliseconds.
+/// Time after the recovery of the registry's source in which missing entries may be renewed, in milliseconds.
 ///
-/// Entries can expire while the source is unavailable even though their endpoints are alive.
+/// Entries can expire while the source is unavailable, or be lost with its latest data, even though their endpoints are
+/// alive.
 pub const EXPIRY_GRACE_MS: u64 = 2_000;
 
 impl Entry {
@@ -382,7 +401,7 @@
         if is_older {
             return None;
         }
-        self.removals_due_ms.remove(&entry.id);
+        let is_renewed = self.deferred.remove(&entry.id).is_some();
         let is_same = known.entry.born_ms == entry.born_ms
             && known.entry.address == entry.address
             && known.entry.service == entry.service;
@@ -392,7 +411,7 @@
             return Some(Change::Restarted { old: key, new });
         }
         let starts_draining = entry.is_draining && !known.entry.is_draining;
-        if !known.entry.has_same_content(&entry) {
+        if is_renewed || !known.entry.has_same_content(&entry) {
             self.revisions.note_change(&entry.id);
         }
         known.entry = entry;
@@ -404,14 +423,19 @@
     /// A removal that was recorded while the source was unavailable is deferred to [`Endpoints::remove_due`].
     pub fn remove(&mut self, id: &Name, now_ms: u64) -> Option<Change> {
         if let Some(due_ms) = self.deferral_end_ms(now_ms) {
-            if self.by_id.contains_key(id) {
-                self.removals_due_ms.entry(id.clone()).or_insert(due_ms);
-            }
+            self.defer(id, due_ms, DeferralCause::SourceLost);
             return None;
         }
         self.remove_now(id).map(Change::Removed)
     }
 
+    fn defer(&mut self, id: &Name, due_ms: u64, cause: DeferralCause) {
+        if self.by_id.contains_key(id) {
+            let deferral = Deferral { due_ms, cause };
+            self.deferred.entry(id.clone()).or_insert(deferral);
+        }
+    }
+
     /// Drains an endpoint whose newest entry cannot be decoded, until a valid entry arrives.
     pub fn disable(&mut self, id: &Name) -> Option<Change> {
         let key = self.find(id)?;
@@ -425,6 +449,8 @@
     }
 
     /// Removes all entries that are missing from a complete list of ids; returns the changes by id.
+    ///
+    /// After [`Endpoints::mark_source_restored`] such removals are deferred too.
     pub fn retain(&mut self, listed: &[Name], now_ms: u64) -> Vec<(Name, Change)> {
         let listed: HashSet<&Name> = listed.iter().collect();
         let mut missing = Vec::new();
@@ -435,6 +461,10 @@
         }
         let mut changes = Vec::new();
         for id in missing {
+            if now_ms < self.incomplete_until_ms {
+                self.defer(&id, self.incomplete_until_ms, DeferralCause::SourceRestored);
+                continue;
+            }
             if let Some(change) = self.remove(&id, now_ms) {
                 changes.push((id, change));
             }
@@ -458,6 +488,12 @@
         }
     }
 
+    /// Records that the source continues from an older copy of its data, so that lists lack entries of living endpoints
+    /// until these are renewed.
+    pub fn mark_source_restored(&mut self, now_ms: u64) {
+        self.incomplete_until_ms = now_ms + EXPIRY_GRACE_MS;
+    }
+
     /// Records that the backlog has been processed; later removals are current.
     pub fn finish_backlog(&mut self) {
         self.backlog_since_ms = None;
@@ -466,14 +502,14 @@
     /// Carries out the deferred removals that are due; returns the changes by id.
     pub fn remove_due(&mut self, now_ms: u64) -> Vec<(Name, Change)> {
         let mut due = Vec::new();
-        for (id, due_ms) in &self.removals_due_ms {
-            if *due_ms <= now_ms {
+        for (id, deferral) in &self.deferred {
+            if deferral.due_ms <= now_ms {
                 due.push(id.clone());
             }
         }
         let mut changes = Vec::new();
         for id in due {
-            self.removals_due_ms.remove(&id);
+            self.deferred.remove(&id);
             if let Some(key) = self.remove_now(&id) {
                 changes.push((id, Change::Removed(key)));
             }
@@ -533,14 +569,19 @@
         Some(key)
     }
 
-    /// Returns whether removals are deferred, in which case the registry differs from its source.
-    pub fn has_pending_removals(&self) -> bool {
-        !self.removals_due_ms.is_empty()
+    /// Returns whether removals are deferred that VMs which could read the source all the time have carried out.
+    pub fn withholds_removals(&self) -> bool {
+        let mut deferrals = self.deferred.values();
+        deferrals.any(|deferral| deferral.cause == DeferralCause::SourceLost)
     }
 
     /// Returns the changes after a revision, or the whole registry for `None`.
+    ///
+    /// Entries whose removal is deferred are left out: an entry that another VM reports counts as renewed.
     pub fn delta_since(&self, since: Option<u64>) -> Delta<'_> {
-        self.revisions.delta_since(since)
+        let mut delta = self.revisions.delta_since(since);
+        delta.changed.retain(|id| !self.deferred.contains_key(*id));
+        delta
     }
 
     /// Returns the revision of the last change.
--- a/crates/core/tests/endpoint_list.rs
+++ b/crates/core/tests/endpoint_list.rs
@@ -148,3 +148,77 @@
         EndpointHealth::Healthy
     );
 }
+
+/// Guards against the removal of living endpoints that a restored list lacks until they write again.
+#[test]
+fn restored_list() {
+    let mut endpoints = list(&["kept", "late", "gone"]);
+    endpoints.mark_source_restored(1_000);
+    let listed = [Name::from("kept")];
+    assert!(endpoints.retain(&listed, 1_000).is_empty());
+    // Other VMs wait as well, so that they may be told.
+    assert!(!endpoints.withholds_removals());
+    endpoints.update(entry("late", 1, 2));
+    let changes = endpoints.remove_due(1_000 + EXPIRY_GRACE_MS);
+    assert!(matches!(changes[..], [(_, Change::Removed(_))]));
+    assert_eq!(changes[0].0, Name::from("gone"));
+    // A later list is complete.
+    let changes = endpoints.retain(&listed, 1_000 + EXPIRY_GRACE_MS);
+    assert_eq!(changes[0].0, Name::from("late"));
+}
+
+/// Applies the full view of one registry to another.
+fn apply_view(to: &mut Endpoints, from: &Endpoints, now_ms: u64) {
+    let mut listed = Vec::new();
+    for id in from.delta_since(None).changed {
+        let entry = from.find(id).and_then(|key| from.get(key)).unwrap();
+        listed.push(id.clone());
+        to.update(entry.entry.clone());
+    }
+    to.retain(&listed, now_ms);
+}
+
+/// Guards against VMs that keep each other from removing an endpoint that a restored list lacks.
+#[test]
+fn mutual_views() {
+    let mut vms = [list(&["kept", "gone"]), list(&["kept", "gone"])];
+    for vm in &mut vms {
+        vm.mark_source_restored(1_000);
+        vm.retain(&[Name::from("kept")], 1_000);
+    }
+    let [first, second] = &mut vms;
+    for now_ms in [1_100, 1_200, 1_300] {
+        apply_view(first, second, now_ms);
+        apply_view(second, first, now_ms);
+    }
+    for vm in &mut vms {
+        assert_eq!(vm.remove_due(1_000 + EXPIRY_GRACE_MS).len(), 1);
+    }
+}
+
+/// Guards against a VM that removes an endpoint which its reader knows to be renewed.
+#[test]
+fn renewal_in_view() {
+    let mut reader = list(&["e"]);
+    let mut follower = list(&["e"]);
+    for vm in [&mut reader, &mut follower] {
+        vm.mark_source_restored(1_000);
+        vm.retain(&[], 1_000);
+    }
+    let before = reader.revision();
+    reader.update(entry("e", 1, 2));
+    let delta = reader.delta_since(Some(before));
+    assert_eq!(delta.changed, [&Name::from("e")]);
+    follower.update(entry("e", 1, 2));
+    assert!(follower.remove_due(1_000 + EXPIRY_GRACE_MS).is_empty());
+}
+
+/// Guards against a recorded removal that is deferred although it is of the new timeline.
+#[test]
+fn removal_after_restoring() {
+    let mut endpoints = list(&["e"]);
+    endpoints.mark_source_restored(1_000);
+    endpoints.retain(&[Name::from("e")], 1_000);
+    let change = endpoints.remove(&Name::from("e"), 1_100);
+    assert!(matches!(change, Some(Change::Removed(_))));
+}
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -221,14 +221,29 @@
                 "the log service lost records and states no new timeline"
             );
             self.fleet.update(feed, SyncState::record_loss);
+            if feed == Feed::Endpoints {
+                let now_ms = self.clock.now_ms();
+                self.endpoints.borrow_mut().mark_source_restored(now_ms);
+            }
         }
         // A reader may have supplied newer state meanwhile.
         if self.fleet.sync_state(feed).accepts(position) {
+            self.expect_renewals(feed, position);
             take();
             self.confirm(feed, position, as_of_ms, "log_service");
         }
     }
 
+    /// Prepares the list of endpoints for data that lacks what was written last before a new timeline.
+    fn expect_renewals(&self, feed: Feed, position: Position) {
+        let last = self.fleet.sync_state(feed).last_position();
+        let is_restored = last.is_some_and(|last| last.timeline < position.timeline);
+        if feed == Feed::Endpoints && is_restored {
+            let now_ms = self.clock.now_ms();
+            self.endpoints.borrow_mut().mark_source_restored(now_ms);
+        }
+    }
+
     /// Records that this VM's copy of a topic is complete up to a position as of a time.
     fn confirm(&self, feed: Feed, position: Position, as_of_ms: u64, source: &str) {
         let before = self.fleet.sync_state(feed);
@@ -287,7 +302,7 @@
 
     /// Applies a reader's view of the endpoints.
     pub(crate) fn apply_endpoints(&self, view: EndpointsView) {
-        // A reader responds only when it defers no removals, so its removals are current.
+        // A reader withholds no removals, so those in its view are current.
         self.mark_endpoint_source_recovered(usize::MAX);
         for id in &view.removed {
             self.remove_endpoint(id);
@@ -403,6 +418,7 @@
     if sync_state.accepts(endpoints.position) {
         let as_of_ms = as_of_ms(endpoints);
         source.known = Some((view.incarnation, view.endpoints.revision));
+        gateway.expect_renewals(Feed::Endpoints, endpoints.position);
         gateway.apply_endpoints(view.endpoints);
         gateway.confirm(Feed::Endpoints, endpoints.position, as_of_ms, reader);
     } else {
@@ -469,10 +485,10 @@
         || sync_states(gateway) != before
 }
 
-/// Builds the view of this VM, or `None` if it is not ready or defers removals.
+/// Builds the view of this VM, or `None` if it is not ready or behind its source.
 fn build_view(gateway: &Gateway, view_request: &ViewRequest, received_ms: u64) -> Option<View> {
     let endpoints = gateway.endpoints.borrow();
-    if !gateway.is_ready() || endpoints.has_pending_removals() {
+    if !gateway.is_ready() || endpoints.withholds_removals() {
         return None;
     }
     let now_ms = gateway.clock.now_ms();
