Refuse an entry of an earlier start of an endpoint that was removed

What callers could see: an engine that had started again under its id, and had left, was in use again if the log service came back with its entry from before the restart.

Cause: a removed endpoint's last entry was compared only with entries of the same start time; any other start time counted as a new start. A log service that continues from an older copy presents earlier ones.

An earlier start time is now older, as it is for endpoints that are known.

--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -388,9 +388,11 @@
     pub fn update(&mut self, entry: Entry) -> Option<Change> {
         let Some(key) = self.by_id.get(&entry.id).copied() else {
             let removed = self.removed.get(&entry.id);
-            let is_old = removed.is_some_and(|(born_ms, sequence)| {
-                *born_ms == entry.born_ms && entry.sequence <= *sequence
-            });
+            let is_old =
+                removed.is_some_and(|(born_ms, sequence)| match (entry.born_ms, *born_ms) {
+                    (Some(born), Some(removed)) if born != removed => born < removed,
+                    (born, removed) => born == removed && entry.sequence <= *sequence,
+                });
             return (!is_old).then(|| Change::Added(self.insert(entry)));
         };
         let known = &mut self.endpoints[key];
--- a/crates/core/tests/endpoint_list.rs
+++ b/crates/core/tests/endpoint_list.rs
@@ -222,3 +222,16 @@
     let change = endpoints.remove(&Name::from("e"), 1_100);
     assert!(matches!(change, Some(Change::Removed(_))));
 }
+
+/// Guards against an endpoint that is in use again after it left, since a restored list has an entry of an earlier start.
+#[test]
+fn earlier_incarnation() {
+    let mut endpoints = list(&["e"]);
+    endpoints.update(entry("e", 2_000, 1));
+    assert!(endpoints.remove(&Name::from("e"), 1_000).is_some());
+    assert_eq!(endpoints.update(entry("e", 1, 9)), None);
+    assert!(matches!(
+        endpoints.update(entry("e", 3_000, 1)),
+        Some(Change::Added(_))
+    ));
+}
