Publish the address of a VM again if the log service lost it

What callers could see: VMs that start or are added after a restoring do not name VMs whose addresses were lost, exchange nothing with them, and share the bounds of all VMs (repeats, permits) as if they did not exist.

Cause: a VM wrote its address to keyed.vms once, at its start.

Change: after each possible loss (a new timeline; a list that ended before its position; with no stated timeline each return after a failed call) a VM lists keyed.vms, after a random delay of up to 10 ms for each living VM, and appends its address if it is missing.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -54,6 +54,8 @@
     timing: Timing,
     endpoints: Cell<SyncState>,
     configuration: Cell<SyncState>,
+    /// How often the log service may have lost records.
+    losses: Cell<u64>,
     /// Wakes the view requests that wait for changes.
     waiting: RefCell<Vec<flume::Sender<()>>>,
 }
@@ -64,6 +66,7 @@
             timing: Timing { bound_ms },
             endpoints: Cell::default(),
             configuration: Cell::default(),
+            losses: Cell::default(),
             waiting: RefCell::default(),
         }
     }
@@ -197,6 +200,9 @@
                 event = "log_service_regained", feed:? = feed, offset:? = read.offset;
                 "reads succeed again"
             );
+            if self.timeline() == 0 {
+                self.count_loss();
+            }
         }
     }
 
@@ -221,6 +227,7 @@
                 "the log service lost records and states no new timeline"
             );
             self.fleet.update(feed, SyncState::record_loss);
+            self.count_loss();
             if feed == Feed::Endpoints {
                 let now_ms = self.clock.now_ms();
                 self.endpoints.borrow_mut().mark_source_restored(now_ms);
@@ -258,6 +265,17 @@
         }
     }
 
+    /// Returns how often the log service may have lost records that it had confirmed.
+    ///
+    /// Without a timeline it may have each time that it could not be reached.
+    pub fn log_losses(&self) -> u64 {
+        self.fleet.losses.get()
+    }
+
+    fn count_loss(&self) {
+        self.fleet.losses.set(self.fleet.losses.get() + 1);
+    }
+
     /// Returns the newest known timeline of the log service; 0 if it states none.
     pub fn timeline(&self) -> u64 {
         self.fleet.sync_state(Feed::Configuration).timeline()
@@ -279,6 +297,9 @@
             "the log service states a new timeline"
         );
         metrics::gauge!(metric::LOG_TIMELINE).set(timeline as f64);
+        if before > 0 {
+            self.count_loss();
+        }
         let now_ms = self.clock.now_ms();
         for feed in FEEDS {
             self.fleet.update(feed, |sync_state| {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -203,6 +203,12 @@
         self.random.borrow_mut().random()
     }
 
+    /// Returns a random delay over which the VMs that are alive spread calls, at `per_vm_ms` for each of them.
+    pub fn draw_delay_ms(&self, per_vm_ms: u64) -> u64 {
+        let vms = 1 + self.peers.borrow().alive_count(self.clock.now_ms()) as u64;
+        self.draw() % (vms * per_vm_ms)
+    }
+
     /// Activates a configuration if it is newer than the active one; returns whether it was.
     pub fn set_configuration(
         &self,
