Write findings of crashing parts again if the log service lost them

What callers could see: a part of a prompt that crashes engines was forgotten when all VMs started again after the log service had lost the findings.

Cause: findings were written when they changed, and counted as written for good.

Change: they count as written only until the next possible loss of the log service. One VM writes them, as before.

--- a/crates/gateway/src/crashing_parts.rs
+++ b/crates/gateway/src/crashing_parts.rs
@@ -41,15 +41,25 @@
 /// Most clearances in one datagram, or written to the log service.
 const CLEARANCES_MAX: usize = 64;
 
+/// State of the findings that were written to the log service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SavedParts {
+    /// Number of changes of what was known.
+    revision: u64,
+    /// How often the log service may have lost records before.
+    losses: u64,
+}
+
 /// What this VM knows of prompt parts that crash endpoints.
 pub(crate) struct PartService {
     parts: RefCell<CrashingParts>,
     trials: RefCell<Trials>,
     replies: PendingReplies<bool>,
     round: Cell<u64>,
-    /// Number of changes of what is known, and their number when it was written to the log service.
+    /// Number of changes of what is known.
     revision: Cell<u64>,
-    saved_revision: Cell<u64>,
+    /// What was written to the log service last.
+    saved: Cell<SavedParts>,
     /// Whether a part has been refused, so that the log service may hold that.
     was_refused: Cell<bool>,
 }
@@ -62,7 +72,7 @@
             replies: PendingReplies::new(),
             round: Cell::new(0),
             revision: Cell::new(0),
-            saved_revision: Cell::new(0),
+            saved: Cell::default(),
             was_refused: Cell::new(false),
         }
     }
@@ -132,13 +142,16 @@
         }
     }
 
-    /// Returns what is known of parts that crash endpoints, and its revision, if it has changed since it was written.
+    /// Returns what is known of parts that crash endpoints if it has changed since it was written, or may have been lost.
     ///
     /// Only one VM, the same for all, writes it, and only once a part has been refused.
-    pub fn unsaved_parts(&self) -> Option<(u64, Vec<u8>)> {
+    pub fn unsaved_parts(&self) -> Option<(SavedParts, Vec<u8>)> {
         let service = &self.part_service;
-        let revision = service.revision.get();
-        if revision == service.saved_revision.get() {
+        let state = SavedParts {
+            revision: service.revision.get(),
+            losses: self.log_losses(),
+        };
+        if state == service.saved.get() {
             return None;
         }
         let known = service.parts.borrow();
@@ -159,7 +172,7 @@
             clearances,
         };
         match advert::to_bytes(&Datagram::CrashNotice(notice)) {
-            Ok(bytes) => Some((revision, bytes)),
+            Ok(bytes) => Some((state, bytes)),
             Err(error) => {
                 log::error!(event = "parts_not_encoded"; "{error}");
                 None
@@ -167,9 +180,9 @@
         }
     }
 
-    /// Records that what was known at a revision has been written.
-    pub fn mark_parts_saved(&self, revision: u64) {
-        self.part_service.saved_revision.set(revision);
+    /// Records that findings have been written in the state that [`unsaved_parts`](Self::unsaved_parts) returned.
+    pub fn mark_parts_saved(&self, state: SavedParts) {
+        self.part_service.saved.set(state);
     }
 
     /// Merges what was written `age_ms` ago.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod trace;
 
 pub use adapter::Adapter;
+pub use crashing_parts::SavedParts;
 pub use error::Error;
 pub use error::Result;
 pub use fleet::TopicRead;
