Compare the configuration with those of other VMs at the start, and ask who has a newer one

What callers saw: a VM that started while the log service held an older copy denied keys and routes that all other VMs knew, and accepted a key that had been withdrawn, until the operator had written again. A VM that reads for others never asked anybody.

Cause: a VM relied on whatever the log service held when it started, and versions that others advertise were not used.

Change: a VM that starts serves nothing, and is not ready, until the VMs that it knows have answered its announcement (300 ms at most) and it has a configuration as new as the newest that they advertise, or 4 s have passed. A VM that hears of a newer configuration asks that VM for it, and until then refuses a route or key that it does not know with 503 instead of 404 or 401. Readers that started within 4 s ask the other readers too, which tells them which endpoints left.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -7,11 +7,14 @@
 
 pub mod readers;
 pub mod revisions;
+pub mod start_check;
 pub mod summary;
 pub mod sync_state;
 pub mod view;
 
 pub use readers::Member;
+pub use start_check::Heard;
+pub use start_check::StartCheck;
 pub use summary::Summary;
 pub use sync_state::Position;
 pub use sync_state::Role;
--- a/crates/core/src/forwarding/peers.rs
+++ b/crates/core/src/forwarding/peers.rs
@@ -78,6 +78,8 @@
     front: SocketAddr,
     data_centre: Name,
     is_ready: bool,
+    /// Version of its configuration; 0 if it has none, or if the state came in a summary.
+    configuration_version: u64,
 }
 
 #[derive(Debug)]
@@ -173,6 +175,7 @@
             front: advert.front,
             data_centre: advert.data_centre.clone(),
             is_ready: advert.is_ready,
+            configuration_version: advert.configuration_version,
         });
         (true, change)
     }
@@ -218,6 +221,7 @@
                 front: state.front,
                 data_centre: summary.data_centre.clone(),
                 is_ready: state.is_ready,
+                configuration_version: 0,
             });
             if !was_alive && self.is_vm_alive(&state.vm, now_ms) {
                 changes.push(Change::Seen(state.vm.clone()));
@@ -341,6 +345,36 @@
         fronts.into_iter().map(|(_, front)| front).collect()
     }
 
+    /// Returns whether all known VMs were heard at least once.
+    pub fn is_all_heard(&self) -> bool {
+        self.peers
+            .values()
+            .all(|peer| peer.last_advert_ms.is_some())
+    }
+
+    /// Returns the newest version of a configuration that a VM which is alive and ready advertises, and that VM.
+    pub fn newest_configuration(&self, now_ms: u64) -> Option<(u64, Member)> {
+        let mut newest: Option<(&Name, &Peer, &LatestAdvert)> = None;
+        for (vm, peer) in &self.peers {
+            let Some(latest) = peer.latest.as_ref().filter(|latest| latest.is_ready) else {
+                continue;
+            };
+            let is_newer = newest.is_none_or(|(_, _, known)| {
+                latest.configuration_version > known.configuration_version
+            });
+            if is_newer && self.is_alive(peer, now_ms) {
+                newest = Some((vm, peer, latest));
+            }
+        }
+        let (vm, peer, latest) = newest?;
+        let member = Member {
+            vm: vm.clone(),
+            data_centre: latest.data_centre.clone(),
+            address: peer.address,
+        };
+        Some((latest.configuration_version, member))
+    }
+
     /// Returns the VMs that are alive and ready, which therefore know the configuration and the endpoints.
     pub fn members(&self, now_ms: u64) -> Vec<Member> {
         let mut members = Vec::new();
--- a/crates/gateway/src/adverts.rs
+++ b/crates/gateway/src/adverts.rs
@@ -92,6 +92,9 @@
         if let Some(socket) = self.peer_socket.get() {
             send_advert(self, socket, &recipients).await;
         }
+        let mut check = self.start_check.get();
+        check.record_announcement(self.clock.now_ms());
+        self.start_check.set(check);
     }
 }
 
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -292,12 +292,20 @@
     let unready =
         |message: &str| Refusal::not_run(Reason::NoSettings, UNREADY_RETRY_AFTER_MS, message);
     let configuration = configuration.ok_or_else(|| unready("this VM has no configuration yet"))?;
+    if !gateway.relies_on_configuration() {
+        return Err(unready(
+            "this VM has just started and does not know yet whether its configuration is the newest",
+        ));
+    }
     // A route or key that is missing here may be part of a newer version that has not arrived yet.
-    let is_stale = gateway.configuration_age_ms() > CONFIGURATION_STALE_MS;
+    let is_stale = || {
+        gateway.configuration_age_ms() > CONFIGURATION_STALE_MS
+            || gateway.peer_with_newer_configuration().is_some()
+    };
     let host = head.headers.get(HOST).and_then(|value| value.to_str().ok());
     let host = host.or_else(|| head.uri.host()).unwrap_or("");
     let Some(route) = configuration.find_route(host, head.uri.path()) else {
-        if is_stale {
+        if is_stale() {
             return Err(unready(
                 "the route is not known to this VM, whose configuration is old",
             ));
@@ -311,7 +319,7 @@
         .as_deref()
         .and_then(|key| configuration.organisation_by_key(key));
     if organisation.is_none() && configuration.needs_keys() && !route.is_public {
-        if is_stale {
+        if is_stale() {
             return Err(unready(
                 "the API key is not known to this VM, whose configuration is old",
             ));
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -150,7 +150,8 @@
     }
 }
 
-/// Returns whether this VM must query a reader: as a follower, or as a reader whose own reads are stale.
+/// Returns whether this VM must query a reader: as a follower, as a reader whose own reads are stale, or as one that has
+/// just started and may have read an older copy of the log service.
 fn must_ask_readers(gateway: &Gateway, role: Role) -> bool {
     let stale_ms = gateway.fleet.timing().stale_after_ms();
     let now_ms = gateway.clock.now_ms();
@@ -158,7 +159,9 @@
         let age_ms = sync_state.age_ms(now_ms);
         age_ms.is_none_or(|age_ms| age_ms >= stale_ms)
     };
-    role == Role::Follower || sync_states(gateway).into_iter().any(is_stale)
+    role == Role::Follower
+        || gateway.start_check.get().is_recent(now_ms)
+        || sync_states(gateway).into_iter().any(is_stale)
 }
 
 impl Gateway {
@@ -363,9 +366,13 @@
         }
         let now_ms = gateway.clock.now_ms();
         avoided.retain(|_, until_ms| now_ms < *until_ms);
-        let mut known = readers.iter();
-        let reader = known.find(|reader| !avoided.contains_key(&reader.vm));
-        let reader = reader.filter(|_| must_ask_readers(&gateway, newer));
+        // A VM with a newer configuration knows more than the log service or the readers told this one.
+        let informed = gateway.peer_with_newer_configuration();
+        let readers = readers
+            .into_iter()
+            .filter(|_| must_ask_readers(&gateway, newer));
+        let mut sources = informed.iter().chain(readers);
+        let reader = sources.find(|source| !avoided.contains_key(&source.vm));
         let Some(reader) = reader else {
             Timer::after(Duration::from_millis(PAUSE_MS)).await;
             continue;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,6 +19,9 @@
 use rand_chacha::ChaCha8Rng;
 use waxwing_core::Name;
 use waxwing_core::fleet::Feed;
+use waxwing_core::fleet::Heard;
+use waxwing_core::fleet::Member;
+use waxwing_core::fleet::StartCheck;
 use waxwing_core::fleet::summary::Summaries;
 use waxwing_core::forwarding::Configuration;
 use waxwing_core::forwarding::EndpointKey;
@@ -109,6 +112,7 @@
     pub(crate) summaries: RefCell<Summaries>,
     pub(crate) evidence: RefCell<Evidence>,
     pub(crate) fleet: Fleet,
+    pub(crate) start_check: Cell<StartCheck>,
     pub(crate) permits: PermitService,
     pub(crate) part_service: PartService,
     /// Socket for datagrams to other VMs; set when the VM starts to serve.
@@ -165,6 +169,7 @@
             summaries: RefCell::default(),
             evidence: RefCell::new(Evidence::new(EVIDENCE_LIFETIME_MS, EVIDENCE_MAX)),
             fleet: Fleet::new(settings.log_service.bound_ms()),
+            start_check: Cell::new(StartCheck::new(clock.now_ms())),
             permits: PermitService::new(clock.now_ms()),
             part_service: PartService::new(),
             peer_socket: OnceCell::new(),
@@ -466,7 +471,35 @@
 
     /// Returns whether this VM accepts requests.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.has_endpoint_list.get() && self.configuration.borrow().is_some()
+        !self.is_stopping()
+            && self.has_endpoint_list.get()
+            && self.configuration.borrow().is_some()
+            && self.relies_on_configuration()
+    }
+
+    /// Returns whether this VM has been up for long enough to know that its configuration is as new as those of others.
+    pub(crate) fn relies_on_configuration(&self) -> bool {
+        let mut check = self.start_check.get();
+        if check.was_over() {
+            return true;
+        }
+        let now_ms = self.clock.now_ms();
+        let peers = self.peers.borrow();
+        let newest = peers.newest_configuration(now_ms);
+        let heard = Heard {
+            is_complete: peers.is_all_heard(),
+            newest_version: newest.map_or(0, |(version, _)| version),
+        };
+        let relies = check.is_over(self.configuration_version(), heard, now_ms);
+        self.start_check.set(check);
+        relies
+    }
+
+    /// Returns a VM that has a newer configuration than this one.
+    pub(crate) fn peer_with_newer_configuration(&self) -> Option<Member> {
+        let peers = self.peers.borrow();
+        let (version, member) = peers.newest_configuration(self.clock.now_ms())?;
+        (version > self.configuration_version()).then_some(member)
     }
 
     /// Returns whether the VM was asked to stop.
