--- a/crates/core/src/fleet/sync_state.rs
+++ b/crates/core/src/fleet/sync_state.rs
@@ -166,10 +166,13 @@
         std::mem::take(&mut self.failures) > 0
     }
 
-    /// Lets the next read list everything; at once, unless the list of a new timeline is due anyway.
-    pub fn require_list(&mut self) {
-        self.must_list = true;
-        if self.timeline_since_ms.is_none() {
+    /// Records that the log service no longer has the records after a position that it was read from, so that the next
+    /// read must list everything, at once.
+    ///
+    /// It is ignored if the copy has another position by now, or belongs to an earlier timeline and is listed anyway.
+    pub fn record_dropped(&mut self, position: Option<Position>) {
+        if self.confirmed == position && self.timeline_since_ms.is_none() {
+            self.must_list = true;
             self.read_began_ms = None;
         }
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -319,9 +319,10 @@
         self.fleet.update(feed, SyncState::record_failure)
     }
 
-    /// Lets the next read list everything, since records are missing.
-    pub fn require_list(&self, feed: Feed) {
-        self.fleet.update(feed, SyncState::require_list);
+    /// Records that the log service no longer has the records that a read asked for.
+    pub fn record_dropped(&self, feed: Feed, read: TopicRead) {
+        self.fleet
+            .update(feed, |sync_state| sync_state.record_dropped(read.last));
     }
 
     /// Applies a reader's view of the endpoints.
