Stop claiming and accepting jobs when the log has lost records that were read

What callers could see: after the log under claims had gone back, a booking whose claim was lost could be granted and run again, and fencing tokens, which are offsets, were given out twice; nothing said so.

Cause: the streams of claims, jobs and settings have the same positions as the topics of the platform. A stream that ended before the offset to read from looked like its end, and a stream that grew past it again was read on.

Change: a read that shows such an end fails. A VM then says so once, grants no claims in that range and accepts no jobs until it is restarted, and keeps the settings in force.

--- a/crates/core/src/coordination/claim_owner.rs
+++ b/crates/core/src/coordination/claim_owner.rs
@@ -54,6 +54,8 @@
 
 const HANDOVER_MESSAGE: &str = "the key range is being handed over to another owner";
 const OUTAGE_MESSAGE: &str = "the claim cannot be recorded because the log is unavailable";
+const LOSS_MESSAGE: &str =
+    "this VM grants no claims in the key range, since the log has lost records of it";
 const GIVEN_UP_MESSAGE: &str = "the request was given up before its claim arrived";
 
 /// Readings of the clocks of the process.
@@ -140,6 +142,8 @@
     },
     /// Retention has removed the next record from the log; the oldest retained record has this offset.
     Truncated(u64),
+    /// The stream ends before a record that was read from it: the log has lost records, perhaps claims.
+    LostRecords,
     /// The append of the last [`Effect::Append`] ended; an unconfirmed append may still have taken effect.
     AppendEnded {
         /// Whether the log confirmed it.
@@ -202,6 +206,8 @@
     preferred: Option<Name>,
     live: BTreeSet<Name>,
     is_stopping: bool,
+    /// Whether the log has lost records, so that claims may exist that nobody can read any more.
+    has_lost_records: bool,
     is_caught_up: bool,
     last_read_ms: u64,
     last_active_record_ms: u64,
@@ -237,6 +243,7 @@
             preferred: None,
             live: BTreeSet::new(),
             is_stopping: false,
+            has_lost_records: false,
             is_caught_up: false,
             last_read_ms: now.monotonic_ms,
             last_active_record_ms: now.monotonic_ms,
@@ -275,11 +282,21 @@
     }
 
     /// Returns whether the process does not own the range and has no unconfirmed changes or undecided takeover.
+    ///
+    /// After a loss of records there is nothing that it could hand over.
     pub fn is_handed_over(&self) -> bool {
+        if self.has_lost_records {
+            return true;
+        }
         let is_takeover_undecided = self.attempted_after == Some(self.table.fence());
         !self.is_owner() && !is_takeover_undecided && self.pending.is_empty()
     }
 
+    /// Returns whether the log has lost records of the range.
+    pub fn has_lost_records(&self) -> bool {
+        self.has_lost_records
+    }
+
     /// Returns the number of keys with unconfirmed changes.
     pub fn pending_len(&self) -> usize {
         self.pending.len()
@@ -297,7 +314,10 @@
             Input::Claim(request) => self.claim(now, *request, &mut effects),
             Input::GiveUp { key, claimant } => self.give_up(now, &key, claimant),
             Input::Settle { key, id, result } => self.settle(&key, id, result),
+            // What follows a loss may have been written by an owner that does not know the lost claims.
+            Input::Read { .. } if self.has_lost_records => {}
             Input::Read { records, is_end } => self.read(now, &records, is_end, &mut effects),
+            Input::LostRecords => self.lose_records(&mut effects),
             Input::Truncated(first_offset) => {
                 self.table = ClaimTable::new(first_offset);
                 self.is_caught_up = false;
@@ -367,6 +387,9 @@
             let message = "the time in the idempotency key is in the future";
             return Some(Refusal::not_run(Reason::KeyMalformed, 0, message));
         }
+        if self.has_lost_records {
+            return Some(lost_records_refusal());
+        }
         let is_log_down = self.is_log_unavailable(now);
         if !self.is_serving() {
             return Some(self.handover_refusal(is_log_down));
@@ -455,7 +478,10 @@
     }
 
     fn is_serving(&self) -> bool {
-        self.is_owner() && self.table.is_active() && !self.is_handing_over()
+        self.is_owner()
+            && self.table.is_active()
+            && !self.is_handing_over()
+            && !self.has_lost_records
     }
 
     /// Returns whether the range is being handed over; an appended `Release` record may take effect at any time.
@@ -553,6 +579,19 @@
         }
     }
 
+    /// Ends all claiming: another process may claim keys again whose claims were lost.
+    fn lose_records(&mut self, effects: &mut Vec<Effect>) {
+        self.has_lost_records = true;
+        for waiter in std::mem::take(&mut self.waiters).into_values() {
+            let refusal = Refusal::not_run(Reason::LogUnavailable, RETRY_AFTER_MS, LOSS_MESSAGE);
+            reply(
+                effects,
+                waiter.request.claimant,
+                ClaimDecision::Refused(refusal),
+            );
+        }
+    }
+
     fn track_ownership(&mut self, now: Now) {
         if self.table.owner() == Some(&self.identity) {
             self.was_owner = true;
@@ -644,7 +683,7 @@
 
     /// Starts an append of the due records; one append at a time preserves the order of changes within a key.
     fn flush(&mut self, now: Now, effects: &mut Vec<Effect>) {
-        if self.is_appending || now.monotonic_ms < self.append_at_ms {
+        if self.has_lost_records || self.is_appending || now.monotonic_ms < self.append_at_ms {
             return;
         }
         let mut records = Vec::new();
@@ -741,6 +780,10 @@
     effects.push(Effect::Reply { claimant, decision });
 }
 
+fn lost_records_refusal() -> Refusal {
+    Refusal::may_have_run(Reason::LogUnavailable, RETRY_AFTER_MS, LOSS_MESSAGE)
+}
+
 fn outage_refusal() -> Refusal {
     Refusal::not_run(Reason::LogUnavailable, RETRY_AFTER_MS, OUTAGE_MESSAGE)
 }
--- a/crates/core/tests/claim_owner.rs
+++ b/crates/core/tests/claim_owner.rs
@@ -324,3 +324,33 @@
     }
     assert!(owner.table().is_released());
 }
+
+/// Guards against claims that are granted after the log lost records, when another process may claim the same keys.
+#[test]
+fn lost_records() {
+    let (mut owner, offset) = serving_owner();
+    let fence = owner.table().fence();
+    let asked = key(now(0).wall_ms, 1);
+    assert_eq!(ask(&mut owner, now(10), asked.clone()), None);
+    let effects = owner.step(now(20), Input::LostRecords);
+    assert!(matches!(
+        &effects[..],
+        [Effect::Reply { decision: ClaimDecision::Refused(refusal), .. }]
+            if refusal.run == ExecutionStatus::NotRun
+    ));
+    // Neither records of the new log nor an outage let it claim again, and it appends nothing.
+    let own = Record::Active {
+        owner: identity(),
+        fence,
+        cutoff_ms: 0,
+        may_use_memory: true,
+    };
+    assert!(read(&mut owner, vec![(offset, Some(own))]).is_empty());
+    for at_ms in [30, 60_000] {
+        let reason = refusal_reason(ask(&mut owner, now(at_ms), key(now(0).wall_ms, 2)));
+        let expected = (Reason::LogUnavailable, ExecutionStatus::Unknown);
+        assert_eq!(reason, Some(expected), "{at_ms}");
+        assert!(owner.step(now(at_ms), Input::Tick).is_empty());
+    }
+    assert!(owner.is_handed_over());
+}
--- a/crates/router/src/claims/range.rs
+++ b/crates/router/src/claims/range.rs
@@ -134,6 +134,15 @@
                 reporter.report(Input::Truncated(first_offset));
                 continue;
             }
+            Err(error @ Error::LostRecords { .. }) => {
+                counters::count_log_failure("lost_records");
+                log::error!(
+                    "{error}; this VM grants no claims in range {} until it is restarted",
+                    reporter.range
+                );
+                reporter.report(Input::LostRecords);
+                return;
+            }
             Err(error) => {
                 counters::count_log_failure("read");
                 log::warn!("stream {stream} cannot be read: {error}");
--- a/crates/router/src/claims/worker.rs
+++ b/crates/router/src/claims/worker.rs
@@ -229,7 +229,11 @@
     fn close_unused(&mut self, view: &View, local_vm: &Name) {
         self.ranges.retain(|range, state| {
             let is_preferred = preferred_owner(view, local_vm, *range) == *local_vm;
-            is_preferred || !state.owner.is_handed_over() || !state.replies.is_empty()
+            // A range that is opened again would not know of its loss.
+            is_preferred
+                || !state.owner.is_handed_over()
+                || !state.replies.is_empty()
+                || state.owner.has_lost_records()
         });
         self.publish_open_ranges();
     }
--- a/crates/router/src/jobs/reader.rs
+++ b/crates/router/src/jobs/reader.rs
@@ -41,6 +41,11 @@
                 // Pending jobs are appended again before the log drops their records, so no job is lost.
                 jobs.lock().next_offset = first_offset;
             }
+            Err(error @ Error::LostRecords { .. }) => {
+                log::error!("{error}; this VM accepts no jobs until it is restarted");
+                jobs.lock().is_log_up = false;
+                return;
+            }
             Err(error) => {
                 log::warn!("jobs cannot be read: {error}");
                 jobs.lock().is_log_up = false;
--- a/crates/router/src/settings_sync/owner.rs
+++ b/crates/router/src/settings_sync/owner.rs
@@ -168,13 +168,6 @@
     fn apply_page(&mut self, page: &Page) {
         self.retention_ms = page.retention_ms;
         self.skip_to(page.first_offset);
-        if page.next_offset < self.state.read_offset() {
-            log::error!(
-                "the settings stream ends at offset {}, but offset {} was read; the settings stay in force",
-                page.next_offset,
-                self.state.read_offset()
-            );
-        }
         for record in &page.records {
             self.apply_record(record);
         }
--- a/crates/router/src/settings_sync/reader.rs
+++ b/crates/router/src/settings_sync/reader.rs
@@ -83,7 +83,7 @@
 fn pause(failures: u32, error: &log_client::Error) {
     metrics::counter!(metric::SETTINGS_READ_FAILURES).increment(1);
     if failures == 0 {
-        log::warn!("the settings stream cannot be read: {error}");
+        log::warn!("the settings stream cannot be read, the settings in force stay: {error}");
     }
     let limit_ms = (PAUSE_MIN_MS << failures.min(10)).min(PAUSE_MAX_MS);
     // Jitter keeps the VMs from reconnecting to the log all at once.
--- a/crates/router/src/transport/log_client.rs
+++ b/crates/router/src/transport/log_client.rs
@@ -52,6 +52,21 @@
         /// Oldest offset that is kept.
         first_offset: u64,
     },
+    /// The stream ends before the offset that it was read to: the service has lost records.
+    #[error(
+        "log service at {address}: stream {stream} ends at offset {end}, but was read up to offset {read_to}; \
+         records are lost"
+    )]
+    LostRecords {
+        /// Address of the service.
+        address: String,
+        /// Stream.
+        stream: String,
+        /// End of the stream.
+        end: u64,
+        /// Offset after the last record that was read.
+        read_to: u64,
+    },
     /// The answer does not decode.
     #[error("log service at {address}: the answer does not decode: {source}")]
     Decode {
@@ -72,7 +87,7 @@
                 _ => false,
             },
             Self::Status { status, .. } => *status == RATE_EXCEEDED_STATUS,
-            Self::Dropped { .. } | Self::Decode { .. } => false,
+            Self::Dropped { .. } | Self::LostRecords { .. } | Self::Decode { .. } => false,
         }
     }
 }
@@ -109,14 +124,25 @@
     ///
     /// # Errors
     ///
-    /// Fails if the service does not answer, with [`Error::Dropped`] if `from` is no longer kept.
+    /// Fails if the service does not answer, with [`Error::Dropped`] if `from` is no longer kept, and with
+    /// [`Error::LostRecords`] if the stream ends before it.
     pub fn read(&self, stream: &str, from: u64, wait_ms: u64) -> Result<Page> {
         let address = &self.address;
         let url =
             format!("http://{address}/streams/{stream}/records?from={from}&wait_ms={wait_ms}");
         let session = new_session(wait_ms + ANSWER_TIMEOUT_MS);
         let bytes = self.read_bytes(session.get(url).send())?;
-        serde_json::from_slice(&bytes).map_err(|source| self.decode_error(source))
+        let page: Page =
+            serde_json::from_slice(&bytes).map_err(|source| self.decode_error(source))?;
+        if page.next_offset < from {
+            return Err(Error::LostRecords {
+                address: self.address.clone(),
+                stream: stream.to_owned(),
+                end: page.next_offset,
+                read_to: from,
+            });
+        }
+        Ok(page)
     }
 
     fn read_bytes(&self, response: attohttpc::Result<attohttpc::Response>) -> Result<Vec<u8>> {
