Report no removal of an endpoint that was added again

What callers saw: no_endpoint for good at VMs that knew of an engine's restart before a reader reported it; with readers that ask each other after their start, all engines that crashed and came back were lost at all VMs.

Cause: a view lists removals, to be applied first, and then new entries. A VM that had read the new entry itself removed it, and refused the same entry after that as older than the one it had removed. Its own view then told the reader of a removal.

Change: removals of endpoints that exist again are left out of views; their entries say all that is needed.

--- a/crates/core/src/fleet/revisions.rs
+++ b/crates/core/src/fleet/revisions.rs
@@ -15,7 +15,7 @@
     pub revision: u64,
     /// Whether `changed` is the full list, so that keys not in it do not exist.
     pub is_full: bool,
-    /// Keys that were removed; they must be applied first, since a removed key may have been added again.
+    /// Keys that were removed; they may have been added again.
     pub removed: Vec<&'a Name>,
     /// Keys that were added or changed.
     pub changed: Vec<&'a Name>,
--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -579,9 +579,11 @@
 
     /// Returns the changes after a revision, or the whole registry for `None`.
     ///
-    /// Entries whose removal is deferred are left out: an entry that another VM reports counts as renewed.
+    /// Entries whose removal is deferred are left out: an entry that another VM reports counts as renewed. So are
+    /// removals of endpoints that were added again, whose new entry the other VM may know already.
     pub fn delta_since(&self, since: Option<u64>) -> Delta<'_> {
         let mut delta = self.revisions.delta_since(since);
+        delta.removed.retain(|id| !self.by_id.contains_key(*id));
         delta.changed.retain(|id| !self.deferred.contains_key(*id));
         delta
     }
--- a/crates/core/tests/endpoint_list.rs
+++ b/crates/core/tests/endpoint_list.rs
@@ -196,6 +196,26 @@
     }
 }
 
+/// Guards against an endpoint that is lost to a VM which knows of its restart already when a reader reports it.
+#[test]
+fn reported_restart() {
+    let mut reader = list(&["e"]);
+    let mut other = list(&["e"]);
+    let before = reader.revision();
+    for vm in [&mut reader, &mut other] {
+        vm.update(entry("e", 2, 1));
+    }
+    let delta = reader.delta_since(Some(before));
+    for id in delta.removed {
+        other.remove(id, 1_000);
+    }
+    for id in delta.changed {
+        let known = reader.find(id).and_then(|key| reader.get(key)).unwrap();
+        other.update(known.entry.clone());
+    }
+    assert_eq!(other.len(), 1);
+}
+
 /// Guards against a VM that removes an endpoint which its reader knows to be renewed.
 #[test]
 fn renewal_in_view() {
