Avoid readers only if they do not know the newest timeline

A view that a VM does not need, since it has read further itself, made it avoid the reader for a second. What matters is whether the reader knows the newest timeline.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -433,8 +433,7 @@
     // Versions order configurations whatever the state of the log service.
     apply_configuration(gateway, &view.configuration)?;
     let sync_state = gateway.fleet.sync_state(Feed::Configuration);
-    let mut is_accepted = sync_state.accepts(configuration.position);
-    if is_accepted {
+    if sync_state.accepts(configuration.position) {
         let as_of_ms = as_of_ms(configuration);
         gateway.confirm(
             Feed::Configuration,
@@ -450,11 +449,11 @@
         gateway.expect_renewals(Feed::Endpoints, endpoints.position);
         gateway.apply_endpoints(view.endpoints);
         gateway.confirm(Feed::Endpoints, endpoints.position, as_of_ms, reader);
-    } else {
-        is_accepted = false;
     }
     let oldest_ms = endpoints.age_ms.max(configuration.age_ms);
-    Ok(is_accepted && oldest_ms < timing.stale_after_ms())
+    // A reader that has not noticed a new timeline takes what it knows for current.
+    let is_current = configuration.position.timeline == gateway.timeline();
+    Ok(is_current && oldest_ms < timing.stale_after_ms())
 }
 
 fn apply_configuration(gateway: &Gateway, view: &ConfigurationView) -> Result<(), String> {
