Let a VM that starts rely on a configuration that a reader has told it

A VM that starts while the log service takes no address from it waited for 4 s, though other VMs had told it the newest configuration within half a second. A view of a reader counts as an answer now, besides those to the announcement; view_of_reader shows it.

--- a/crates/core/src/fleet/start_check.rs
+++ b/crates/core/src/fleet/start_check.rs
@@ -15,6 +15,8 @@
     started_ms: u64,
     /// Time at which the other VMs were told of the start, in milliseconds.
     announced_ms: Option<u64>,
+    /// Whether a VM that reads for others has told what it knows.
+    has_view: bool,
     is_over: bool,
 }
 
@@ -33,6 +35,7 @@
         Self {
             started_ms: now_ms,
             announced_ms: None,
+            has_view: false,
             is_over: false,
         }
     }
@@ -42,6 +45,11 @@
         self.announced_ms = Some(now_ms);
     }
 
+    /// Records that a VM that reads for others has told what it knows.
+    pub fn record_view(&mut self) {
+        self.has_view = true;
+    }
+
     /// Returns whether the VM started so recently that others may know more than the log service told it.
     pub fn is_recent(&self, now_ms: u64) -> bool {
         now_ms.saturating_sub(self.started_ms) < CHECK_MAX_MS
@@ -57,7 +65,7 @@
         let elapsed_ms = self.announced_ms.map(|at_ms| now_ms.saturating_sub(at_ms));
         let has_answers =
             elapsed_ms.is_some_and(|elapsed_ms| heard.is_complete || elapsed_ms >= ANSWER_MS);
-        let is_newest = has_answers && version >= heard.newest_version;
+        let is_newest = (has_answers || self.has_view) && version >= heard.newest_version;
         self.is_over = self.is_over || is_newest || !self.is_recent(now_ms);
         self.is_over
     }
--- a/crates/core/tests/start_check.rs
+++ b/crates/core/tests/start_check.rs
@@ -43,3 +43,12 @@
     assert!(!check.is_over(5, ALL_HEARD, 4_999));
     assert!(check.is_over(5, ALL_HEARD, 5_000));
 }
+
+/// A VM that the log service turns away must serve as soon as another VM has told it the newest configuration.
+#[test]
+fn view_of_reader() {
+    let mut check = StartCheck::new(1_000);
+    check.record_view();
+    assert!(!check.is_over(5, ALL_HEARD, 1_200));
+    assert!(check.is_over(7, ALL_HEARD, 1_200));
+}
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -450,6 +450,9 @@
         gateway.apply_endpoints(view.endpoints);
         gateway.confirm(Feed::Endpoints, endpoints.position, as_of_ms, reader);
     }
+    let mut check = gateway.start_check.get();
+    check.record_view();
+    gateway.start_check.set(check);
     let oldest_ms = endpoints.age_ms.max(configuration.age_ms);
     // A reader that has not noticed a new timeline takes what it knows for current.
     let is_current = configuration.position.timeline == gateway.timeline();
