Give requests that a planned stop cannot finish a final answer

Cause: Gateway::stop returned 0.5 s before SIGKILL whatever was in progress. The executor ends with its main task, and every other task, with the request that it held, ended without a word to the caller or the log.

Change: waxwing_core::forwarding::planned_stop decides phases and last answers. While the VM is draining, requests go on. When it is closing, it takes no connection, and each request without an answer gets one: 503 not_run with Retry-After and other addresses if it was not passed on, 502 unknown otherwise, with Retry-After only if it may run twice. Relayed answers go on until the end and are then broken off with an error. One place, answer_until_closing, carries every request from its head to its answer, so a state cannot be forgotten. The lines "closing" and "stopped" count by stage, each ended request has its line with stopped_stage, and these lines do not count against the bound on lines, which 400 of them would use up.

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -11,6 +11,7 @@
 pub mod peers;
 pub mod permits;
 pub mod placement;
+pub mod planned_stop;
 pub mod prompt;
 pub mod repeat_budget;
 pub mod run;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -31,6 +31,7 @@
 use waxwing_core::forwarding::lanes::Lane;
 use waxwing_core::forwarding::placement;
 use waxwing_core::forwarding::placement::Choice;
+use waxwing_core::forwarding::planned_stop::Stage;
 use waxwing_core::forwarding::run::Progress;
 use waxwing_core::forwarding::run::RepeatDecision;
 use waxwing_core::forwarding::run::RunOutcome;
@@ -46,7 +47,9 @@
 use crate::exchange::repeat::RepeatGuard;
 use crate::gateway::Gateway;
 use crate::metric;
+use crate::progress::RequestProgress;
 use crate::relay;
+use crate::stop;
 use crate::trace::Trace;
 
 mod crash;
@@ -60,7 +63,10 @@
 pub(crate) use send::RunGuard;
 
 /// Time after which a caller may retry at another VM, in milliseconds.
-const STOPPING_RETRY_AFTER_MS: u64 = 50;
+pub(crate) const STOPPING_RETRY_AFTER_MS: u64 = 50;
+
+/// Most addresses of other VMs that a caller is told by one that stops.
+const OTHER_ADDRESSES_MAX: usize = 3;
 
 /// Time after which a caller may retry when the VM lacks settings or memory, in milliseconds.
 const UNREADY_RETRY_AFTER_MS: u64 = 500;
@@ -100,6 +106,7 @@
     /// Engine from which the endpoint that was chosen last fetches the shared part of the prompt.
     pub(crate) source: Option<EndpointKey>,
     pub(crate) progress: Progress,
+    pub(crate) request_progress: Rc<RequestProgress>,
     /// Whether the request may be sent, as far as the parts of its prompt are concerned.
     part_gate: PartGate,
     /// Repeat taken for the run in progress, or for the next one, until it is certain that it arrived.
@@ -113,7 +120,7 @@
     in_progress: InProgress,
 }
 
-/// Counts a request, its buffered bytes and its demand until it is dropped.
+/// Counts the buffered bytes of a request and its demand until it is dropped.
 struct InProgress {
     gateway: Rc<Gateway>,
     bytes: usize,
@@ -123,7 +130,6 @@
 
 impl InProgress {
     fn new(gateway: &Rc<Gateway>) -> Self {
-        gateway.in_progress.set(gateway.in_progress.get() + 1);
         Self {
             gateway: Rc::clone(gateway),
             bytes: 0,
@@ -149,9 +155,6 @@
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        self.gateway
-            .in_progress
-            .set(self.gateway.in_progress.get() - 1);
         let buffered = &self.gateway.buffered_bytes;
         buffered.set(buffered.get() - self.bytes);
         if let Some((service, lane)) = self.stream {
@@ -181,11 +184,16 @@
     // A chunked request may state a second length, which the HTTP library drops (RFC 9112, section 6.1). What follows
     // on the connection could be a request that another reader takes for a part of the body.
     let closes = head.headers.contains_key(TRANSFER_ENCODING);
+    let progress = RequestProgress::begin(&gateway.stages);
     let mut response = match gateway.adapter.parse_request(&head.headers) {
-        Ok(request_info) => answer(&gateway, head, request_info, incoming).await,
+        Ok(request_info) => {
+            let request_id = request_info.request_id.clone().unwrap_or_default();
+            let answer = answer(&gateway, head, request_info, incoming, &progress);
+            stop::answer_until_closing(&gateway, &progress, &request_id, answer).await
+        }
         Err(message) => {
             let refusal = Refusal::not_run(Reason::BadRequest, 0, message);
-            let mut trace = Trace::new(gateway.clock, "", 0);
+            let mut trace = Trace::new(gateway.clock, "", 0, progress);
             refuse(&gateway, &mut trace, &refusal, true)
         }
     };
@@ -202,11 +210,12 @@
     head: Parts,
     request_info: RequestInfo,
     incoming: Incoming,
+    progress: &Rc<RequestProgress>,
 ) -> Response<Body> {
     let configuration = gateway.configuration();
     let version = configuration.as_ref().map_or(0, |known| known.version());
     let request_id = request_info.request_id.clone().unwrap_or_default();
-    let mut trace = Trace::new(gateway.clock, &request_id, version);
+    let mut trace = Trace::new(gateway.clock, &request_id, version, Rc::clone(progress));
     let mut in_progress = InProgress::new(gateway);
     let admitted = admit(
         gateway,
@@ -220,6 +229,7 @@
         Err(refusal) => return refuse(gateway, &mut trace, &refusal, false),
     };
     trace.set_caller(organisation.as_ref(), level);
+    progress.set_repeatable(route.is_repeatable());
     let limits = configuration
         .as_ref()
         .map(|known| known.limits())
@@ -234,6 +244,7 @@
         Err(refusal) => return refuse(gateway, &mut trace, &refusal, true),
     };
     in_progress.hold(body.len());
+    progress.set_stage(Stage::Waiting);
     let draw = (gateway.draw() >> 32) as u32;
     let Some(service) = route.pick_service(draw).cloned() else {
         let message = "the route names no service";
@@ -266,6 +277,7 @@
         tried: Vec::new(),
         source: None,
         progress: Progress::new(limit_ms),
+        request_progress: Rc::clone(progress),
         part_gate,
         repeat: None,
         late_until_ms: 0,
@@ -327,7 +339,7 @@
         let message = "the API key is missing or unknown";
         return Err(Refusal::not_run(Reason::Unauthorised, 0, message));
     }
-    if !gateway.can_accept(route.timeout_ms) {
+    if !gateway.can_accept(route) {
         let message = "this VM is stopping; use another entry address";
         return Err(Refusal::not_run(
             Reason::Stopping,
@@ -471,8 +483,10 @@
 
     /// Chooses the endpoint for a repeat after a run ended; returns `None` if the request is to be given up.
     pub(crate) async fn take_next_endpoint(&mut self, outcome: RunOutcome) -> Option<EndpointKey> {
-        self.await_crash_check().await;
         self.progress.add(outcome);
+        self.request_progress.set_execution(self.progress.execution);
+        self.request_progress.set_stage(Stage::Waiting);
+        self.await_crash_check().await;
         self.progress.remaining_ms = self.remaining_ms();
         if decide_repeat(&self.route, &self.progress) == RepeatDecision::GiveUp
             || !self.take_repeat(outcome)
@@ -635,14 +649,23 @@
     response
 }
 
-fn refusal_response(gateway: &Gateway, request_id: &str, refusal: &Refusal) -> Response<Body> {
+pub(crate) fn refusal_response(
+    gateway: &Gateway,
+    request_id: &str,
+    refusal: &Refusal,
+) -> Response<Body> {
     let run = match refusal.run {
         ExecutionStatus::NotRun => "not_run",
         ExecutionStatus::Unknown => "unknown",
     };
-    let text = serde_json::json!({
+    let mut text = serde_json::json!({
         "error": {"code": refusal.reason.as_str(), "message": refusal.message, "run": run}
     });
+    if refusal.reason == Reason::Stopping && refusal.retry_after_ms > 0 {
+        let mut addresses = gateway.front_addresses(gateway.data_centre.as_str());
+        addresses.truncate(OTHER_ADDRESSES_MAX);
+        text["error"]["entry_addresses"] = addresses.iter().map(ToString::to_string).collect();
+    }
     let mut response = Response::new(Body::whole(text.to_string()));
     let status = StatusCode::from_u16(refusal.reason.status_code());
     *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -16,6 +16,7 @@
 use waxwing_core::forwarding::endpoints::RunKey;
 use waxwing_core::forwarding::endpoints::limits::LimitReport;
 use waxwing_core::forwarding::endpoints::limits::RateLimit;
+use waxwing_core::forwarding::planned_stop::Stage;
 use waxwing_core::forwarding::run::RunOutcome;
 use waxwing_core::forwarding::run::StallTimeouts;
 
@@ -197,6 +198,7 @@
                 return Err(outcome);
             }
         };
+        self.request_progress.set_stage(Stage::Buffering);
         run.is_unanswered = false;
         run.framing = Some(Framing::new(&response));
         self.settle_answered();
@@ -379,6 +381,7 @@
             return Err(RunOutcome::NotWritten);
         }
         let request = self.build_request(run, left_ms, last_event_id);
+        self.request_progress.set_stage(Stage::Sent);
         let timeouts = self.first_byte_timeouts(run);
         let sending = connection.sender.try_send_request(request);
         let since_ms = self.gateway.clock.now_ms();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -39,6 +39,7 @@
 use waxwing_core::forwarding::peers::Peers;
 use waxwing_core::forwarding::peers::PeersConfig;
 use waxwing_core::forwarding::placement;
+use waxwing_core::forwarding::planned_stop::PlannedStop;
 use waxwing_core::forwarding::repeat_budget;
 use waxwing_core::forwarding::repeat_budget::RepeatBudget;
 use waxwing_core::state::evidence::ContentHash;
@@ -57,9 +58,11 @@
 use crate::fleet::Fleet;
 use crate::metric;
 use crate::permits::PermitService;
+use crate::progress::StageCounts;
 use crate::server;
 use crate::settings::Settings;
 use crate::signals::Signals;
+use crate::stop::StopSignals;
 
 /// Time for which a crash counts against a content, in milliseconds.
 const EVIDENCE_LIFETIME_MS: u64 = 120_000;
@@ -70,18 +73,6 @@
 /// Crashed endpoints after which a content is refused.
 const CRASHES_MAX: usize = 3;
 
-/// Time after SIGTERM in which callers may still use this VM's address, in milliseconds.
-const ADDRESS_LINGER_MS: u64 = 4_500;
-
-/// Time after SIGTERM in which every request is still accepted, in milliseconds.
-const STOP_ACCEPT_MS: u64 = 2_500;
-
-/// Time kept between the last answer and SIGKILL, in milliseconds.
-const STOP_RESERVE_MS: u64 = 500;
-
-/// Interval of the checks whether a stop is complete, in milliseconds.
-const STOP_CHECK_MS: u64 = 100;
-
 /// Interval of the removal of due endpoints and expired findings, in milliseconds.
 const TICK_MS: u64 = 200;
 
@@ -117,7 +108,11 @@
     pub(crate) part_service: PartService,
     /// Socket for datagrams to other VMs; set when the VM starts to serve.
     pub(crate) peer_socket: OnceCell<Rc<Async<UdpSocket>>>,
-    pub(crate) in_progress: Cell<u32>,
+    /// Requests in progress, by stage.
+    pub(crate) stages: Rc<StageCounts>,
+    pub(crate) stop_signals: StopSignals,
+    /// The stop that was asked for.
+    pub(crate) planned_stop: Cell<Option<PlannedStop>>,
     pub(crate) buffered_bytes: Cell<usize>,
     idle: RefCell<HashMap<EndpointKey, Vec<Connection>>>,
     configuration: RefCell<Option<Rc<Configuration>>>,
@@ -126,7 +121,6 @@
     has_endpoint_list: Cell<bool>,
     idle_timeout_ms: Rc<Cell<u64>>,
     random: RefCell<ChaCha8Rng>,
-    stopping_since_ms: Cell<Option<u64>>,
     /// Share of the slack of the repeat budget in the last log line about it.
     logged_repeat_slack: Cell<f64>,
     /// Sequence number of the last advert or summary.
@@ -174,7 +168,9 @@
             part_service: PartService::new(),
             peer_socket: OnceCell::new(),
             advert_sequence: Cell::new(0),
-            in_progress: Cell::new(0),
+            stages: Rc::default(),
+            stop_signals: StopSignals::default(),
+            planned_stop: Cell::new(None),
             buffered_bytes: Cell::new(0),
             idle: RefCell::new(HashMap::new()),
             configuration: RefCell::new(None),
@@ -182,7 +178,6 @@
             has_endpoint_list: Cell::new(false),
             idle_timeout_ms: Rc::new(Cell::new(15_000)),
             random: RefCell::new(ChaCha8Rng::from_os_rng()),
-            stopping_since_ms: Cell::new(None),
             logged_repeat_slack: Cell::new(0.0),
             settings,
         })
@@ -502,21 +497,6 @@
         (version > self.configuration_version()).then_some(member)
     }
 
-    /// Returns whether the VM was asked to stop.
-    pub fn is_stopping(&self) -> bool {
-        self.stopping_since_ms.get().is_some()
-    }
-
-    /// Returns whether a request that may take `duration_ms` can still be taken.
-    pub(crate) fn can_accept(&self, duration_ms: u64) -> bool {
-        let Some(since_ms) = self.stopping_since_ms.get() else {
-            return true;
-        };
-        let elapsed_ms = self.clock.now_ms() - since_ms;
-        let end_ms = self.settings.stop.grace_s * 1_000 - STOP_RESERVE_MS;
-        elapsed_ms < STOP_ACCEPT_MS.min(end_ms) || elapsed_ms + duration_ms < end_ms
-    }
-
     /// Returns whether a content has crashed too many endpoints.
     pub(crate) fn is_crashing(&self, content: &ContentHash) -> bool {
         self.evidence.borrow().crash_count(content) >= CRASHES_MAX
@@ -586,7 +566,13 @@
             idle_ms: Rc::clone(&self.idle_timeout_ms),
         };
         executor
-            .spawn(server::accept(executor, listener, limits.clone(), handler))
+            .spawn(server::accept(
+                executor,
+                listener,
+                limits.clone(),
+                Rc::clone(&self.stop_signals.callers),
+                handler,
+            ))
             .detach();
         let gateway = Rc::clone(&self);
         let handler = Rc::new(move |request| fleet::answer(Rc::clone(&gateway), request));
@@ -595,6 +581,7 @@
                 executor,
                 peers_listener,
                 limits.clone(),
+                Rc::clone(&self.stop_signals.peers),
                 handler,
             ))
             .detach();
@@ -605,7 +592,13 @@
                 async move { Response::new(Body::whole(text)) }
             });
             executor
-                .spawn(server::accept(executor, metrics_listener, limits, handler))
+                .spawn(server::accept(
+                    executor,
+                    metrics_listener,
+                    limits,
+                    Rc::default(),
+                    handler,
+                ))
                 .detach();
         }
         executor
@@ -646,25 +639,6 @@
         // Each request needs a connection of its own to an endpoint.
         usize::try_from(free / 2).unwrap_or(usize::MAX).max(16)
     }
-
-    /// Leaves the directory and finishes the requests in progress.
-    async fn stop(&self) {
-        let since_ms = self.clock.now_ms();
-        self.stopping_since_ms.set(Some(since_ms));
-        let in_progress = self.in_progress.get();
-        log::info!(event = "stopping", in_progress = in_progress; "leaving the directory");
-        let limit_ms = self.settings.stop.grace_s * 1_000 - STOP_RESERVE_MS;
-        loop {
-            Timer::after(Duration::from_millis(STOP_CHECK_MS)).await;
-            let elapsed_ms = self.clock.now_ms() - since_ms;
-            let is_done = elapsed_ms >= ADDRESS_LINGER_MS && self.in_progress.get() == 0;
-            if is_done || elapsed_ms >= limit_ms {
-                break;
-            }
-        }
-        let in_progress = self.in_progress.get();
-        log::info!(event = "stopped", in_progress = in_progress; "stopped");
-    }
 }
 
 async fn tick(gateway: Rc<Gateway>) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,9 +22,12 @@
 mod fleet;
 mod gateway;
 mod headers;
+mod latch;
 mod permits;
+mod progress;
 mod relay;
 mod replies;
+mod stop;
 mod trace;
 
 pub use adapter::Adapter;
--- a/crates/gateway/src/logging.rs
+++ b/crates/gateway/src/logging.rs
@@ -18,6 +18,10 @@
 /// Lines written in one second at most; bounds the volume when many requests fail at once.
 const LINES_PER_SECOND_MAX: u64 = 400;
 
+/// Target of the lines about a planned stop, which do not count against the bound: a process writes at most one for each
+/// request in progress, once.
+pub(crate) const STOP_TARGET: &str = "waxwing_gateway::stop";
+
 /// Where log lines go.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Output {
@@ -40,7 +44,7 @@
         .format(move |out, _, record| out.finish(format_args!("{}", format_record(&vm, record))));
     let dispatch = match output {
         Output::Stdout => dispatch
-            .filter(|_| is_within_budget())
+            .filter(|metadata| metadata.target() == STOP_TARGET || is_within_budget())
             .chain(std::io::stdout()),
         Output::Stderr => dispatch.chain(std::io::stderr()),
     };
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -7,6 +7,9 @@
 pub const REQUESTS: &str = "waxwing_gateway_requests_total";
 /// Counter of refusals by reason.
 pub const REFUSALS: &str = "waxwing_gateway_refusals_total";
+/// Counter of requests that a planned stop ended by their stage: `receiving`, `waiting`, `sent`, `buffering` or
+/// `relaying`.
+pub const STOP_ENDS: &str = "waxwing_gateway_stop_ends_total";
 /// Counter of repeats by the outcome of the previous run.
 pub const REPEATS: &str = "waxwing_gateway_repeats_total";
 /// Counter of repeats that the budget did not cover.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,5 +1,7 @@
 //! Relays an endpoint's response to the caller.
 
+use std::rc::Rc;
+
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Bytes;
@@ -9,6 +11,7 @@
 use waxwing_core::forwarding::Execution;
 use waxwing_core::forwarding::configuration::RouteKind;
 use waxwing_core::forwarding::event_stream::EventSplitter;
+use waxwing_core::forwarding::planned_stop::Stage;
 use waxwing_core::forwarding::run::RunOutcome;
 use waxwing_core::forwarding::run::StallTimeouts;
 
@@ -23,6 +26,7 @@
 use crate::exchange::RunGuard;
 use crate::headers;
 use crate::metric;
+use crate::stop;
 
 /// Size up to which a response is buffered before its first byte goes to the caller, in bytes; a buffered response
 /// that breaks off can still be replaced by another run's.
@@ -131,9 +135,9 @@
         return unusable_delivery(exchange, outcome, None);
     }
     if !hyper::body::Body::is_end_stream(&source.body) && bytes.len() >= WHOLE_MAX_BYTES {
-        let executor = exchange.gateway.executor;
-        let body = Body::streamed(|chunks| {
-            executor.spawn(pump_long(exchange, source, Bytes::from(bytes), chunks))
+        exchange.request_progress.set_stage(Stage::Relaying);
+        let body = relayed_body(exchange, |exchange, chunks| {
+            pump_long(exchange, source, Bytes::from(bytes), chunks)
         });
         return Delivery::Delivered(Response::from_parts(head, body));
     }
@@ -208,11 +212,27 @@
 /// Starts to relay an event stream.
 fn stream(exchange: Exchange, received: EndpointResponse) -> Response<Body> {
     let (head, source) = Source::new(received);
-    let executor = exchange.gateway.executor;
-    let body = Body::streamed(|chunks| executor.spawn(pump_events(exchange, source, chunks)));
+    exchange.request_progress.set_stage(Stage::Relaying);
+    let body = relayed_body(exchange, |exchange, chunks| {
+        pump_events(exchange, source, chunks)
+    });
     Response::from_parts(head, body)
 }
 
+/// Returns a body that a task relays, until it is complete or the VM ends.
+fn relayed_body<F>(exchange: Exchange, pump: impl FnOnce(Exchange, ChunkSender) -> F) -> Body
+where
+    F: Future<Output = ()> + 'static,
+{
+    let gateway = Rc::clone(&exchange.gateway);
+    let progress = Rc::clone(&exchange.request_progress);
+    let executor = gateway.executor;
+    Body::streamed(|chunks| {
+        let pump = pump(exchange, chunks.clone());
+        executor.spawn(stop::relay_until_end(gateway, progress, chunks, pump))
+    })
+}
+
 /// Relays events until the stream is complete; a broken stream resumes at another endpoint if the route allows it.
 async fn pump_events(mut exchange: Exchange, mut source: Source, chunks: ChunkSender) {
     let mut splitter = EventSplitter::new(exchange.request_info.last_event_id.clone());
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,6 +1,7 @@
 //! Accepts connections and serves requests on them.
 
 use std::cell::Cell;
+use std::cell::OnceCell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -29,6 +30,7 @@
 use crate::clock::Clock;
 use crate::error::Error;
 use crate::error::Result;
+use crate::latch::Latch;
 
 /// Pause after a failed accept, for example when no descriptor is free, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 50;
@@ -50,6 +52,42 @@
     pub idle_ms: Rc<Cell<u64>>,
 }
 
+/// Ends the connections of a listener once they have sent what they owe; the default value does so when it is closed.
+#[derive(Debug, Default)]
+pub struct Drain {
+    closing: Latch,
+    /// Open connections that a request has arrived on.
+    used: Cell<u32>,
+}
+
+impl Drain {
+    /// Closes the listener and idle connections; the others are closed after the response in progress.
+    pub(crate) fn close(&self) {
+        self.closing.open();
+    }
+
+    /// Returns the number of open connections that a request has arrived on.
+    pub(crate) fn used_count(&self) -> u32 {
+        self.used.get()
+    }
+}
+
+/// Marks a connection as used until it is dropped.
+struct UsedConnection(Rc<Drain>);
+
+impl UsedConnection {
+    fn new(drain: &Rc<Drain>) -> Self {
+        drain.used.set(drain.used.get() + 1);
+        Self(Rc::clone(drain))
+    }
+}
+
+impl Drop for UsedConnection {
+    fn drop(&mut self) {
+        self.0.used.set(self.0.used.get() - 1);
+    }
+}
+
 /// Binds a listening socket.
 ///
 /// # Errors
@@ -70,19 +108,29 @@
     })
 }
 
-/// Accepts connections for as long as the process runs.
+/// Accepts connections until `drain` is closed.
 pub async fn accept<H, F>(
     executor: &'static LocalExecutor<'static>,
     listener: Async<TcpListener>,
     limits: Limits,
+    drain: Rc<Drain>,
     handler: Rc<H>,
 ) where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
 {
     let open = Rc::new(Cell::new(0));
+    let mut closing = drain.closing.wait();
     loop {
-        let stream = match listener.accept().await {
+        let accepted = {
+            let accepting = listener.accept();
+            futures::pin_mut!(accepting);
+            match select(accepting, &mut closing).await {
+                Either::Left((accepted, _)) => accepted,
+                Either::Right(_) => return,
+            }
+        };
+        let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!(event = "accept_failed"; "a connection cannot be accepted: {error}");
@@ -98,16 +146,17 @@
         let open = Rc::clone(&open);
         let handler = Rc::clone(&handler);
         let limits = limits.clone();
+        let drain = Rc::clone(&drain);
         let connection = async move {
-            serve(stream, limits, handler).await;
+            serve(stream, limits, drain, handler).await;
             open.set(open.get() - 1);
         };
         executor.spawn(connection).detach();
     }
 }
 
-/// Serves one connection; closes it after a time without requests.
-async fn serve<H, F>(stream: Async<TcpStream>, limits: Limits, handler: Rc<H>)
+/// Serves one connection; closes it after a time without requests, or when `drain` is closed.
+async fn serve<H, F>(stream: Async<TcpStream>, limits: Limits, drain: Rc<Drain>, handler: Rc<H>)
 where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<Body>> + 'static,
@@ -116,7 +165,9 @@
     let clock = Clock::new();
     let in_progress = Rc::new(Cell::new(0_u32));
     let used_at_ms = Rc::new(Cell::new(clock.now_ms()));
+    let used = OnceCell::new();
     let service = service_fn(|request| {
+        used.get_or_init(|| UsedConnection::new(&drain));
         in_progress.set(in_progress.get() + 1);
         let answer = handler(request);
         let in_progress = Rc::clone(&in_progress);
@@ -133,18 +184,20 @@
         .max_buf_size(limits.head_max_bytes.max(8_192))
         .serve_connection(FuturesIo::new(BudgetedStream::new(stream)), service);
     futures::pin_mut!(connection);
+    let mut closing = drain.closing.wait();
     loop {
         let idle_ms = limits.idle_ms.get();
         let timer = Timer::after(Duration::from_millis(idle_ms));
-        futures::pin_mut!(timer);
-        match select(connection.as_mut(), timer).await {
+        let woken = select(timer, &mut closing);
+        match select(connection.as_mut(), woken).await {
             Either::Left((result, _)) => {
                 if let Err(error) = result {
                     log::debug!(event = "caller_connection_ended"; "{error}");
                 }
                 return;
             }
-            Either::Right(_) => {
+            Either::Right((Either::Right(_), _)) => break,
+            Either::Right((Either::Left(_), _)) => {
                 let is_idle = clock.now_ms() - used_at_ms.get() >= idle_ms;
                 if in_progress.get() == 0 && is_idle {
                     // A response that is still being sent is finished first.
@@ -153,4 +206,12 @@
             }
         }
     }
+    if used.get().is_none() {
+        // No request has been read, so none is owed an answer.
+        return;
+    }
+    connection.as_mut().graceful_shutdown();
+    if let Err(error) = connection.await {
+        log::debug!(event = "caller_connection_ended"; "{error}");
+    }
 }
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -1,8 +1,10 @@
 //! The timeline of a request, written as one log line at its end.
 
 use std::fmt::Write;
+use std::rc::Rc;
 
 use waxwing_core::Name;
+use waxwing_core::Reason;
 use waxwing_core::forwarding::configuration::RouteKind;
 use waxwing_core::forwarding::endpoints::UrgencyLevel;
 use waxwing_core::forwarding::run::Execution;
@@ -10,9 +12,12 @@
 
 use crate::clock::Clock;
 use crate::exchange::RefusedPart;
+use crate::logging;
 use crate::metric;
+use crate::progress::RequestProgress;
 
-/// Events of one request; a trace that is dropped unfinished is logged as `caller_gone`.
+/// Events of one request; a trace that is dropped unfinished is logged as `caller_gone`, or as `stopping` if a planned stop
+/// ended the request.
 pub(crate) struct Trace {
     clock: Clock,
     received_ms: u64,
@@ -27,10 +32,16 @@
     unfinished: Option<(Name, u64)>,
     first_byte_ms: Option<u64>,
     is_finished: bool,
+    progress: Rc<RequestProgress>,
 }
 
 impl Trace {
-    pub(crate) fn new(clock: Clock, request_id: &str, configuration_version: u64) -> Self {
+    pub(crate) fn new(
+        clock: Clock,
+        request_id: &str,
+        configuration_version: u64,
+        progress: Rc<RequestProgress>,
+    ) -> Self {
         Self {
             clock,
             received_ms: clock.now_ms(),
@@ -44,6 +55,7 @@
             unfinished: None,
             first_byte_ms: None,
             is_finished: false,
+            progress,
         }
     }
 
@@ -144,10 +156,10 @@
     /// Writes the log line of a request that got its final response.
     pub(crate) fn finish(&mut self, outcome: &'static str, status: u16, execution: Execution) {
         self.is_finished = true;
-        self.write(outcome, status, execution);
+        self.write(outcome, status, execution, module_path!());
     }
 
-    fn write(&self, outcome: &'static str, status: u16, execution: Execution) {
+    fn write(&self, outcome: &'static str, status: u16, execution: Execution, target: &str) {
         let total_ms = self.elapsed_ms();
         let seconds = total_ms as f64 / 1_000.0;
         metrics::histogram!(metric::TOTAL, "kind" => self.kind).record(seconds);
@@ -157,7 +169,12 @@
             Execution::Unknown => "unknown",
             Execution::Ran => "ran",
         };
+        let stage = self
+            .progress
+            .stop_end()
+            .map_or("", |end| end.stage.as_str());
         log::info!(
+            target: target,
             event = "request_end",
             request = self.request_id.as_str(),
             route = self.route.as_ref().map_or("", Name::as_str),
@@ -169,6 +186,7 @@
             total_ms = total_ms,
             first_byte_ms = self.first_byte_ms.unwrap_or(0),
             configuration = self.configuration_version,
+            stopped_stage = stage,
             runs = self.runs.trim_end();
             "request ended"
         );
@@ -183,7 +201,15 @@
                 let endpoint = endpoint.as_str();
                 let _ = write!(self.runs, "{endpoint}:unfinished@{began_ms}-{ended_ms}");
             }
-            self.write("caller_gone", 0, Execution::Unknown);
+            match self.progress.stop_end() {
+                Some(end) => self.write(
+                    Reason::Stopping.as_str(),
+                    end.status,
+                    end.execution,
+                    logging::STOP_TARGET,
+                ),
+                None => self.write("caller_gone", 0, Execution::Unknown, module_path!()),
+            }
         }
     }
 }
--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -110,6 +110,15 @@
         self.signal(Signal::SIGTERM);
     }
 
+    /// Requests a reload of the settings with SIGHUP.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process has ended.
+    pub fn reload(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
     /// Returns the exit status if the process has ended.
     ///
     /// # Panics
