Let a stopping VM send the answers that slow callers have not read

Callers that read slowly got the beginning of an answer from a VM that was stopped as planned, and then the end of the connection.

Cause: a request counts as done when its answer has been handed to the HTTP library. Chunks that wait there or before it ended with the process.

Change: once the VM is closing, idle connections are closed, so a connection that is still open has something left to send.

--- a/crates/core/src/forwarding/planned_stop.rs
+++ b/crates/core/src/forwarding/planned_stop.rs
@@ -39,6 +39,8 @@
     pub unanswered: u32,
     /// Requests whose answer is being relayed.
     pub relaying: u32,
+    /// Connections that were used and are open; once the VM is closing, each has something left to send.
+    pub connections: u32,
 }
 
 /// A planned stop.
--- a/crates/core/tests/planned_stop.rs
+++ b/crates/core/tests/planned_stop.rs
@@ -19,10 +19,11 @@
 
 const EXECUTIONS: [Execution; 3] = [Execution::NotRun, Execution::Unknown, Execution::Ran];
 
-fn remaining(unanswered: u32, relaying: u32) -> Remaining {
+fn remaining(unanswered: u32, relaying: u32, connections: u32) -> Remaining {
     Remaining {
         unanswered,
         relaying,
+        connections,
     }
 }
 
@@ -71,7 +72,7 @@
 fn reserved_time() {
     for unanswered in [1, 16, 65, 300, 1_000, 2_900] {
         for grace_ms in [2_000, 4_000, GRACE_MS, 30_000] {
-            let closing_ms = time_to(Phase::Closing, remaining(unanswered, 0), grace_ms);
+            let closing_ms = time_to(Phase::Closing, remaining(unanswered, 0, 0), grace_ms);
             let sending_ms = u64::from(unanswered) * MEASURED_ANSWER_US / 1_000;
             let is_possible = sending_ms < grace_ms / 3;
             assert!(
@@ -90,7 +91,7 @@
 /// An answer that is being relayed must go on for longer than the wait of those that have none.
 #[test]
 fn relayed_longest() {
-    let left = remaining(40, 25);
+    let left = remaining(40, 25, 65);
     let closing_ms = time_to(Phase::Closing, left, GRACE_MS);
     let ended_ms = time_to(Phase::Ended, left, GRACE_MS);
     assert!(closing_ms < ended_ms && ended_ms < GRACE_MS);
@@ -106,6 +107,15 @@
     assert!(ended_ms <= closing_ms + 10);
 }
 
+/// A process must not end while a connection has something left to send, unless its time is up.
+#[test]
+fn unsent_answers() {
+    let mut stop = PlannedStop::new(GRACE_MS, 0);
+    assert_eq!(stop.advance(remaining(0, 0, 3), 4_600), Phase::Closing);
+    assert_eq!(stop.advance(remaining(0, 0, 1), 5_000), Phase::Closing);
+    assert_eq!(stop.advance(remaining(0, 0, 0), 5_100), Phase::Ended);
+}
+
 /// Whatever the order of events, phases only go forward, the end comes before SIGKILL, and nothing is left before it.
 #[test]
 fn random_orders() {
@@ -114,7 +124,11 @@
         let grace_ms = random.random_range(2_000..20_000);
         let mut stop = PlannedStop::new(grace_ms, 0);
         let (mut now_ms, mut before) = (0, Phase::Draining);
-        let mut left = remaining(random.random_range(0..400), random.random_range(0..100));
+        let mut left = remaining(
+            random.random_range(0..400),
+            random.random_range(0..100),
+            random.random_range(0..500),
+        );
         loop {
             let phase = stop.advance(left, now_ms);
             assert!(phase >= before, "seed {seed}: back to {phase:?}");
@@ -130,7 +144,11 @@
             let check_ms = stop.next_check_ms(left, now_ms).clamp(1, 50);
             now_ms += random.random_range(1..=check_ms);
             assert!(now_ms < grace_ms, "seed {seed}: SIGKILL");
-            for count in [&mut left.unanswered, &mut left.relaying] {
+            for count in [
+                &mut left.unanswered,
+                &mut left.relaying,
+                &mut left.connections,
+            ] {
                 *count -= (*count).min(random.random_range(0..20));
             }
             if phase == Phase::Draining && random.random_bool(0.3) {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -182,7 +182,8 @@
         }
         log::info!(
             target: logging::STOP_TARGET,
-            event = "closing", unanswered = remaining.unanswered, relaying = remaining.relaying;
+            event = "closing", unanswered = remaining.unanswered, relaying = remaining.relaying,
+            connections = remaining.connections;
             "requests without an answer get a final one"
         );
         self.stop_signals.closing.open();
@@ -195,6 +196,7 @@
         Remaining {
             unanswered: self.stages.total() - relaying,
             relaying,
+            connections: self.stop_signals.callers.used_count(),
         }
     }
 
