Hold the head of a stream until its first event

Callers whose stream had a head from its endpoint and no event yet saw it break off when the VM was stopped as planned, although the endpoint had not begun to write.

Cause: the head was passed on as it arrived, and after a head there is no way to answer with a failure.

Change: the response is returned when there is something to relay, or when the stream has ended. The first event reaches the caller as before, with the head in front of it. Until then the request counts as buffering and gets a final answer like others.

Test: head_without_events.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -25,6 +25,7 @@
 use crate::exchange::Framing;
 use crate::exchange::RunGuard;
 use crate::headers;
+use crate::latch::Latch;
 use crate::metric;
 use crate::stop;
 
@@ -105,7 +106,7 @@
 pub(crate) async fn deliver(exchange: Exchange, received: EndpointResponse) -> Delivery {
     let status = received.response.status();
     if exchange.route.kind == RouteKind::Stream && status.is_success() {
-        return Delivery::Delivered(stream(exchange, received));
+        return Delivery::Delivered(stream(exchange, received).await);
     }
     deliver_whole(exchange, received).await
 }
@@ -209,13 +210,17 @@
     exchange.trace.finish("answered", 200, Execution::Ran);
 }
 
-/// Starts to relay an event stream.
-fn stream(exchange: Exchange, received: EndpointResponse) -> Response<Body> {
+/// Starts to relay an event stream, and returns its response when there is something to relay.
+///
+/// A head without an event would tell the caller nothing, and would leave no way to answer with a failure.
+async fn stream(exchange: Exchange, received: EndpointResponse) -> Response<Body> {
     let (head, source) = Source::new(received);
-    exchange.request_progress.set_stage(Stage::Relaying);
+    let began = Rc::new(Latch::default());
+    let has_begun = began.wait();
     let body = relayed_body(exchange, |exchange, chunks| {
-        pump_events(exchange, source, chunks)
+        pump_events(exchange, source, chunks, began)
     });
+    has_begun.await;
     Response::from_parts(head, body)
 }
 
@@ -234,10 +239,17 @@
 }
 
 /// Relays events until the stream is complete; a broken stream resumes at another endpoint if the route allows it.
-async fn pump_events(mut exchange: Exchange, mut source: Source, chunks: ChunkSender) {
+///
+/// `began` is opened before the first chunk is sent, and when the task ends.
+async fn pump_events(
+    mut exchange: Exchange,
+    mut source: Source,
+    chunks: ChunkSender,
+    began: Rc<Latch>,
+) {
     let mut splitter = EventSplitter::new(exchange.request_info.last_event_id.clone());
     loop {
-        match relay_events(&mut exchange, &mut source, &mut splitter, &chunks).await {
+        match relay_events(&mut exchange, &mut source, &mut splitter, &chunks, &began).await {
             Ok(()) => break,
             Err(RelayError::CallerGone) => return,
             Err(RelayError::Run(outcome)) => {
@@ -277,6 +289,7 @@
     source: &mut Source,
     splitter: &mut EventSplitter,
     chunks: &ChunkSender,
+    began: &Latch,
 ) -> Result<(), RelayError> {
     // Only complete events reset the stall timeout; other bytes, however many, count as silence.
     let mut since_ms = exchange.gateway.clock.now_ms();
@@ -324,6 +337,10 @@
             source.run.record_first_byte();
             exchange.trace.record_first_byte();
         }
+        if !began.is_open() {
+            exchange.request_progress.set_stage(Stage::Relaying);
+            began.open();
+        }
         send_chunk(exchange, chunks, events).await?;
     }
 }
