Refuse at once what a stopping VM cannot be expected to finish

Change: the VM keeps the mean time in which the requests of each route were answered. While it stops, a request whose route takes longer than what is left is refused as not_run at once, with Retry-After and the addresses of other VMs; the others are taken as before. Without an answer so far nothing is refused.

--- a/crates/core/src/forwarding/configuration.rs
+++ b/crates/core/src/forwarding/configuration.rs
@@ -195,6 +195,12 @@
         self.limits
     }
 
+    /// Returns whether there is a route of this name.
+    pub fn has_route(&self, name: &Name) -> bool {
+        let mut routes = self.routes.values().flatten();
+        routes.any(|route| route.name == *name)
+    }
+
     /// Returns whether callers need API keys on routes that are not public.
     pub fn needs_keys(&self) -> bool {
         self.has_organisations
--- a/crates/core/src/forwarding/planned_stop.rs
+++ b/crates/core/src/forwarding/planned_stop.rs
@@ -4,6 +4,9 @@
 //! When it is [`Phase::Closing`], it accepts no connection, and requests that have no answer yet get a final one;
 //! answers that are being sent go on. When it is [`Phase::Ended`], what is left is broken off and the process ends.
 
+use std::collections::HashMap;
+
+use crate::Name;
 use crate::forwarding::run::Execution;
 
 /// Time after the signal in which callers may still use this VM's address, in milliseconds.
@@ -21,6 +24,9 @@
 /// Time to send the final answer of one request and to log it, in microseconds.
 const ANSWER_US: u64 = 500;
 
+/// Weight of the newest answer in the mean time to answer a route's requests.
+const NEWEST_WEIGHT: f64 = 0.1;
+
 /// How far a stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -63,8 +69,9 @@
 
     /// Returns whether a new request is accepted.
     ///
-    /// `timeout_ms` is the longest time that it may take.
-    pub fn accepts(&self, timeout_ms: u64, now_ms: u64) -> bool {
+    /// `timeout_ms` is the longest time that it may take, and `typical_ms` the time that such requests took lately, if
+    /// there were any. A request that cannot be expected to end in time is better served by another VM at once.
+    pub fn accepts(&self, timeout_ms: u64, typical_ms: Option<u64>, now_ms: u64) -> bool {
         if self.phase != Phase::Draining {
             return false;
         }
@@ -73,7 +80,7 @@
         if timeout_ms < left_ms {
             return true;
         }
-        elapsed_ms < ACCEPT_MS && left_ms > 0
+        elapsed_ms < ACCEPT_MS && left_ms > 0 && typical_ms.is_none_or(|typical| typical < left_ms)
     }
 
     /// Moves on to the phase that follows from what is left to do, and returns it; a phase never comes back.
@@ -217,3 +224,31 @@
         may_return: execution == Execution::NotRun || standing.is_repeatable,
     }
 }
+
+/// Mean time in which requests were answered, by route.
+#[derive(Clone, Debug, Default)]
+pub struct TypicalTimes {
+    mean_ms: HashMap<Name, f64>,
+}
+
+impl TypicalTimes {
+    /// Adds a request of a route that was answered after `total_ms`.
+    pub fn record(&mut self, route: &Name, total_ms: u64) {
+        let total_ms = total_ms as f64;
+        let Some(mean_ms) = self.mean_ms.get_mut(route) else {
+            self.mean_ms.insert(route.clone(), total_ms);
+            return;
+        };
+        *mean_ms += (total_ms - *mean_ms) * NEWEST_WEIGHT;
+    }
+
+    /// Returns the mean time of a route's requests, in milliseconds; `None` before the first answer.
+    pub fn get(&self, route: &Name) -> Option<u64> {
+        self.mean_ms.get(route).map(|mean_ms| *mean_ms as u64)
+    }
+
+    /// Forgets the routes for which `is_kept` returns `false`.
+    pub fn retain(&mut self, is_kept: impl Fn(&Name) -> bool) {
+        self.mean_ms.retain(|route, _| is_kept(route));
+    }
+}
--- a/crates/core/tests/planned_stop.rs
+++ b/crates/core/tests/planned_stop.rs
@@ -3,6 +3,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use waxwing_core::Name;
 use waxwing_core::forwarding::Execution;
 use waxwing_core::forwarding::planned_stop::FinalAnswer;
 use waxwing_core::forwarding::planned_stop::Phase;
@@ -10,6 +11,7 @@
 use waxwing_core::forwarding::planned_stop::Remaining;
 use waxwing_core::forwarding::planned_stop::Stage;
 use waxwing_core::forwarding::planned_stop::Standing;
+use waxwing_core::forwarding::planned_stop::TypicalTimes;
 use waxwing_core::forwarding::planned_stop::final_answer;
 
 const GRACE_MS: u64 = 8_000;
@@ -158,16 +160,43 @@
     }
 }
 
-/// A stopping VM must not turn callers away who still use its address.
+/// A stopping VM must not turn callers away who still use its address, unless their request cannot end in time.
 #[test]
 fn accepted_requests() {
     let stop = PlannedStop::new(GRACE_MS, 0);
-    assert!(stop.accepts(15_000, 500));
-    assert!(stop.accepts(15_000, 2_000));
-    assert!(!stop.accepts(15_000, 3_000), "callers have another address");
-    assert!(stop.accepts(3_000, 3_000), "its timeout fits");
-    assert!(!stop.accepts(3_000, 5_500));
+    assert!(stop.accepts(15_000, None, 2_000));
+    assert!(stop.accepts(15_000, Some(3_000), 2_000));
+    assert!(
+        !stop.accepts(15_000, Some(6_500), 2_000),
+        "6.5 s do not fit"
+    );
+    assert!(stop.accepts(15_000, Some(6_500), 500));
+    assert!(
+        !stop.accepts(15_000, Some(100), 3_000),
+        "callers have another address"
+    );
+    assert!(stop.accepts(3_000, Some(6_500), 3_000), "its timeout fits");
+    assert!(!stop.accepts(3_000, None, 5_500));
     let mut closed = PlannedStop::new(GRACE_MS, 0);
     assert_eq!(closed.advance(Remaining::default(), 4_600), Phase::Closing);
-    assert!(!closed.accepts(100, 4_700));
+    assert!(!closed.accepts(100, None, 4_700));
+}
+
+/// The time that a route's requests take must follow what they took lately, and be forgotten with the route.
+#[test]
+fn typical_times() {
+    let (slow, fast) = (Name::from("slow"), Name::from("fast"));
+    let mut times = TypicalTimes::default();
+    assert_eq!(times.get(&slow), None);
+    times.record(&fast, 20);
+    for _ in 0..50 {
+        times.record(&slow, 100);
+    }
+    for _ in 0..50 {
+        times.record(&slow, 7_000);
+    }
+    assert!(times.get(&slow).unwrap() > 6_500);
+    assert_eq!(times.get(&fast), Some(20));
+    times.retain(|route| *route == fast);
+    assert_eq!(times.get(&slow), None);
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -40,6 +40,7 @@
 use waxwing_core::forwarding::peers::PeersConfig;
 use waxwing_core::forwarding::placement;
 use waxwing_core::forwarding::planned_stop::PlannedStop;
+use waxwing_core::forwarding::planned_stop::TypicalTimes;
 use waxwing_core::forwarding::repeat_budget;
 use waxwing_core::forwarding::repeat_budget::RepeatBudget;
 use waxwing_core::state::evidence::ContentHash;
@@ -113,6 +114,7 @@
     pub(crate) stop_signals: StopSignals,
     /// The stop that was asked for.
     pub(crate) planned_stop: Cell<Option<PlannedStop>>,
+    pub(crate) typical_times: RefCell<TypicalTimes>,
     pub(crate) buffered_bytes: Cell<usize>,
     idle: RefCell<HashMap<EndpointKey, Vec<Connection>>>,
     configuration: RefCell<Option<Rc<Configuration>>>,
@@ -171,6 +173,7 @@
             stages: Rc::default(),
             stop_signals: StopSignals::default(),
             planned_stop: Cell::new(None),
+            typical_times: RefCell::default(),
             buffered_bytes: Cell::new(0),
             idle: RefCell::new(HashMap::new()),
             configuration: RefCell::new(None),
@@ -228,6 +231,9 @@
         metrics::gauge!(metric::CONFIGURATION_VERSION).set(version as f64);
         self.idle_timeout_ms
             .set(configuration.limits().idle_timeout_ms.max(1_000));
+        self.typical_times
+            .borrow_mut()
+            .retain(|route| configuration.has_route(route));
         *self.configuration.borrow_mut() = Some(Rc::new(configuration));
         *self.document.borrow_mut() = Some(document.to_owned());
         true
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -81,6 +81,12 @@
     /// Ends a run whose response is complete, and keeps the connection for later requests.
     async fn finish(mut self, exchange: &mut Exchange, outcome: RunOutcome) {
         if outcome == RunOutcome::Answered {
+            let total_ms = exchange.trace.elapsed_ms();
+            exchange
+                .gateway
+                .typical_times
+                .borrow_mut()
+                .record(&exchange.route.name, total_ms);
             exchange.record_sound_parts().await;
         }
         exchange.end_run(&mut self.run, outcome, "");
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -138,7 +138,8 @@
         let Some(stop) = self.planned_stop.get() else {
             return true;
         };
-        stop.accepts(route.timeout_ms, self.clock.now_ms())
+        let typical_ms = self.typical_times.borrow().get(&route.name);
+        stop.accepts(route.timeout_ms, typical_ms, self.clock.now_ms())
     }
 
     /// Leaves the directory, finishes the requests in progress, and gives those that cannot be finished a final answer.
