Answer a stream that is given up before its first event

Callers whose engine sent the head of a stream and no event until the time limit saw the stream break off; since heads are held until the first event, they saw the connection close without an answer.

Cause: the task that relays a stream could only break it off, also when the caller had received nothing.

Change: until the first event the task hands the request back, and the caller gets the answer of a request that was given up: 504 or 502, unknown.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -574,7 +574,11 @@
     }
 
     /// Builds the final response of a request that got no usable one.
-    fn give_up(mut self, failure: Option<Response<Body>>, is_expired: bool) -> Response<Body> {
+    pub(crate) fn give_up(
+        mut self,
+        failure: Option<Response<Body>>,
+        is_expired: bool,
+    ) -> Response<Body> {
         let execution = self.progress.execution;
         if let Some(response) = failure {
             self.trace
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use futures::channel::oneshot;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Bytes;
@@ -25,7 +26,6 @@
 use crate::exchange::Framing;
 use crate::exchange::RunGuard;
 use crate::headers;
-use crate::latch::Latch;
 use crate::metric;
 use crate::stop;
 
@@ -216,18 +216,33 @@
     exchange.trace.finish("answered", 200, Execution::Ran);
 }
 
+/// What the task that relays a stream tells first; nothing if the stream ends without an event.
+enum StreamStart {
+    /// There are events to relay.
+    Events,
+    /// The stream was given up before its first event.
+    GivenUp {
+        exchange: Box<Exchange>,
+        /// How its last run ended.
+        outcome: RunOutcome,
+    },
+}
+
 /// Starts to relay an event stream, and returns its response when there is something to relay.
 ///
 /// A head without an event would tell the caller nothing, and would leave no way to answer with a failure.
 async fn stream(exchange: Exchange, received: EndpointResponse) -> Response<Body> {
     let (head, source) = Source::new(received);
-    let began = Rc::new(Latch::default());
-    let has_begun = began.wait();
+    let (start, started) = oneshot::channel();
     let body = relayed_body(exchange, |exchange, chunks| {
-        pump_events(exchange, source, chunks, began)
+        pump_events(exchange, source, chunks, start)
     });
-    has_begun.await;
-    Response::from_parts(head, body)
+    match started.await {
+        Ok(StreamStart::GivenUp { exchange, outcome }) => {
+            exchange.give_up(None, outcome == RunOutcome::Expired)
+        }
+        Ok(StreamStart::Events) | Err(_) => Response::from_parts(head, body),
+    }
 }
 
 /// Returns a body that a task relays, until it is complete or the VM ends.
@@ -245,27 +260,32 @@
 }
 
 /// Relays events until the stream is complete; a broken stream resumes at another endpoint if the route allows it.
-///
-/// `began` is opened before the first chunk is sent, and when the task ends.
 async fn pump_events(
     mut exchange: Exchange,
     mut source: Source,
     chunks: ChunkSender,
-    began: Rc<Latch>,
+    start: oneshot::Sender<StreamStart>,
 ) {
     let mut splitter = EventSplitter::new(exchange.request_info.last_event_id.clone());
+    let mut start = Some(start);
     loop {
-        match relay_events(&mut exchange, &mut source, &mut splitter, &chunks, &began).await {
+        let relayed = relay_events(
+            &mut exchange,
+            &mut source,
+            &mut splitter,
+            &chunks,
+            &mut start,
+        );
+        match relayed.await {
             Ok(()) => break,
             Err(RelayError::CallerGone) => return,
             Err(RelayError::Run(outcome)) => {
                 exchange.end_run(&mut source.run, outcome, "(in stream)");
                 splitter.drop_incomplete();
-                let Some(next) = resume(&mut exchange, outcome, &splitter).await else {
-                    abort(&mut exchange, &chunks).await;
-                    return;
+                source = match resume(&mut exchange, outcome, &splitter).await {
+                    Ok(next) => next,
+                    Err(outcome) => return give_up_stream(exchange, outcome, &chunks, start).await,
                 };
-                source = next;
             }
         }
     }
@@ -273,6 +293,21 @@
     exchange.trace.finish("answered", 200, Execution::Ran);
 }
 
+/// Ends a stream that cannot be completed: with a final answer if nothing of it has been relayed.
+async fn give_up_stream(
+    mut exchange: Exchange,
+    outcome: RunOutcome,
+    chunks: &ChunkSender,
+    start: Option<oneshot::Sender<StreamStart>>,
+) {
+    let Some(start) = start else {
+        return abort(&mut exchange, chunks).await;
+    };
+    let exchange = Box::new(exchange);
+    // Fails only if the caller closed the connection.
+    let _ = start.send(StreamStart::GivenUp { exchange, outcome });
+}
+
 /// Records a response or event over the size limit; the connection is closed with the run.
 fn record_overlong(source: &Source, place: &'static str) -> RunOutcome {
     let endpoint = source.run.endpoint_id.as_str();
@@ -295,7 +330,7 @@
     source: &mut Source,
     splitter: &mut EventSplitter,
     chunks: &ChunkSender,
-    began: &Latch,
+    start: &mut Option<oneshot::Sender<StreamStart>>,
 ) -> Result<(), RelayError> {
     // Only complete events reset the stall timeout; other bytes, however many, count as silence.
     let mut since_ms = exchange.gateway.clock.now_ms();
@@ -343,9 +378,10 @@
             source.run.record_first_byte();
             exchange.trace.record_first_byte();
         }
-        if !began.is_open() {
+        if let Some(start) = start.take() {
             exchange.request_progress.set_stage(Stage::Relaying);
-            began.open();
+            // Fails only if the caller closed the connection.
+            let _ = start.send(StreamStart::Events);
         }
         send_chunk(exchange, chunks, events).await?;
     }
@@ -376,12 +412,12 @@
     exchange.first_byte_timeouts(&source.run)
 }
 
-/// Resumes a stream at another endpoint after the last event that the caller received.
+/// Resumes a stream at another endpoint after the last event that the caller received; fails with the end of its last run.
 async fn resume(
     exchange: &mut Exchange,
     outcome: RunOutcome,
     splitter: &EventSplitter,
-) -> Option<Source> {
+) -> Result<Source, RunOutcome> {
     let mut outcome = outcome;
     while let Some(key) = exchange.take_next_endpoint(outcome).await {
         let received = match exchange.send(key, splitter.last_id()).await {
@@ -394,10 +430,10 @@
         let status = received.response.status();
         let (_, mut source) = Source::new(received);
         if status.is_success() {
-            return Some(source);
+            return Ok(source);
         }
         exchange.end_run(&mut source.run, RunOutcome::Failed, "(resumed)");
         outcome = RunOutcome::Failed;
     }
-    None
+    Err(outcome)
 }
