Record the results of jobs before a stopping daemon exits

Callers of the own interface whose job ran on a daemon that was stopped as planned got its result only after the job had run once more.

A stop waited for requests and connections; runs of jobs and results on their way to the log ended with the process.

Change: the stop also waits until the jobs that run here have a result in the log, for 10 s at most.

Tests: stopping_vm_records_its_results; with the commit before "timed out after 60 s: the job is finished". waiting_requests_are_answered looks at the other requests of the own interface (streams, chats, lookups and bookings that wait, three daemons that stop in series); it passes before and after, since that stop has no time limit.

--- a/crates/core/src/state/jobs.rs
+++ b/crates/core/src/state/jobs.rs
@@ -223,6 +223,11 @@
         self.pending_bytes
     }
 
+    /// Returns the number of jobs that run on this VM, or ran here and have no result in the log yet.
+    pub fn running(&self) -> usize {
+        self.running
+    }
+
     /// Returns the actions due on the VM `local_vm` and marks them as started.
     ///
     /// At most `running_max` jobs run on this VM at a time; a job counts until its result is read back from the log.
--- a/crates/router/src/daemon.rs
+++ b/crates/router/src/daemon.rs
@@ -32,6 +32,9 @@
 /// Longest wait for the log to confirm the release of all key ranges, in milliseconds.
 const RELEASE_WAIT_MS: u64 = 5_000;
 
+/// Longest wait for the results of jobs that run here, in milliseconds; after it another VM has to run them again.
+const RESULTS_WAIT_MS: u64 = 10_000;
+
 /// Result of running a daemon.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -76,7 +79,8 @@
     Ok(())
 }
 
-/// Completes a planned stop: accepts requests until callers have dropped the address, then waits for those in progress.
+/// Completes a planned stop: accepts requests until callers have dropped the address, then waits for those in progress and
+/// for the results of jobs.
 fn finish(shared: &Shared) {
     let lifetime_s = shared.config.limits.entries_lifetime_s;
     log::info!("draining for {lifetime_s} s");
@@ -89,6 +93,12 @@
     {
         thread::sleep(Duration::from_millis(STOP_POLL_MS));
     }
+    let unrecorded = shared
+        .jobs
+        .wait_for_results(Duration::from_millis(RESULTS_WAIT_MS));
+    if unrecorded > 0 {
+        log::warn!("{unrecorded} jobs have no result in the log; they run again on another VM");
+    }
     if !shared.claims.release(RELEASE_WAIT_MS) {
         log::warn!(
             "the release of some key ranges was not confirmed; their next owner has to take them over"
--- a/crates/router/src/jobs.rs
+++ b/crates/router/src/jobs.rs
@@ -174,6 +174,18 @@
         }
     }
 
+    /// Waits until each job that runs on this VM has a result in the log, and returns the number of those that have none.
+    pub fn wait_for_results(&self, wait: Duration) -> usize {
+        let has_unrecorded = |state: &mut State| state.jobs.running() > 0;
+        let waited = self
+            .changed
+            .wait_timeout_while(self.lock(), wait, has_unrecorded);
+        match waited {
+            Ok((state, _)) => state.jobs.running(),
+            Err(poisoned) => poisoned.into_inner().0.jobs.running(),
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         let guard = self.state.lock();
         guard.unwrap_or_else(|poisoned| poisoned.into_inner())
--- a/crates/router/src/jobs/runner.rs
+++ b/crates/router/src/jobs/runner.rs
@@ -121,6 +121,7 @@
 fn fail(shared: &Shared, id: Uuid, wait_ms: u64) {
     let now_ms = unix_now_ms();
     shared.jobs.lock().jobs.fail(now_ms, id, wait_ms);
+    shared.jobs.changed.notify_all();
 }
 
 /// Returns whether the refusal is permanent, so that running the job again would not help.
