Take repeatable requests during a stop however long they take

A caller may repeat a repeatable request after the stop, and loses only time by the attempt; a refusal uses up one of its tries. A request that may run only once cannot be repeated after an answer that says unknown. So only those are refused at once if requests of their route took longer than what is left.

--- a/crates/core/src/forwarding/planned_stop.rs
+++ b/crates/core/src/forwarding/planned_stop.rs
@@ -49,6 +49,25 @@
     pub connections: u32,
 }
 
+/// A request that arrives during a stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NewRequest {
+    /// Longest time that it may take, in milliseconds.
+    pub timeout_ms: u64,
+    /// Time that requests of its route took lately, in milliseconds, if there were any.
+    pub typical_ms: Option<u64>,
+    /// Whether it may run more than once.
+    pub is_repeatable: bool,
+}
+
+impl NewRequest {
+    /// Returns whether the request is likely to end within `left_ms`.
+    fn fits(&self, left_ms: u64) -> bool {
+        self.typical_ms
+            .is_none_or(|typical_ms| typical_ms < left_ms)
+    }
+}
+
 /// A planned stop.
 #[derive(Clone, Copy, Debug)]
 pub struct PlannedStop {
@@ -69,18 +88,19 @@
 
     /// Returns whether a new request is accepted.
     ///
-    /// `timeout_ms` is the longest time that it may take, and `typical_ms` the time that such requests took lately, if
-    /// there were any. A request that cannot be expected to end in time is better served by another VM at once.
-    pub fn accepts(&self, timeout_ms: u64, typical_ms: Option<u64>, now_ms: u64) -> bool {
+    /// The caller of a request that may run only once cannot repeat it after the stop, so one that is unlikely to end in
+    /// time is left to another VM. The caller of a repeatable one loses nothing by the attempt but time.
+    pub fn accepts(&self, request: &NewRequest, now_ms: u64) -> bool {
         if self.phase != Phase::Draining {
             return false;
         }
         let elapsed_ms = now_ms.saturating_sub(self.since_ms);
         let left_ms = self.answers_due_ms(1).saturating_sub(elapsed_ms);
-        if timeout_ms < left_ms {
+        if request.timeout_ms < left_ms {
             return true;
         }
-        elapsed_ms < ACCEPT_MS && left_ms > 0 && typical_ms.is_none_or(|typical| typical < left_ms)
+        let is_worthwhile = request.is_repeatable || request.fits(left_ms);
+        elapsed_ms < ACCEPT_MS && left_ms > 0 && is_worthwhile
     }
 
     /// Moves on to the phase that follows from what is left to do, and returns it; a phase never comes back.
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -14,6 +14,7 @@
 use waxwing_core::forwarding::Execution;
 use waxwing_core::forwarding::configuration::Route;
 use waxwing_core::forwarding::planned_stop::FinalAnswer;
+use waxwing_core::forwarding::planned_stop::NewRequest;
 use waxwing_core::forwarding::planned_stop::Phase;
 use waxwing_core::forwarding::planned_stop::PlannedStop;
 use waxwing_core::forwarding::planned_stop::Remaining;
@@ -138,8 +139,12 @@
         let Some(stop) = self.planned_stop.get() else {
             return true;
         };
-        let typical_ms = self.typical_times.borrow().get(&route.name);
-        stop.accepts(route.timeout_ms, typical_ms, self.clock.now_ms())
+        let request = NewRequest {
+            timeout_ms: route.timeout_ms,
+            typical_ms: self.typical_times.borrow().get(&route.name),
+            is_repeatable: route.is_repeatable(),
+        };
+        stop.accepts(&request, self.clock.now_ms())
     }
 
     /// Leaves the directory, finishes the requests in progress, and gives those that cannot be finished a final answer.
