Close before ending also when a stop was delayed

Cause: a stop that was late moved from draining to ended at once, and the answers were left out. A closing VM also ended by the clock, whether its requests had been given their answers or not.

Change: a draining VM always closes first, and a closing VM ends when its time is up and each request has its answer, which takes only processor time. What is broken off gets six rounds of the executor instead of 30 ms of the clock.

--- a/crates/core/src/forwarding/planned_stop.rs
+++ b/crates/core/src/forwarding/planned_stop.rs
@@ -104,19 +104,26 @@
     }
 
     /// Moves on to the phase that follows from what is left to do, and returns it; a phase never comes back.
+    ///
+    /// The VM closes before it ends even if it was delayed, and a closing VM does not end before all requests have an answer,
+    /// since they get no other one. Giving them one takes no more than processor time.
     pub fn advance(&mut self, remaining: Remaining, now_ms: u64) -> Phase {
         let elapsed_ms = now_ms.saturating_sub(self.since_ms);
-        if elapsed_ms >= self.end_ms() {
-            self.phase = Phase::Ended;
-        }
-        if self.phase == Phase::Draining {
-            let is_idle = remaining.unanswered == 0 && remaining.relaying == 0;
-            let is_done = is_idle && elapsed_ms >= ADDRESS_LINGER_MS;
-            if is_done || elapsed_ms >= self.answers_due_ms(remaining.unanswered) {
-                self.phase = Phase::Closing;
+        match self.phase {
+            Phase::Draining => {
+                let is_idle = remaining.unanswered == 0 && remaining.relaying == 0;
+                let is_done = is_idle && elapsed_ms >= ADDRESS_LINGER_MS;
+                if is_done || elapsed_ms >= self.answers_due_ms(remaining.unanswered) {
+                    self.phase = Phase::Closing;
+                }
+            }
+            Phase::Closing => {
+                let is_due = elapsed_ms >= self.end_ms() && remaining.unanswered == 0;
+                if is_due || remaining == Remaining::default() {
+                    self.phase = Phase::Ended;
+                }
             }
-        } else if self.phase == Phase::Closing && remaining == Remaining::default() {
-            self.phase = Phase::Ended;
+            Phase::Ended => {}
         }
         self.phase
     }
--- a/crates/core/tests/planned_stop.rs
+++ b/crates/core/tests/planned_stop.rs
@@ -30,15 +30,22 @@
     }
 }
 
-/// Moves a stop on in steps of 10 ms until it reaches a phase, and returns the time that it took.
-fn time_to(phase: Phase, left: Remaining, grace_ms: u64) -> u64 {
+/// Moves a stop on in steps of 10 ms until it reaches a phase, and returns the time that it took. Requests without an answer
+/// get one when the VM is closing.
+fn time_to(phase: Phase, mut left: Remaining, grace_ms: u64) -> u64 {
     let mut stop = PlannedStop::new(grace_ms, 1_000);
     let mut elapsed_ms = 0;
-    while stop.advance(left, 1_000 + elapsed_ms) < phase {
+    loop {
+        let reached = stop.advance(left, 1_000 + elapsed_ms);
+        if reached >= phase {
+            return elapsed_ms;
+        }
+        if reached == Phase::Closing {
+            left.unanswered = 0;
+        }
         elapsed_ms += 10;
         assert!(elapsed_ms < grace_ms, "SIGKILL comes before {phase:?}");
     }
-    elapsed_ms
 }
 
 /// An answer that says "not run" must be certain, and one that may run twice must not invite a repeat, in every state.
@@ -119,6 +126,20 @@
     assert_eq!(stop.advance(remaining(0, 0, 0), 5_100), Phase::Ended);
 }
 
+/// A VM that gets no processor time until its end has passed must still send final answers.
+#[test]
+fn delayed_stop() {
+    for late_ms in [GRACE_MS - 250, GRACE_MS, 3 * GRACE_MS] {
+        let mut stop = PlannedStop::new(GRACE_MS, 0);
+        let left = remaining(40, 5, 45);
+        assert_eq!(stop.advance(left, 100), Phase::Draining);
+        assert_eq!(stop.advance(left, late_ms), Phase::Closing);
+        assert_eq!(stop.advance(left, late_ms + 500), Phase::Closing);
+        let answered = remaining(0, 5, 5);
+        assert_eq!(stop.advance(answered, late_ms + 501), Phase::Ended);
+    }
+}
+
 /// Whatever the order of events, phases only go forward, the end comes before SIGKILL, and nothing is left before it.
 #[test]
 fn random_orders() {
@@ -137,7 +158,7 @@
             assert!(phase >= before, "seed {seed}: back to {phase:?}");
             before = phase;
             if phase == Phase::Ended {
-                let is_due = now_ms + 400 >= grace_ms;
+                let is_due = now_ms + 400 >= grace_ms && left.unanswered == 0;
                 assert!(
                     is_due || left == Remaining::default(),
                     "seed {seed}: {left:?}"
@@ -154,6 +175,9 @@
             ] {
                 *count -= (*count).min(random.random_range(0..20));
             }
+            if phase == Phase::Closing {
+                left.unanswered = 0;
+            }
             if phase == Phase::Draining && random.random_bool(0.3) {
                 left.unanswered += random.random_range(0..20);
             }
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -1,4 +1,7 @@
 //! How far requests have come, for the final answer that they get if the VM stops before they end.
+//!
+//! [`waxwing_core::forwarding::run::Progress`] holds the runs of one request for the decision about the next one; the progress
+//! here is shared with the stop, and is counted.
 
 use std::cell::Cell;
 use std::rc::Rc;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -52,7 +52,7 @@
     pub idle_ms: Rc<Cell<u64>>,
 }
 
-/// Ends the connections of a listener once they have sent what they owe; the default value does so when it is closed.
+/// Lets a listener end gracefully: idle connections are closed at once, the others after the response in progress.
 #[derive(Debug, Default)]
 pub struct Drain {
     closing: Latch,
@@ -61,7 +61,7 @@
 }
 
 impl Drain {
-    /// Closes the listener and idle connections; the others are closed after the response in progress.
+    /// Ends the listener and its connections; without this call they last as long as the process.
     pub(crate) fn close(&self) {
         self.closing.open();
     }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -37,8 +37,12 @@
 /// Longest time between two looks at what is left to do, in milliseconds.
 const CHECK_MS: u64 = 20;
 
-/// Time for connections whose answer was broken off to be closed, in milliseconds.
-const BREAK_OFF_MS: u64 = 30;
+/// Rounds in which connections whose answer was broken off are closed. A round lets all tasks that are ready run, also on a VM
+/// that gets little processor time.
+const BREAK_OFF_ROUNDS: usize = 6;
+
+/// Pause between two such rounds, in milliseconds.
+const BREAK_OFF_MS: u64 = 5;
 
 /// Status in the log of an answer that was broken off; the caller had received its head.
 const BROKEN_OFF_STATUS: u16 = 200;
@@ -168,7 +172,10 @@
         }
         self.stop_signals.ending.open();
         let unsent = self.stop_signals.callers.used_count();
-        if unsent > 0 {
+        for _ in 0..BREAK_OFF_ROUNDS {
+            if self.stop_signals.callers.used_count() == 0 {
+                break;
+            }
             Timer::after(Duration::from_millis(BREAK_OFF_MS)).await;
         }
         let ended = |stage| self.stop_signals.ended.get(stage);
