--- a/review/sim-2/main.rs
+++ b/review/sim-2/main.rs
@@ -7,6 +7,7 @@
 
 mod deployment;
 mod engine;
+mod failing;
 mod foreign;
 mod http;
 mod record;
@@ -20,6 +21,7 @@
     };
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = record::Record::create(path).and_then(|record| match case.as_str() {
+        "failing" => failing::run(&record, has_trouble),
         "foreign" => foreign::run(&record, has_trouble),
         _ => Err(format!("unknown case {case}")),
     });
