--- a/review/sim-2/main.rs
+++ b/review/sim-2/main.rs
@@ -10,6 +10,7 @@
 mod failing;
 mod foreign;
 mod http;
+mod memory;
 mod record;
 mod store;
 
@@ -23,6 +24,7 @@
     let outcome = record::Record::create(path).and_then(|record| match case.as_str() {
         "failing" => failing::run(&record, has_trouble),
         "foreign" => foreign::run(&record, has_trouble),
+        "memory" => memory::run(&record, has_trouble),
         _ => Err(format!("unknown case {case}")),
     });
     match outcome {
