--- a/review/sim-2/main.rs
+++ b/review/sim-2/main.rs
@@ -11,6 +11,7 @@
 mod foreign;
 mod http;
 mod memory;
+mod poison;
 mod record;
 mod store;
 
@@ -25,6 +26,7 @@
         "failing" => failing::run(&record, has_trouble),
         "foreign" => foreign::run(&record, has_trouble),
         "memory" => memory::run(&record, has_trouble),
+        "poison" => poison::run(&record, has_trouble),
         _ => Err(format!("unknown case {case}")),
     });
     match outcome {
