--- a/review/sim-2/engine.rs
+++ b/review/sim-2/engine.rs
@@ -27,20 +27,10 @@
 /// Silence after which the platform removes an entry: three intervals.
 const EXPIRY: Duration = Duration::from_millis(3_600);
 
-/// Time until an engine that crashed is back.
-const BACK: Duration = Duration::from_millis(3_000);
-
-/// Sequence number of the entry that says that an engine is draining; higher than those of its heartbeats before.
-const DRAIN_SEQUENCE: u64 = 1_000_000;
-
 /// What an engine does with a request that it runs.
 pub enum Work {
     /// Works for so long, and answers with a status and a body.
     Answer(Duration, u16, String),
-    /// Crashes.
-    Crash,
-    /// Sends a stream without a length, event by event, with a pause before each; the end of the connection ends it.
-    Unframed(usize, Duration),
 }
 
 /// Decides what an engine does with a request.
@@ -50,7 +40,6 @@
     id: String,
     born_ms: u128,
     is_up: AtomicBool,
-    is_draining: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
 }
 
@@ -106,7 +95,6 @@
             id: format!("i-{}-{number}", state.name),
             born_ms: unix_ms(),
             is_up: AtomicBool::new(true),
-            is_draining: AtomicBool::new(false),
             connections: Mutex::default(),
         });
         *state.boot.lock().unwrap() = Some(Arc::clone(&boot));
@@ -125,9 +113,7 @@
         let mut sequence = 0;
         while boot.is_up.load(Ordering::SeqCst) {
             sequence += 1;
-            if !boot.is_draining.load(Ordering::SeqCst) {
-                self.write_entry(boot, sequence);
-            }
+            self.write_entry(boot, sequence);
             thread::sleep(HEARTBEAT);
         }
         thread::sleep(EXPIRY.saturating_sub(HEARTBEAT));
@@ -135,56 +121,14 @@
     }
 
     fn write_entry(&self, boot: &Boot, sequence: u64) {
-        let state = match boot.is_draining.load(Ordering::SeqCst) {
-            true => "draining",
-            false => "ready",
-        };
         let entry = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"lub-a\",\"version\":\"v1\",\"slots\":6,\
-             \"state\":\"{state}\",\"cold_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
+             \"state\":\"ready\",\"cold_ms\":0,\"sequence\":{sequence},\"born\":{}}}",
             self.0.service, self.0.address, boot.born_ms
         );
         self.0.store.put("keyed.servers", &boot.id, &entry);
     }
 
-    /// Reports that the engine is draining.
-    pub fn drain(&self) {
-        if let Some(boot) = self.0.boot.lock().unwrap().clone() {
-            boot.is_draining.store(true, Ordering::SeqCst);
-            self.write_entry(&boot, DRAIN_SEQUENCE);
-            self.0
-                .record
-                .write(&format!("engine {} reports that it is draining", boot.id));
-        }
-    }
-
-    /// Ends the engine as a kill does: its sockets are closed, and nothing is sent any more.
-    pub fn end(&self, cause: &str) {
-        let Some(boot) = self.0.boot.lock().unwrap().take() else {
-            return;
-        };
-        boot.is_up.store(false, Ordering::SeqCst);
-        // The socket that it listens on is closed first.
-        thread::sleep(Duration::from_millis(5));
-        for stream in boot.connections.lock().unwrap().drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-        self.0
-            .record
-            .write(&format!("engine {} ends: {cause}", boot.id));
-    }
-
-    fn crash(&self) {
-        self.end("crash");
-        let engine = self.clone();
-        thread::spawn(move || {
-            thread::sleep(BACK);
-            if let Ok(listener) = TcpListener::bind(engine.0.address) {
-                engine.boot(listener);
-            }
-        });
-    }
-
     fn accept(&self, boot: &Arc<Boot>, listener: &TcpListener) {
         let _ = listener.set_nonblocking(true);
         while boot.is_up.load(Ordering::SeqCst) {
@@ -252,32 +196,6 @@
                 ));
                 stream.write_all(head.as_bytes()).is_ok()
             }
-            Work::Crash => {
-                self.crash();
-                false
-            }
-            Work::Unframed(events, pause) => {
-                let head = format!(
-                    "HTTP/1.1 200 -\r\n{common}Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
-                );
-                let from = request.header("last-event-id").parse().unwrap_or(0);
-                if stream.write_all(head.as_bytes()).is_err() {
-                    return false;
-                }
-                for id in from + 1..=events {
-                    thread::sleep(pause);
-                    let event = format!("id: {id}\ndata: piece {id} of {events}\n\n");
-                    let is_up = boot.is_up.load(Ordering::SeqCst);
-                    if !is_up || stream.write_all(event.as_bytes()).is_err() {
-                        return false;
-                    }
-                }
-                state.record.write(&format!(
-                    "engine {} has sent the last piece of {attempt}",
-                    boot.id
-                ));
-                false
-            }
         }
     }
 }
--- a/review/sim-2/main.rs
+++ b/review/sim-2/main.rs
@@ -5,14 +5,11 @@
 
 use std::process::ExitCode;
 
-mod cut;
 mod deployment;
 mod engine;
 mod failing;
-mod foreign;
 mod http;
 mod memory;
-mod poison;
 mod record;
 mod store;
 
@@ -25,10 +22,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = record::Record::create(path).and_then(|record| match case.as_str() {
         "failing" => failing::run(&record, has_trouble),
-        "cut" => cut::run(&record, has_trouble),
-        "foreign" => foreign::run(&record, has_trouble),
         "memory" => memory::run(&record, has_trouble),
-        "poison" => poison::run(&record, has_trouble),
         _ => Err(format!("unknown case {case}")),
     });
     match outcome {
