Requests hold less memory: futures are not kept twice, bodies are not copied

The handler is boxed per request now, wrappers get pinned futures, the request state moves as a box, and bodies are written with writev instead of being copied into a flat buffer.

--- a/crates/gateway/src/budgeted_stream.rs
+++ b/crates/gateway/src/budgeted_stream.rs
@@ -1,5 +1,6 @@
 //! A stream that yields to other tasks while its peer sends continuously.
 
+use std::io::IoSlice;
 use std::io::Result;
 use std::pin::Pin;
 use std::task::Context;
@@ -59,6 +60,14 @@
         Pin::new(&mut self.stream).poll_write(context, buffer)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
         Pin::new(&mut self.stream).poll_flush(context)
     }
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -72,7 +72,9 @@
             .ok_or_else(|| connect(std::io::ErrorKind::TimedOut.into()))?
             .map_err(connect)?;
         set_options(&stream, UNACKNOWLEDGED_MAX_MS);
+        // Otherwise each body would be copied into a buffer that the connection keeps.
         let handshake = http1::Builder::new()
+            .writev(true)
             .handshake(FuturesIo::new(BudgetedStream::new(stream)))
             .await;
         let (sender, connection) =
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::pin::pin;
 use std::rc::Rc;
 
 use http_body_util::BodyExt;
@@ -188,7 +189,7 @@
     let mut response = match gateway.adapter.parse_request(&head.headers) {
         Ok(request_info) => {
             let request_id = request_info.request_id.clone().unwrap_or_default();
-            let answer = answer(&gateway, head, request_info, incoming, &progress);
+            let answer = pin!(answer(&gateway, head, request_info, incoming, &progress));
             stop::answer_until_closing(&gateway, &progress, &request_id, answer).await
         }
         Err(message) => {
@@ -259,7 +260,7 @@
         .and_then(|known| known.service(&service));
     let prompt = request_info.prompt.as_ref();
     let part_gate = PartGate::new(organisation.as_ref(), &service, prompt);
-    let mut exchange = Exchange {
+    let mut exchange = Box::new(Exchange {
         gateway: Rc::clone(gateway),
         trace,
         lane: lane.unwrap_or_default(),
@@ -284,7 +285,7 @@
         reserved: RefCell::new(None),
         was_denied: Cell::new(false),
         in_progress,
-    };
+    });
     if gateway.is_crashing(&exchange.content) {
         let message = "endpoints crashed on this content";
         let refusal = Refusal::not_run(Reason::Crashing, CRASHING_RETRY_AFTER_MS, message);
@@ -404,7 +405,7 @@
 
 impl Exchange {
     /// Sends the request to endpoints until there is a final response.
-    async fn run(mut self) -> Response<Body> {
+    async fn run(mut self: Box<Self>) -> Response<Body> {
         if self.remaining_ms() == 0 {
             return self.give_up(None, true);
         }
@@ -430,7 +431,7 @@
                         outcome,
                         failure: newer,
                     } => {
-                        self = *exchange;
+                        self = exchange;
                         failure = newer.or(failure);
                         outcome
                     }
@@ -575,7 +576,7 @@
 
     /// Builds the final response of a request that got no usable one.
     pub(crate) fn give_up(
-        mut self,
+        mut self: Box<Self>,
         failure: Option<Response<Body>>,
         is_expired: bool,
     ) -> Response<Body> {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -109,7 +109,7 @@
 }
 
 /// Relays an endpoint's response to the caller.
-pub(crate) async fn deliver(exchange: Exchange, received: EndpointResponse) -> Delivery {
+pub(crate) async fn deliver(exchange: Box<Exchange>, received: EndpointResponse) -> Delivery {
     let status = received.response.status();
     if exchange.route.kind == RouteKind::Stream && status.is_success() {
         return Delivery::Delivered(stream(exchange, received).await);
@@ -118,7 +118,7 @@
 }
 
 /// Buffers a response and relays it; a long one is relayed while it arrives.
-async fn deliver_whole(mut exchange: Exchange, received: EndpointResponse) -> Delivery {
+async fn deliver_whole(mut exchange: Box<Exchange>, received: EndpointResponse) -> Delivery {
     let (head, mut source) = Source::new(received);
     source.run.record_first_byte();
     exchange.trace.record_first_byte();
@@ -162,12 +162,12 @@
 }
 
 fn unusable_delivery(
-    exchange: Exchange,
+    exchange: Box<Exchange>,
     outcome: RunOutcome,
     failure: Option<Response<Body>>,
 ) -> Delivery {
     Delivery::Unusable {
-        exchange: Box::new(exchange),
+        exchange,
         outcome,
         failure,
     }
@@ -186,7 +186,12 @@
     Ok(())
 }
 
-async fn pump_long(mut exchange: Exchange, mut source: Source, first: Bytes, chunks: ChunkSender) {
+async fn pump_long(
+    mut exchange: Box<Exchange>,
+    mut source: Source,
+    first: Bytes,
+    chunks: ChunkSender,
+) {
     let mut next = Some(first);
     let mut passed_bytes = 0;
     loop {
@@ -231,7 +236,7 @@
 /// Starts to relay an event stream, and returns its response when there is something to relay.
 ///
 /// A head without an event would tell the caller nothing, and would leave no way to answer with a failure.
-async fn stream(exchange: Exchange, received: EndpointResponse) -> Response<Body> {
+async fn stream(exchange: Box<Exchange>, received: EndpointResponse) -> Response<Body> {
     let (head, source) = Source::new(received);
     let (start, started) = oneshot::channel();
     let body = relayed_body(exchange, |exchange, chunks| {
@@ -246,7 +251,10 @@
 }
 
 /// Returns a body that a task relays, until it is complete or the VM ends.
-fn relayed_body<F>(exchange: Exchange, pump: impl FnOnce(Exchange, ChunkSender) -> F) -> Body
+fn relayed_body<F>(
+    exchange: Box<Exchange>,
+    pump: impl FnOnce(Box<Exchange>, ChunkSender) -> F,
+) -> Body
 where
     F: Future<Output = ()> + 'static,
 {
@@ -254,14 +262,14 @@
     let progress = Rc::clone(&exchange.request_progress);
     let executor = gateway.executor;
     Body::streamed(|chunks| {
-        let pump = pump(exchange, chunks.clone());
+        let pump = Box::pin(pump(exchange, chunks.clone()));
         executor.spawn(stop::relay_until_end(gateway, progress, chunks, pump))
     })
 }
 
 /// Relays events until the stream is complete; a broken stream resumes at another endpoint if the route allows it.
 async fn pump_events(
-    mut exchange: Exchange,
+    mut exchange: Box<Exchange>,
     mut source: Source,
     chunks: ChunkSender,
     start: oneshot::Sender<StreamStart>,
@@ -295,7 +303,7 @@
 
 /// Ends a stream that cannot be completed: with a final answer if nothing of it has been relayed.
 async fn give_up_stream(
-    mut exchange: Exchange,
+    mut exchange: Box<Exchange>,
     outcome: RunOutcome,
     chunks: &ChunkSender,
     start: Option<oneshot::Sender<StreamStart>>,
@@ -303,7 +311,6 @@
     let Some(start) = start else {
         return abort(&mut exchange, chunks).await;
     };
-    let exchange = Box::new(exchange);
     // Fails only if the caller closed the connection.
     let _ = start.send(StreamStart::GivenUp { exchange, outcome });
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -169,7 +169,8 @@
     let service = service_fn(|request| {
         used.get_or_init(|| UsedConnection::new(&drain));
         in_progress.set(in_progress.get() + 1);
-        let answer = handler(request);
+        // In a box, since the connection keeps the space of the future for as long as it is open.
+        let answer = Box::pin(handler(request));
         let in_progress = Rc::clone(&in_progress);
         let used_at_ms = Rc::clone(&used_at_ms);
         async move {
@@ -181,6 +182,7 @@
     });
     let connection = http1::Builder::new()
         .header_read_timeout(None)
+        .writev(true)
         .max_buf_size(limits.head_max_bytes.max(8_192))
         .serve_connection(FuturesIo::new(BudgetedStream::new(stream)), service);
     futures::pin_mut!(connection);
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -1,5 +1,6 @@
 //! The planned stop of a VM: no task that holds a caller's request ends without telling the caller.
 
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -67,9 +68,8 @@
     gateway: &Gateway,
     progress: &RequestProgress,
     request_id: &str,
-    answer: impl Future<Output = Response<Body>>,
+    answer: Pin<&mut impl Future<Output = Response<Body>>>,
 ) -> Response<Body> {
-    futures::pin_mut!(answer);
     match select(answer, gateway.stop_signals.closing.wait()).await {
         Either::Left((response, _)) => response,
         Either::Right(_) => end_request(gateway, progress, request_id),
@@ -116,15 +116,12 @@
     gateway: Rc<Gateway>,
     progress: Rc<RequestProgress>,
     chunks: ChunkSender,
-    relaying: impl Future<Output = ()>,
+    relaying: Pin<Box<impl Future<Output = ()>>>,
 ) {
-    {
-        futures::pin_mut!(relaying);
-        match select(relaying, gateway.stop_signals.ending.wait()).await {
-            Either::Left(_) => return,
-            Either::Right(_) => {
-                gateway.record_stop_end(&progress, BROKEN_OFF_STATUS, Execution::Unknown);
-            }
+    match select(relaying, gateway.stop_signals.ending.wait()).await {
+        Either::Left(_) => return,
+        Either::Right(_) => {
+            gateway.record_stop_end(&progress, BROKEN_OFF_STATUS, Execution::Unknown);
         }
     }
     // Without an error the answer would look complete. Fails only if the caller has closed the connection.
