Memory of requests is bounded by one budget, counted before bodies arrive

Cause: the only limits were a quarter of the memory for bodies that had been read, and connections by descriptors. A request holds several times its body.

Now connections, requests, bodies (by their stated length, before they arrive) and kept connections to endpoints are counted against three quarters of the memory that the program leaves. What does not fit is refused with 503 `memory_full` (not run), the least urgent first; Retry-After follows the rate at which memory is released, one caller after the other. The rest of a refused body is read and dropped, so that the caller gets its refusal and not a reset; frames are copied, since a frame keeps the whole read buffer; read buffers are bounded by the configured header_bytes instead of 64 KiB.

--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -8,6 +8,7 @@
 pub mod endpoints;
 pub mod event_stream;
 pub mod lanes;
+pub mod memory_budget;
 pub mod peers;
 pub mod permits;
 pub mod placement;
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -63,6 +63,8 @@
     DeadlineUnreachable "deadline_unreachable" 503;
     /// The queue of the pool or the daemon is full.
     QueueFull "queue_full" 503;
+    /// The VM holds as much memory for requests as it may.
+    MemoryFull "memory_full" 503;
     /// The organisation is at its limit of requests in flight.
     OrganisationLimit "organisation_limit" 429;
     /// The class is at its limit of requests in flight.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,10 +6,10 @@
 use std::rc::Rc;
 
 use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Body as _;
 use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
@@ -47,6 +47,9 @@
 use crate::exchange::parts::PartGate;
 use crate::exchange::repeat::RepeatGuard;
 use crate::gateway::Gateway;
+use crate::memory::ENDPOINT_CONNECTION_BYTES;
+use crate::memory::MemoryHold;
+use crate::memory::REQUEST_BYTES;
 use crate::metric;
 use crate::progress::RequestProgress;
 use crate::relay;
@@ -81,12 +84,15 @@
 /// Time without a confirmed configuration after which a missing route or key may be a new one, in milliseconds.
 const CONFIGURATION_STALE_MS: u64 = 4_000;
 
+/// Least memory by which a body without a stated length grows, in bytes.
+const BODY_STEP_BYTES: usize = 16_384;
+
+/// Longest time for which the body of a refused request is read, in milliseconds.
+const DISCARD_MS: u64 = 3_000;
+
 /// Most requests for permits before a request is placed at an endpoint without a rate limit.
 const PERMIT_REQUESTS_MAX: usize = 3;
 
-/// Divisor of the memory limit that gives the bytes of request bodies held at once.
-const BODY_MEMORY_SHARE: u64 = 4;
-
 /// A request that was admitted.
 pub(crate) struct Exchange {
     pub(crate) gateway: Rc<Gateway>,
@@ -121,10 +127,10 @@
     in_progress: InProgress,
 }
 
-/// Counts the buffered bytes of a request and its demand until it is dropped.
+/// Counts the memory of a request and its demand until it is dropped.
 struct InProgress {
     gateway: Rc<Gateway>,
-    bytes: usize,
+    memory: MemoryHold,
     /// Service and lane under which the demand tracker counts the request as in progress; `None` if it does not.
     stream: Option<(u64, Lane)>,
 }
@@ -133,7 +139,7 @@
     fn new(gateway: &Rc<Gateway>) -> Self {
         Self {
             gateway: Rc::clone(gateway),
-            bytes: 0,
+            memory: gateway.memory.hold(0),
             stream: None,
         }
     }
@@ -146,18 +152,10 @@
             .borrow_mut()
             .begin(service, lane);
     }
-
-    fn hold(&mut self, bytes: usize) {
-        self.bytes += bytes;
-        let buffered = &self.gateway.buffered_bytes;
-        buffered.set(buffered.get() + bytes);
-    }
 }
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        let buffered = &self.gateway.buffered_bytes;
-        buffered.set(buffered.get() - self.bytes);
         if let Some((service, lane)) = self.stream {
             self.gateway.demand_tracker.borrow_mut().end(service, lane);
         }
@@ -227,7 +225,10 @@
     );
     let (route, organisation, level) = match admitted {
         Ok(admitted) => admitted,
-        Err(refusal) => return refuse(gateway, &mut trace, &refusal, false),
+        Err(refusal) => {
+            discard_body(gateway, incoming);
+            return refuse(gateway, &mut trace, &refusal, false);
+        }
     };
     trace.set_caller(organisation.as_ref(), level);
     progress.set_repeatable(route.is_repeatable());
@@ -240,11 +241,25 @@
         .unwrap_or(route.timeout_ms)
         .min(route.timeout_ms);
     let deadline_ms = trace.received_ms() + limit_ms;
-    let body = match read_body(incoming, limits.body_max_bytes, limit_ms).await {
+    let memory = &mut in_progress.memory;
+    let body_max_bytes = limits.body_max_bytes;
+    let body = match read_body(incoming, body_max_bytes, limit_ms, level, memory).await {
         Ok(body) => body,
-        Err(refusal) => return refuse(gateway, &mut trace, &refusal, true),
+        Err(BodyError::Refused(refusal)) => return refuse(gateway, &mut trace, &refusal, true),
+        Err(BodyError::NoMemory {
+            asked_bytes,
+            unread,
+        }) => {
+            discard_body(gateway, unread);
+            let held_bytes = gateway.memory.held_bytes();
+            trace.record_memory(held_bytes, asked_bytes);
+            let retry_after_ms = gateway.memory.retry_delay_ms(level, asked_bytes);
+            let message = "this VM has no memory for the request; use another entry address";
+            let refusal = Refusal::not_run(Reason::MemoryFull, retry_after_ms, message);
+            // An open connection holds memory as well.
+            return refuse(gateway, &mut trace, &refusal, true);
+        }
     };
-    in_progress.hold(body.len());
     progress.set_stage(Stage::Waiting);
     let draw = (gateway.draw() >> 32) as u32;
     let Some(service) = route.pick_service(draw).cloned() else {
@@ -348,41 +363,120 @@
             message,
         ));
     }
-    let buffered = gateway.buffered_bytes.get() as u64;
-    if buffered > gateway.settings.limits.memory_mb * 1_000_000 / BODY_MEMORY_SHARE {
-        let message = "this VM holds too many request bodies; use another entry address";
-        return Err(Refusal::not_run(
-            Reason::QueueFull,
-            UNREADY_RETRY_AFTER_MS,
-            message,
-        ));
-    }
     let rank = organisation.and_then(|organisation| organisation.priority);
     let name = organisation.map(|organisation| organisation.name.clone());
     Ok((route.clone(), name, UrgencyLevel::new(rank, route.priority)))
 }
 
+/// Why a request has no body that can be sent to an endpoint.
+enum BodyError {
+    /// The caller did not send a proper one.
+    Refused(Refusal),
+    /// There is no memory for it.
+    NoMemory {
+        /// Bytes that there was no memory for.
+        asked_bytes: u64,
+        /// What was not read yet.
+        unread: Incoming,
+    },
+}
+
+/// Reads a body, and counts the memory of the request; a stated length counts before its bytes arrive.
+///
+/// Requests that have begun to send a body would otherwise take the memory from one another, and none of them would be
+/// served.
 async fn read_body(
     incoming: Incoming,
     body_max_bytes: usize,
     limit_ms: u64,
-) -> Result<Bytes, Refusal> {
-    let collected = with_timeout(limit_ms, Limited::new(incoming, body_max_bytes).collect()).await;
-    match collected {
-        Some(Ok(body)) => Ok(body.to_bytes()),
-        Some(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            let message = format!("the body exceeds {body_max_bytes} bytes; send a shorter one");
-            Err(Refusal::not_run(Reason::BodyTooLarge, 0, message))
+    level: UrgencyLevel,
+    memory: &mut MemoryHold,
+) -> Result<Bytes, BodyError> {
+    let length = incoming.size_hint().exact();
+    if length.is_some_and(|length| length > body_max_bytes as u64) {
+        return Err(BodyError::Refused(overlong(body_max_bytes)));
+    }
+    let asked_bytes = REQUEST_BYTES + ENDPOINT_CONNECTION_BYTES + length.unwrap_or(0);
+    if !memory.try_grow(level, asked_bytes) {
+        return Err(BodyError::NoMemory {
+            asked_bytes,
+            unread: incoming,
+        });
+    }
+    let reading = collect_body(incoming, body_max_bytes, length, level, memory);
+    match with_timeout(limit_ms, reading).await {
+        Some(collected) => collected,
+        None => {
+            let message = format!("the body did not arrive within {limit_ms} ms");
+            let refusal = Refusal::not_run(Reason::BadRequest, 0, message);
+            Err(BodyError::Refused(refusal))
         }
-        Some(Err(error)) => {
+    }
+}
+
+/// Reads a body whose memory is counted if it states a `length`.
+async fn collect_body(
+    mut incoming: Incoming,
+    body_max_bytes: usize,
+    length: Option<u64>,
+    level: UrgencyLevel,
+    memory: &mut MemoryHold,
+) -> Result<Bytes, BodyError> {
+    // The bytes of a frame are a part of the connection's buffer, which is kept for as long as one of them is, so they
+    // are copied.
+    let mut body = Vec::new();
+    while let Some(frame) = incoming.frame().await {
+        let frame = frame.map_err(|error| {
             let message = format!("the body cannot be read: {error}");
-            Err(Refusal::not_run(Reason::BadRequest, 0, message))
+            BodyError::Refused(Refusal::not_run(Reason::BadRequest, 0, message))
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if body.len() + data.len() > body_max_bytes {
+            return Err(BodyError::Refused(overlong(body_max_bytes)));
         }
-        None => {
-            let message = format!("the body did not arrive within {limit_ms} ms");
-            Err(Refusal::not_run(Reason::BadRequest, 0, message))
+        if length == Some(data.len() as u64) {
+            return Ok(data);
+        }
+        if body.len() + data.len() > body.capacity() {
+            let more = match length {
+                Some(length) => usize::try_from(length).unwrap_or(body_max_bytes),
+                None => data.len().max(body.capacity() / 4).max(BODY_STEP_BYTES),
+            };
+            if length.is_none() && !memory.try_grow(level, more as u64) {
+                return Err(BodyError::NoMemory {
+                    asked_bytes: more as u64,
+                    unread: incoming,
+                });
+            }
+            // Growing by a factor would hold more than is counted.
+            body.reserve_exact(body.capacity() - body.len() + more);
         }
+        body.extend_from_slice(&data);
     }
+    Ok(Bytes::from(body))
+}
+
+fn overlong(body_max_bytes: usize) -> Refusal {
+    let message = format!("the body exceeds {body_max_bytes} bytes; send a shorter one");
+    Refusal::not_run(Reason::BodyTooLarge, 0, message)
+}
+
+/// Reads the rest of a refused request's body and drops it.
+///
+/// Closing a connection with unread bytes resets it, and the caller could lose its refusal.
+fn discard_body(gateway: &Gateway, mut unread: Incoming) {
+    if unread.is_end_stream() {
+        return;
+    }
+    let discarding = async move { while let Some(Ok(_)) = unread.frame().await {} };
+    let discarding = with_timeout(DISCARD_MS, discarding);
+    let task = gateway.executor.spawn(async move {
+        // The connection is closed if the caller takes longer.
+        let _ = discarding.await;
+    });
+    task.detach();
 }
 
 fn hash_content(organisation: Option<&Name>, head: &Parts, body: &Bytes) -> ContentHash {
@@ -574,6 +668,11 @@
         placement::choose(&gateway.placement, &endpoints, &request, now_ms)
     }
 
+    /// Counts the bytes of an answer that is held until it is complete.
+    pub(crate) fn hold_answer(&mut self, bytes: usize) {
+        self.in_progress.memory.grow(bytes as u64);
+    }
+
     /// Builds the final response of a request that got no usable one.
     pub(crate) fn give_up(
         mut self: Box<Self>,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use waxwing_core::forwarding::EndpointKey;
 use waxwing_core::forwarding::Endpoints;
 use waxwing_core::forwarding::admission;
+use waxwing_core::forwarding::configuration::Limits;
 use waxwing_core::forwarding::endpoints::Change;
 use waxwing_core::forwarding::endpoints::Demand;
 use waxwing_core::forwarding::endpoints::Entry;
@@ -57,6 +58,10 @@
 use crate::exchange;
 use crate::fleet;
 use crate::fleet::Fleet;
+use crate::memory::ENDPOINT_CONNECTION_BYTES;
+use crate::memory::Memory;
+use crate::memory::MemoryHold;
+use crate::memory::RECEIVING_CONNECTION_BYTES;
 use crate::metric;
 use crate::permits::PermitService;
 use crate::progress::StageCounts;
@@ -83,9 +88,25 @@
 /// Descriptors kept free for files and calls of the process itself.
 const DESCRIPTORS_RESERVED: u64 = 250;
 
+/// Divisor of the memory limit below which connections to endpoints are kept; beyond it the rest is for requests.
+const IDLE_MEMORY_SHARE: u64 = 2;
+
 /// Kept connections to one endpoint.
 const IDLE_PER_ENDPOINT_MAX: usize = 8;
 
+/// A connection to an endpoint that is kept for later requests.
+struct IdleConnection {
+    connection: Connection,
+    _memory: MemoryHold,
+}
+
+impl IdleConnection {
+    fn is_usable(&self, now_ms: u64) -> bool {
+        let connection = &self.connection;
+        connection.is_ready() && now_ms - connection.idle_since_ms < connection.idle_limit_ms()
+    }
+}
+
 /// The state that all tasks of a process share.
 pub struct Gateway {
     pub(crate) executor: &'static LocalExecutor<'static>,
@@ -115,13 +136,14 @@
     /// The stop that was asked for.
     pub(crate) planned_stop: Cell<Option<PlannedStop>>,
     pub(crate) typical_times: RefCell<TypicalTimes>,
-    pub(crate) buffered_bytes: Cell<usize>,
-    idle: RefCell<HashMap<EndpointKey, Vec<Connection>>>,
+    pub(crate) memory: Rc<Memory>,
+    idle: RefCell<HashMap<EndpointKey, Vec<IdleConnection>>>,
     configuration: RefCell<Option<Rc<Configuration>>>,
     /// Document of the configuration in force, as the log service holds it.
     document: RefCell<Option<String>>,
     has_endpoint_list: Cell<bool>,
     idle_timeout_ms: Rc<Cell<u64>>,
+    head_max_bytes: Rc<Cell<usize>>,
     random: RefCell<ChaCha8Rng>,
     /// Share of the slack of the repeat budget in the last log line about it.
     logged_repeat_slack: Cell<f64>,
@@ -174,12 +196,13 @@
             stop_signals: StopSignals::default(),
             planned_stop: Cell::new(None),
             typical_times: RefCell::default(),
-            buffered_bytes: Cell::new(0),
+            memory: Memory::new(clock, settings.limits.memory_mb * 1_000_000),
             idle: RefCell::new(HashMap::new()),
             configuration: RefCell::new(None),
             document: RefCell::new(None),
             has_endpoint_list: Cell::new(false),
             idle_timeout_ms: Rc::new(Cell::new(15_000)),
+            head_max_bytes: Rc::new(Cell::new(Limits::default().head_max_bytes)),
             random: RefCell::new(ChaCha8Rng::from_os_rng()),
             logged_repeat_slack: Cell::new(0.0),
             settings,
@@ -231,6 +254,8 @@
         metrics::gauge!(metric::CONFIGURATION_VERSION).set(version as f64);
         self.idle_timeout_ms
             .set(configuration.limits().idle_timeout_ms.max(1_000));
+        self.head_max_bytes
+            .set(configuration.limits().head_max_bytes);
         self.typical_times
             .borrow_mut()
             .retain(|route| configuration.has_route(route));
@@ -519,11 +544,11 @@
         let now_ms = self.clock.now_ms();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&key)?;
-        connections.retain(|connection| !connection.is_closed());
-        let index = connections.iter().rposition(|connection| {
-            connection.is_ready() && now_ms - connection.idle_since_ms < connection.idle_limit_ms()
-        })?;
-        Some(connections.swap_remove(index))
+        connections.retain(|kept| !kept.connection.is_closed());
+        let index = connections
+            .iter()
+            .rposition(|kept| kept.is_usable(now_ms))?;
+        Some(connections.swap_remove(index).connection)
     }
 
     /// Keeps a connection for later requests.
@@ -533,7 +558,9 @@
             .borrow()
             .get(key)
             .is_some_and(|e| e.is_usable());
-        if !is_usable || connection.is_closed() {
+        let memory = &self.memory;
+        let has_room = memory.held_bytes() < memory.limit_bytes() / IDLE_MEMORY_SHARE;
+        if !is_usable || !has_room || connection.is_closed() {
             return;
         }
         connection.idle_since_ms = self.clock.now_ms();
@@ -542,7 +569,10 @@
         if connections.len() >= IDLE_PER_ENDPOINT_MAX {
             connections.remove(0);
         }
-        connections.push(connection);
+        connections.push(IdleConnection {
+            connection,
+            _memory: memory.hold(ENDPOINT_CONNECTION_BYTES),
+        });
     }
 
     /// Closes the kept connections to an endpoint.
@@ -550,6 +580,31 @@
         self.idle.borrow_mut().remove(&key);
     }
 
+    /// Closes kept connections that no request can use any more.
+    fn drop_expired_idle(&self) {
+        let now_ms = self.clock.now_ms();
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|_, connections| {
+            connections.retain(|kept| kept.is_usable(now_ms));
+            !connections.is_empty()
+        });
+    }
+
+    /// Returns the limits of a listener whose connections count as memory of this process.
+    pub fn listener_limits(
+        &self,
+        connections_max: usize,
+        head_max_bytes: Rc<Cell<usize>>,
+        idle_ms: Rc<Cell<u64>>,
+    ) -> server::Limits {
+        server::Limits {
+            connections_max,
+            head_max_bytes,
+            idle_ms,
+            memory: Rc::clone(&self.memory),
+        }
+    }
+
     /// Serves callers and other VMs until SIGTERM, then stops gracefully.
     ///
     /// # Errors
@@ -566,11 +621,9 @@
 
         let gateway = Rc::clone(&self);
         let handler = Rc::new(move |request| exchange::serve(Rc::clone(&gateway), request));
-        let limits = server::Limits {
-            connections_max: self.connections_max(),
-            head_max_bytes: 65_536,
-            idle_ms: Rc::clone(&self.idle_timeout_ms),
-        };
+        let idle_ms = Rc::clone(&self.idle_timeout_ms);
+        let head_max_bytes = Rc::clone(&self.head_max_bytes);
+        let limits = self.listener_limits(self.connections_max(), head_max_bytes, idle_ms);
         executor
             .spawn(server::accept(
                 executor,
@@ -643,7 +696,11 @@
             .descriptors
             .saturating_sub(DESCRIPTORS_RESERVED);
         // Each request needs a connection of its own to an endpoint.
-        usize::try_from(free / 2).unwrap_or(usize::MAX).max(16)
+        let by_descriptors = free / 2;
+        let by_memory = self.memory.limit_bytes() / RECEIVING_CONNECTION_BYTES;
+        usize::try_from(by_descriptors.min(by_memory))
+            .unwrap_or(usize::MAX)
+            .max(16)
     }
 }
 
@@ -660,6 +717,9 @@
         let now_ms = gateway.clock.now_ms();
         gateway.evidence.borrow_mut().expire(now_ms);
         gateway.endpoints.borrow_mut().expire_limits(now_ms);
+        gateway.drop_expired_idle();
+        metrics::gauge!(metric::MEMORY_HELD).set(gateway.memory.held_bytes() as f64);
+        metrics::gauge!(metric::MEMORY_LIMIT).set(gateway.memory.limit_bytes() as f64);
         gateway.retain_permits();
         gateway.update_parts();
         gateway.log_repeat_share();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod gateway;
 mod headers;
 mod latch;
+mod memory;
 mod permits;
 mod progress;
 mod relay;
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -40,6 +40,10 @@
 pub const CONNECTS: &str = "waxwing_gateway_connects_total";
 /// Counter of callers' connections closed because too many were open.
 pub const CONNECTIONS_REFUSED: &str = "waxwing_gateway_connections_refused_total";
+/// Gauge of the memory that connections, requests and bodies hold, in bytes.
+pub const MEMORY_HELD: &str = "waxwing_gateway_memory_held_bytes";
+/// Gauge of the most memory that they may hold, in bytes.
+pub const MEMORY_LIMIT: &str = "waxwing_gateway_memory_limit_bytes";
 /// Counter of responses aborted for exceeding the size limit, by place.
 pub const ENDLESS_BYTES: &str = "waxwing_gateway_endless_bytes_total";
 /// Counter of endpoint changes by kind.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -126,10 +126,11 @@
     let timeouts = exchange.first_byte_timeouts(&source.run);
     let since_ms = exchange.gateway.clock.now_ms();
     let reading = read_whole(&mut source.body, &mut bytes);
-    let outcome = match exchange
+    let read = exchange
         .watch(&source.run, timeouts, since_ms, reading)
-        .await
-    {
+        .await;
+    exchange.hold_answer(bytes.len());
+    let outcome = match read {
         Err(outcome) => Some(outcome),
         Ok(Err(_)) => Some(RunOutcome::Lost),
         Ok(Ok(())) if bytes.len() < WHOLE_MAX_BYTES && exchange.is_cut(&source.run).await => {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -31,6 +31,8 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::latch::Latch;
+use crate::memory::CALLER_CONNECTION_BYTES;
+use crate::memory::Memory;
 
 /// Pause after a failed accept, for example when no descriptor is free, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 50;
@@ -41,15 +43,23 @@
 /// Time for which sent data may stay unacknowledged before a caller's connection is closed, in milliseconds.
 const UNACKNOWLEDGED_MAX_MS: u64 = 10_000;
 
+/// Least size to which the library lets a connection's read buffer grow, in bytes.
+const BUFFER_MIN_BYTES: usize = 8_192;
+
+/// Part of a read buffer that the longest allowed head leaves free, in bytes.
+const HEAD_MARGIN_BYTES: usize = 1_024;
+
 /// Bounds on the connections of one listener.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Limits {
     /// Connections open at once; further ones are closed at once.
     pub connections_max: usize,
-    /// Longest request head, in bytes.
-    pub head_max_bytes: usize,
+    /// Longest request head, in bytes; a connection keeps the limit that it began with.
+    pub head_max_bytes: Rc<Cell<usize>>,
     /// Time after which an idle connection is closed, in milliseconds.
     pub idle_ms: Rc<Cell<u64>>,
+    /// Memory that counts the connections.
+    pub(crate) memory: Rc<Memory>,
 }
 
 /// Lets a listener end gracefully: idle connections are closed at once, the others after the response in progress.
@@ -147,7 +157,9 @@
         let handler = Rc::clone(&handler);
         let limits = limits.clone();
         let drain = Rc::clone(&drain);
+        let memory = limits.memory.hold(CALLER_CONNECTION_BYTES);
         let connection = async move {
+            let _memory = memory;
             serve(stream, limits, drain, handler).await;
             open.set(open.get() - 1);
         };
@@ -180,10 +192,12 @@
             Ok::<_, Infallible>(response)
         }
     });
+    // A long body could otherwise make the buffer as large as the longest head that the library allows.
+    let buffer_max_bytes = limits.head_max_bytes.get().max(BUFFER_MIN_BYTES) + HEAD_MARGIN_BYTES;
     let connection = http1::Builder::new()
         .header_read_timeout(None)
         .writev(true)
-        .max_buf_size(limits.head_max_bytes.max(8_192))
+        .max_buf_size(buffer_max_bytes)
         .serve_connection(FuturesIo::new(BudgetedStream::new(stream)), service);
     futures::pin_mut!(connection);
     let mut closing = drain.closing.wait();
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -118,6 +118,15 @@
         );
     }
 
+    /// Adds what the VM held when it had no memory for the request.
+    pub(crate) fn record_memory(&mut self, held_bytes: u64, asked_bytes: u64) {
+        let elapsed_ms = self.elapsed_ms();
+        let _ = write!(
+            self.runs,
+            "memory:refused@{elapsed_ms}({held_bytes} bytes held, {asked_bytes} asked) "
+        );
+    }
+
     /// Adds the endpoint whose rate limit admits another request first, `wait_ms` from now.
     pub(crate) fn record_limited(&mut self, endpoint: &str, wait_ms: u64) {
         let elapsed_ms = self.elapsed_ms();
