Only a request that certainly did not run is answered with a status that says so

An engine that ran a booking answered 503 without X-Waxwingrouter-Not-Executed; the router passed the 503 on, and the caller, who takes it for a promise, sent the booking again.

Cause: an endpoint's answer was passed on with whatever status it had; only what the router says itself was checked against what it knows. 429 and 408 even counted as success.

408, 429 and 503 without the statement that the request was not executed are failures of a run now, decided at the head of the answer, so for whole and long answers, streams and resumed streams alike. What may be repeated is repeated; the rest gets the router's own 502 without the endpoint's stamp (an answer with the stamp keeps the endpoint's status). With the statement all of them are rejections; 408 with it was passed on as an answer before. 421 stays a statement of its own.

The same on `waxwingrouter run`: a service's 408, 421, 429 or 503 for a booking that it got becomes 502, and a refusal whose reason has such a status (for example retry_budget after a run that was lost) has it only while `run` is not_run. Looked at without a finding: final answers of a planned stop, repeats that are rejected after a run that was lost.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod forwarding;
 pub mod hash;
 pub mod state;
+pub mod status;
 
 mod name;
 mod reason;
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -3,6 +3,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::status::BAD_GATEWAY;
+use crate::status::promises_not_run;
+
 /// Whether a refused request was executed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -135,6 +138,15 @@
         }
     }
 
+    /// Returns the HTTP status code, which promises that the request did not run only if that is certain.
+    pub fn status_code(&self) -> u16 {
+        let status = self.reason.status_code();
+        match self.run {
+            ExecutionStatus::Unknown if promises_not_run(status) => BAD_GATEWAY,
+            ExecutionStatus::NotRun | ExecutionStatus::Unknown => status,
+        }
+    }
+
     /// Creates a refusal of a request that may have run.
     pub fn may_have_run(reason: Reason, retry_after_ms: u64, message: impl Into<String>) -> Self {
         Self {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -771,7 +771,7 @@
         text["error"]["entry_addresses"] = addresses.iter().map(ToString::to_string).collect();
     }
     let mut response = Response::new(Body::whole(text.to_string()));
-    let status = StatusCode::from_u16(refusal.reason.status_code());
+    let status = StatusCode::from_u16(refusal.status_code());
     *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -19,6 +19,7 @@
 use waxwing_core::forwarding::planned_stop::Stage;
 use waxwing_core::forwarding::run::RunOutcome;
 use waxwing_core::forwarding::run::StallTimeouts;
+use waxwing_core::status::promises_not_run;
 
 use crate::adapter::Instructions;
 use crate::adapter::ResponseInfo;
@@ -279,12 +280,16 @@
     ) -> Result<EndpointResponse, RunOutcome> {
         let response_info = &received.response_info;
         let status = received.response.status();
+        let promises_not_run = promises_not_run(status.as_u16());
         let outcome = if self.is_other_answer(response_info, &received.connection) {
             Some((RunOutcome::Lost, "(answer to another request)"))
         } else if response_info.is_misdirected {
             Some((RunOutcome::Misdirected, ""))
-        } else if response_info.is_not_run && (status.is_server_error() || status.as_u16() == 429) {
+        } else if response_info.is_not_run && (status.is_server_error() || promises_not_run) {
             Some((RunOutcome::Rejected, ""))
+        } else if promises_not_run {
+            // The endpoint had the request; its status would let the caller send a request again that ran.
+            Some((RunOutcome::Failed, "(status of a request that did not run)"))
         } else if status.is_success() && !response_info.is_signed {
             Some((RunOutcome::Lost, "(unsigned)"))
         } else {
--- a/crates/router/src/jobs/runner.rs
+++ b/crates/router/src/jobs/runner.rs
@@ -134,7 +134,7 @@
 
 fn refusal_result(refusal: &Refusal) -> JobResult {
     JobResult {
-        status: refusal.reason.status_code(),
+        status: refusal.status_code(),
         content_type: "application/json".to_owned(),
         body: serde_json::to_string(&ErrorBody::from(refusal)).unwrap_or_default(),
     }
--- a/crates/router/src/request/response.rs
+++ b/crates/router/src/request/response.rs
@@ -145,7 +145,7 @@
         let retry_after_s = refusal.retry_after_ms.div_ceil(1_000);
         let extra = [("retry-after", retry_after_s.to_string())];
         let _ = self
-            .send_head(refusal.reason.status_code(), "application/json", &extra)
+            .send_head(refusal.status_code(), "application/json", &extra)
             .and_then(|()| self.send_chunk(body))
             .and_then(|()| self.finish());
     }
--- a/crates/router/src/request/run/attempt.rs
+++ b/crates/router/src/request/run/attempt.rs
@@ -8,6 +8,8 @@
 use waxwing_core::Reason;
 use waxwing_core::Refusal;
 use waxwing_core::coordination::scheduler::Input;
+use waxwing_core::status::BAD_GATEWAY;
+use waxwing_core::status::promises_not_run;
 use waxwing_wire::platform::STALE_FENCE_STATUS;
 
 use super::AttemptResult;
@@ -200,6 +202,11 @@
                 if self.job.class_settings.idempotent && is_retryable(status) {
                     return AttemptResult::Failed(format!("status {status}"));
                 }
+                // The endpoint had the call, so the caller must not be told that it did not run.
+                let status = match promises_not_run(status) {
+                    true => BAD_GATEWAY,
+                    false => status,
+                };
                 self.claim_guard.settle_done(status, &content_type, &body);
                 if self.is_detached {
                     return AttemptResult::Answered(status);
--- a/crates/router/tests/claims.rs
+++ b/crates/router/tests/claims.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU16;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -36,6 +37,8 @@
 #[derive(Default)]
 struct Service {
     runs: AtomicU64,
+    /// Status of each answer to a call that has run; 201 while it is 0.
+    status: AtomicU16,
     fence: AtomicU64,
     headers: Mutex<Vec<Value>>,
 }
@@ -103,7 +106,12 @@
         });
         self.headers.lock().expect("no panic").push(headers);
         let run = self.runs.fetch_add(1, Ordering::SeqCst) + 1;
-        let _ = request.respond(Response::from_string(format!("run {run}")).with_status_code(201));
+        let status = match self.status.load(Ordering::SeqCst) {
+            0 => 201,
+            status => status,
+        };
+        let _ =
+            request.respond(Response::from_string(format!("run {run}")).with_status_code(status));
     }
 }
 
@@ -197,6 +205,24 @@
     }
 }
 
+/// Guards against an endpoint's status that tells the caller that a call has not run, which has.
+#[test]
+fn false_promise() {
+    let platform = Platform::start();
+    let (_shared, address) = platform.daemon("false-promise");
+    call_until_served(&platform, &address, "booking");
+    for status in [408, 421, 429, 503] {
+        platform.service.status.store(status, Ordering::SeqCst);
+        let runs = platform.runs();
+        let key = Uuid::now_v7();
+        let answer = call(&address, "booking", key, "x");
+        assert_eq!(platform.runs(), runs + 1);
+        assert_eq!(answer.0, 502, "after {status}: {answer:?}");
+        assert_eq!(call(&address, "booking", key, "x"), answer);
+        assert_eq!(platform.runs(), runs + 1, "a repeat runs nothing");
+    }
+}
+
 /// Guards against a repeated key that runs the call again, also with another body, and against a call that reaches the
 /// service without its key, range or fence header.
 #[test]
