An answer without a length is complete only if its request was written whole

Cause: the end of such an answer is the end of its connection, and only a listener that was gone made the router doubt it. While the request is being written, the end of a connection can follow a reset that a write has received, and an endpoint that closes with unread bytes resets the connection as well, so the router cannot tell the two apart.

The stream below the HTTP library records whether everything that was written was flushed and whether a write failed. An answer that ends with its connection before that is a lost run: what may be repeated is repeated or resumed, the rest gets 502 or a stream that breaks off. Answers with a length or in chunks are not concerned, nor those whose request has been written. The log line `answer_before_request` tells it.

--- a/crates/gateway/src/budgeted_stream.rs
+++ b/crates/gateway/src/budgeted_stream.rs
@@ -1,8 +1,10 @@
-//! A stream that yields to other tasks while its peer sends continuously.
+//! A stream that yields to other tasks while its peer sends continuously, and tells what of it has been written.
 
+use std::cell::Cell;
 use std::io::IoSlice;
 use std::io::Result;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
 
@@ -18,19 +20,44 @@
 /// anything, for example a chunk size of endless zeros, would block the only thread of the process.
 pub(crate) struct BudgetedStream<S> {
     stream: S,
+    writes: Rc<WriteState>,
     /// Bytes read since the stream last had no data available.
     consecutive_bytes: usize,
 }
 
 impl<S> BudgetedStream<S> {
-    pub(crate) fn new(stream: S) -> Self {
+    pub(crate) fn new(stream: S, writes: Rc<WriteState>) -> Self {
         Self {
             stream,
+            writes,
             consecutive_bytes: 0,
         }
     }
 }
 
+/// What has been written to a connection.
+#[derive(Debug, Default)]
+pub(crate) struct WriteState {
+    /// Whether something was written after the last flush; a message is flushed when all of it has been written.
+    has_unflushed: Cell<bool>,
+    has_failed: Cell<bool>,
+}
+
+impl WriteState {
+    /// Returns whether all messages so far have been written to their ends.
+    pub(crate) fn is_complete(&self) -> bool {
+        !self.has_unflushed.get() && !self.has_failed.get()
+    }
+
+    fn record(&self, written: &Poll<Result<usize>>) {
+        match written {
+            Poll::Ready(Ok(_)) => self.has_unflushed.set(true),
+            Poll::Ready(Err(_)) => self.has_failed.set(true),
+            Poll::Pending => {}
+        }
+    }
+}
+
 impl<S: AsyncRead + Unpin> AsyncRead for BudgetedStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -57,7 +84,9 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, buffer)
+        let written = Pin::new(&mut self.stream).poll_write(context, buffer);
+        self.writes.record(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -65,11 +94,17 @@
         context: &mut Context<'_>,
         buffers: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.writes.record(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        if let Poll::Ready(Ok(())) = flushed {
+            self.writes.has_unflushed.set(false);
+        }
+        flushed
     }
 
     fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::rc::Rc;
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
@@ -23,6 +24,7 @@
 use socket2::SockRef;
 
 use crate::budgeted_stream::BudgetedStream;
+use crate::budgeted_stream::WriteState;
 use crate::error::Error;
 use crate::error::Result;
 
@@ -52,6 +54,7 @@
     /// Monotonic time at which its last response ended, in milliseconds; 0 before the first one.
     pub idle_since_ms: u64,
     idle_limit_ms: u64,
+    writes: Rc<WriteState>,
     driver: Task<()>,
 }
 
@@ -72,10 +75,12 @@
             .ok_or_else(|| connect(std::io::ErrorKind::TimedOut.into()))?
             .map_err(connect)?;
         set_options(&stream, UNACKNOWLEDGED_MAX_MS);
+        let writes = Rc::new(WriteState::default());
+        let stream = BudgetedStream::new(stream, Rc::clone(&writes));
         // Otherwise each body would be copied into a buffer that the connection keeps.
         let handshake = http1::Builder::new()
             .writev(true)
-            .handshake(FuturesIo::new(BudgetedStream::new(stream)))
+            .handshake(FuturesIo::new(stream))
             .await;
         let (sender, connection) =
             handshake.map_err(|error| connect(std::io::Error::other(error)))?;
@@ -87,6 +92,7 @@
             sender,
             idle_since_ms: 0,
             idle_limit_ms: IDLE_LIMIT_MS,
+            writes,
             driver,
         })
     }
@@ -102,6 +108,11 @@
         self.idle_limit_ms
     }
 
+    /// Returns what has been written of the requests.
+    pub(crate) fn writes(&self) -> &Rc<WriteState> {
+        &self.writes
+    }
+
     /// Returns whether the connection carried a response before.
     pub fn is_reused(&self) -> bool {
         self.idle_since_ms > 0
--- a/crates/gateway/src/exchange/crash.rs
+++ b/crates/gateway/src/exchange/crash.rs
@@ -45,11 +45,23 @@
 }
 
 impl Exchange {
-    /// Returns whether an answer that ended may have been broken off by the end of its endpoint.
+    /// Returns whether an answer that ended may have been broken off.
+    ///
+    /// The end of a connection can follow a reset that a write has received, so an answer that ends with its connection
+    /// is complete only if the request had been written to its end. Otherwise its endpoint may have ended.
     pub(crate) async fn is_cut(&self, run: &RunGuard) -> bool {
-        run.framing == Some(Framing::Connection)
-            && self.is_usable(run)
-            && is_gone(&self.gateway, run.address).await
+        if run.framing != Some(Framing::Connection) {
+            return false;
+        }
+        if !run.is_request_written() {
+            let endpoint = run.endpoint_id.as_str();
+            log::info!(
+                event = "answer_before_request", request = self.trace.request_id(), endpoint = endpoint;
+                "the connection ended with the answer before the request was written"
+            );
+            return true;
+        }
+        self.is_usable(run) && is_gone(&self.gateway, run.address).await
     }
 
     /// Returns whether the endpoint of a run is not about to leave.
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -23,6 +23,7 @@
 
 use crate::adapter::Instructions;
 use crate::adapter::ResponseInfo;
+use crate::budgeted_stream::WriteState;
 use crate::client::Connection;
 use crate::client::with_timeout;
 use crate::exchange::Exchange;
@@ -80,10 +81,19 @@
     pub(crate) events: u64,
     /// How the end of the answer is marked; `None` before its head.
     pub(crate) framing: Option<Framing>,
+    /// What has been written of the request; `None` before the head of the answer.
+    writes: Option<Rc<WriteState>>,
     key: Option<RunKey>,
 }
 
 impl RunGuard {
+    /// Returns whether the request has been written to its end.
+    pub(crate) fn is_request_written(&self) -> bool {
+        self.writes
+            .as_ref()
+            .is_some_and(|writes| writes.is_complete())
+    }
+
     pub(crate) fn end(&mut self, outcome: RunOutcome) {
         let Some(key) = self.key.take() else {
             return;
@@ -186,6 +196,7 @@
             first_byte_at_ms: None,
             events: 0,
             framing: None,
+            writes: None,
             key: Some(run_key),
         };
         self.trace.begin_run(&run.endpoint_id, now_ms);
@@ -202,6 +213,7 @@
         self.request_progress.set_stage(Stage::Buffering);
         run.is_unanswered = false;
         run.framing = Some(Framing::new(&response));
+        run.writes = Some(Rc::clone(connection.writes()));
         self.settle_answered();
         let response_info = self
             .gateway
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -198,7 +198,10 @@
         .header_read_timeout(None)
         .writev(true)
         .max_buf_size(buffer_max_bytes)
-        .serve_connection(FuturesIo::new(BudgetedStream::new(stream)), service);
+        .serve_connection(
+            FuturesIo::new(BudgetedStream::new(stream, Rc::default())),
+            service,
+        );
     futures::pin_mut!(connection);
     let mut closing = drain.closing.wait();
     loop {
