An answer has a final status; 1xx and classes beyond the fifth are lost runs

A run that ends with another one is lost, on both interfaces; it is repeated where that is allowed, and otherwise the caller gets 502.

--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -19,6 +19,7 @@
 use waxwing_core::forwarding::planned_stop::Stage;
 use waxwing_core::forwarding::run::RunOutcome;
 use waxwing_core::forwarding::run::StallTimeouts;
+use waxwing_core::status::is_final;
 use waxwing_core::status::promises_not_run;
 
 use crate::adapter::Instructions;
@@ -295,6 +296,8 @@
         let promises_not_run = promises_not_run(status.as_u16());
         let outcome = if self.is_other_answer(response_info, &received.connection) {
             Some((RunOutcome::Lost, "(answer to another request)"))
+        } else if !is_final(status.as_u16()) {
+            Some((RunOutcome::Lost, "(no final status)"))
         } else if response_info.is_misdirected {
             Some((RunOutcome::Misdirected, ""))
         } else if response_info.is_not_run && (status.is_server_error() || promises_not_run) {
--- a/crates/router/src/transport/endpoint_call.rs
+++ b/crates/router/src/transport/endpoint_call.rs
@@ -9,6 +9,7 @@
 use attohttpc::header::HeaderName;
 use flume::Receiver;
 use flume::Sender;
+use waxwing_core::status::is_final;
 use waxwing_wire::chat::DONE;
 
 use crate::transport::log_client::new_session;
@@ -94,6 +95,9 @@
         Err(error) => return classify_failure(&error),
     };
     let status = response.status().as_u16();
+    if !is_final(status) {
+        return CallEvent::Lost(format!("status {status} ends no call"));
+    }
     if call.is_stream && !response.is_success() {
         let body = response.text_utf8().unwrap_or_default();
         return CallEvent::Status { status, body };
