Bodies are held in pieces, so that bursts in series do not fragment the memory

Cause: each body was one allocation of its length.

Bodies are collected in pieces of 16 KiB now, the length of the connections' buffers, and written as they are. The state of writes knows when the last piece has been taken, since the library may flush between two pieces.

--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -12,7 +12,6 @@
 use futures::future::Either;
 use futures::future::select;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
@@ -27,6 +26,8 @@
 use crate::budgeted_stream::WriteState;
 use crate::error::Error;
 use crate::error::Result;
+use crate::request_body::Pieces;
+use crate::request_body::RequestBody;
 
 /// Time for which sent data may stay unacknowledged before a connection counts as broken, in milliseconds.
 const UNACKNOWLEDGED_MAX_MS: u64 = 2_000;
@@ -50,7 +51,7 @@
 /// An HTTP connection; dropping it closes the socket.
 pub struct Connection {
     /// Sends requests, one at a time.
-    pub sender: SendRequest<Full<Bytes>>,
+    pub sender: SendRequest<RequestBody>,
     /// Monotonic time at which its last response ended, in milliseconds; 0 before the first one.
     pub idle_since_ms: u64,
     idle_limit_ms: u64,
@@ -108,6 +109,11 @@
         self.idle_limit_ms
     }
 
+    /// Returns the body of the next request.
+    pub(crate) fn request_body(&self, pieces: Pieces) -> RequestBody {
+        RequestBody::new(pieces, Rc::clone(&self.writes))
+    }
+
     /// Returns what has been written of the requests.
     pub(crate) fn writes(&self) -> &Rc<WriteState> {
         &self.writes
@@ -202,7 +208,7 @@
             .method(method)
             .uri(path)
             .header("host", self.address.to_string())
-            .body(Full::new(Bytes::from(body)))
+            .body(connection.request_body(Bytes::from(body).into()))
             .map_err(|error| self.call_error(error))?;
         let response = connection.sender.send_request(request).await;
         let (head, body) = response
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -10,7 +10,6 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Body as _;
-use hyper::body::Bytes;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_TYPE;
@@ -53,6 +52,8 @@
 use crate::metric;
 use crate::progress::RequestProgress;
 use crate::relay;
+use crate::request_body::PieceBuffer;
+use crate::request_body::Pieces;
 use crate::stop;
 use crate::trace::Trace;
 
@@ -84,9 +85,6 @@
 /// Time without a confirmed configuration after which a missing route or key may be a new one, in milliseconds.
 const CONFIGURATION_STALE_MS: u64 = 4_000;
 
-/// Least memory by which a body without a stated length grows, in bytes.
-const BODY_STEP_BYTES: usize = 16_384;
-
 /// Longest time for which the body of a refused request is read, in milliseconds.
 const DISCARD_MS: u64 = 3_000;
 
@@ -106,7 +104,7 @@
     pub(crate) lane: Lane,
     pub(crate) request_info: RequestInfo,
     pub(crate) head: Parts,
-    pub(crate) body: Bytes,
+    pub(crate) body: Pieces,
     pub(crate) content: ContentHash,
     pub(crate) deadline_ms: u64,
     pub(crate) tried: Vec<EndpointKey>,
@@ -391,7 +389,7 @@
     limit_ms: u64,
     level: UrgencyLevel,
     memory: &mut MemoryHold,
-) -> Result<Bytes, BodyError> {
+) -> Result<Pieces, BodyError> {
     let length = incoming.size_hint().exact();
     if length.is_some_and(|length| length > body_max_bytes as u64) {
         return Err(BodyError::Refused(overlong(body_max_bytes)));
@@ -421,10 +419,10 @@
     length: Option<u64>,
     level: UrgencyLevel,
     memory: &mut MemoryHold,
-) -> Result<Bytes, BodyError> {
+) -> Result<Pieces, BodyError> {
     // The bytes of a frame are a part of the connection's buffer, which is kept for as long as one of them is, so they
     // are copied.
-    let mut body = Vec::new();
+    let mut body = PieceBuffer::default();
     while let Some(frame) = incoming.frame().await {
         let frame = frame.map_err(|error| {
             let message = format!("the body cannot be read: {error}");
@@ -437,25 +435,24 @@
             return Err(BodyError::Refused(overlong(body_max_bytes)));
         }
         if length == Some(data.len() as u64) {
-            return Ok(data);
+            return Ok(Pieces::from(data));
         }
-        if body.len() + data.len() > body.capacity() {
-            let more = match length {
-                Some(length) => usize::try_from(length).unwrap_or(body_max_bytes),
-                None => data.len().max(body.capacity() / 4).max(BODY_STEP_BYTES),
-            };
-            if length.is_none() && !memory.try_grow(level, more as u64) {
+        let left_bytes = length.map(|length| {
+            let length = usize::try_from(length).unwrap_or(body_max_bytes);
+            length.saturating_sub(body.len())
+        });
+        if left_bytes.is_none() {
+            let asked_bytes = body.growth(data.len()) as u64;
+            if !memory.try_grow(level, asked_bytes) {
                 return Err(BodyError::NoMemory {
-                    asked_bytes: more as u64,
+                    asked_bytes,
                     unread: incoming,
                 });
             }
-            // Growing by a factor would hold more than is counted.
-            body.reserve_exact(body.capacity() - body.len() + more);
         }
-        body.extend_from_slice(&data);
+        body.push(&data, left_bytes);
     }
-    Ok(Bytes::from(body))
+    Ok(body.finish())
 }
 
 fn overlong(body_max_bytes: usize) -> Refusal {
@@ -479,7 +476,7 @@
     task.detach();
 }
 
-fn hash_content(organisation: Option<&Name>, head: &Parts, body: &Bytes) -> ContentHash {
+fn hash_content(organisation: Option<&Name>, head: &Parts, body: &Pieces) -> ContentHash {
     let mut hasher = blake3::Hasher::new();
     let parts = [
         organisation.map_or(&b""[..], |name| name.as_str().as_bytes()),
@@ -493,7 +490,9 @@
         hasher.update(part);
         hasher.update(&[0]);
     }
-    hasher.update(body);
+    for piece in body.iter() {
+        hasher.update(piece);
+    }
     *hasher.finalize().as_bytes()
 }
 
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Body;
@@ -31,6 +30,7 @@
 use crate::gateway::Gateway;
 use crate::headers;
 use crate::metric;
+use crate::request_body::RequestBody;
 
 /// Time for a connection to an endpoint to be made, in milliseconds; a lost packet is retransmitted only
 /// after a second.
@@ -400,7 +400,8 @@
         if left_ms == 0 {
             return Err(RunOutcome::NotWritten);
         }
-        let request = self.build_request(run, left_ms, last_event_id);
+        let body = connection.request_body(self.body.clone());
+        let request = self.build_request(run, body, left_ms, last_event_id);
         self.request_progress.set_stage(Stage::Sent);
         let timeouts = self.first_byte_timeouts(run);
         let sending = connection.sender.try_send_request(request);
@@ -467,10 +468,11 @@
     fn build_request(
         &self,
         run: &RunGuard,
+        body: RequestBody,
         left_ms: u64,
         last_event_id: Option<&str>,
-    ) -> Request<Full<hyper::body::Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    ) -> Request<RequestBody> {
+        let mut request = Request::new(body);
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
         let mut headers = self.head.headers.clone();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod progress;
 mod relay;
 mod replies;
+mod request_body;
 mod stop;
 mod trace;
 
