--- a/crates/gateway/src/budgeted_stream.rs
+++ b/crates/gateway/src/budgeted_stream.rs
@@ -1,6 +1,5 @@
-//! A stream that yields to other tasks while its peer sends continuously, and tells what of it has been written.
+//! A stream that yields to other tasks while its peer sends continuously.
 
-use std::cell::Cell;
 use std::io::IoSlice;
 use std::io::Result;
 use std::pin::Pin;
@@ -11,6 +10,8 @@
 use futures::io::AsyncRead;
 use futures::io::AsyncWrite;
 
+use crate::write_state::WriteState;
+
 /// Bytes read in a row before yielding; several times a socket buffer, so well-behaved peers are never delayed.
 const READ_BUDGET_BYTES: usize = 262_144;
 
@@ -35,42 +36,6 @@
     }
 }
 
-/// What has been written to a connection.
-#[derive(Debug, Default)]
-pub(crate) struct WriteState {
-    /// Whether a part of the last message's body has not been taken for writing.
-    has_body_left: Cell<bool>,
-    /// Whether something is to be written after the last flush; what was taken is flushed when all of it has been written.
-    has_unflushed: Cell<bool>,
-    has_failed: Cell<bool>,
-}
-
-impl WriteState {
-    /// Returns whether all messages so far have been written to their ends.
-    pub(crate) fn is_complete(&self) -> bool {
-        !self.has_body_left.get() && !self.has_unflushed.get() && !self.has_failed.get()
-    }
-
-    /// Records that a message is to be written, with a body or without one.
-    pub(crate) fn begin_message(&self, has_body: bool) {
-        self.has_body_left.set(has_body);
-        self.has_unflushed.set(true);
-    }
-
-    /// Records that the last part of the body has been taken for writing.
-    pub(crate) fn end_body(&self) {
-        self.has_body_left.set(false);
-        self.has_unflushed.set(true);
-    }
-
-    fn record(&self, written: &Poll<Result<usize>>) {
-        match written {
-            Poll::Ready(Ok(_)) | Poll::Pending => self.has_unflushed.set(true),
-            Poll::Ready(Err(_)) => self.has_failed.set(true),
-        }
-    }
-}
-
 impl<S: AsyncRead + Unpin> AsyncRead for BudgetedStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -98,7 +63,7 @@
         buffer: &[u8],
     ) -> Poll<Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(context, buffer);
-        self.writes.record(&written);
+        self.writes.record_write(&written);
         written
     }
 
@@ -108,14 +73,14 @@
         buffers: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
-        self.writes.record(&written);
+        self.writes.record_write(&written);
         written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
         let flushed = Pin::new(&mut self.stream).poll_flush(context);
         if let Poll::Ready(Ok(())) = flushed {
-            self.writes.has_unflushed.set(false);
+            self.writes.record_flush();
         }
         flushed
     }
--- a/crates/gateway/src/client.rs
+++ b/crates/gateway/src/client.rs
@@ -23,11 +23,11 @@
 use socket2::SockRef;
 
 use crate::budgeted_stream::BudgetedStream;
-use crate::budgeted_stream::WriteState;
 use crate::error::Error;
 use crate::error::Result;
 use crate::request_body::Pieces;
 use crate::request_body::RequestBody;
+use crate::write_state::WriteState;
 
 /// Time for which sent data may stay unacknowledged before a connection counts as broken, in milliseconds.
 const UNACKNOWLEDGED_MAX_MS: u64 = 2_000;
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -23,7 +23,6 @@
 
 use crate::adapter::Instructions;
 use crate::adapter::ResponseInfo;
-use crate::budgeted_stream::WriteState;
 use crate::client::Connection;
 use crate::client::with_timeout;
 use crate::exchange::Exchange;
@@ -31,6 +30,7 @@
 use crate::headers;
 use crate::metric;
 use crate::request_body::RequestBody;
+use crate::write_state::WriteState;
 
 /// Time for a connection to an endpoint to be made, in milliseconds; a lost packet is retransmitted only
 /// after a second.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod request_body;
 mod stop;
 mod trace;
+mod write_state;
 
 pub use adapter::Adapter;
 pub use crashing_parts::SavedParts;
--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -10,8 +10,8 @@
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 
-use crate::budgeted_stream::WriteState;
 use crate::error::Error;
+use crate::write_state::WriteState;
 
 /// Length of a piece, in bytes: that of the buffers of connections, so that memory which one of them frees fits the
 /// other.
