Tell late tasks and the age of a configuration

Nothing told a VM that is too busy to apply what it has been told from one that is told late: a call to the log service that ends as "no answer in time" looks alike. New: the lines tasks_late and tasks_in_time, the histogram waxwing_gateway_task_delay_seconds, the gauge waxwing_gateway_configuration_age_seconds and age_ms in configuration_in_force.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -69,6 +69,7 @@
 use crate::settings::Settings;
 use crate::signals::Signals;
 use crate::stop::StopSignals;
+use crate::task_delay;
 
 /// Time for which a crash counts against a content, in milliseconds.
 const EVIDENCE_LIFETIME_MS: u64 = 120_000;
@@ -247,8 +248,10 @@
         if known.is_some_and(|known| version <= known) {
             return false;
         }
+        let age_ms = known.map(|_| self.configuration_age_ms());
         log::info!(
-            event = "configuration_in_force", version = version, before = known.unwrap_or(0), source = source;
+            event = "configuration_in_force", version = version, before = known.unwrap_or(0), source = source,
+            age_ms = age_ms;
             "configuration taken"
         );
         metrics::gauge!(metric::CONFIGURATION_VERSION).set(version as f64);
@@ -665,6 +668,9 @@
             .detach();
         executor.spawn(fleet::follow(Rc::clone(&self))).detach();
         executor.spawn(tick(Rc::clone(&self))).detach();
+        executor
+            .spawn(task_delay::measure(self.clock, "requests"))
+            .detach();
         executor.spawn(log_reloads(reload)).detach();
         log::info!(event = "started", incarnation = self.incarnation; "serving callers");
         stop.next().await;
@@ -718,6 +724,10 @@
         gateway.evidence.borrow_mut().expire(now_ms);
         gateway.endpoints.borrow_mut().expire_limits(now_ms);
         gateway.drop_expired_idle();
+        let age_s = gateway.configuration_age_ms() as f64 / 1_000.0;
+        if gateway.configuration_version() > 0 {
+            metrics::gauge!(metric::CONFIGURATION_AGE).set(age_s);
+        }
         metrics::gauge!(metric::MEMORY_HELD).set(gateway.memory.held_bytes() as f64);
         metrics::gauge!(metric::MEMORY_LIMIT).set(gateway.memory.limit_bytes() as f64);
         gateway.retain_permits();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod replies;
 mod request_body;
 mod stop;
+mod task_delay;
 mod trace;
 mod write_state;
 
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -52,6 +52,10 @@
 pub const ENDPOINTS: &str = "waxwing_gateway_endpoints";
 /// Gauge of the version of the configuration in force.
 pub const CONFIGURATION_VERSION: &str = "waxwing_gateway_configuration_version";
+/// Gauge of the time since the configuration was known to be the newest, in seconds.
+pub const CONFIGURATION_AGE: &str = "waxwing_gateway_configuration_age_seconds";
+/// Histogram of the time for which tasks that are due wait for the processor, in seconds, by queue.
+pub const TASK_DELAY: &str = "waxwing_gateway_task_delay_seconds";
 /// Gauge of other VMs that are alive.
 pub const PEERS: &str = "waxwing_gateway_peers";
 /// Counter of adverts by outcome: `sent`, `send_failed`, `news`, `old` or `undecodable`.
