What a VM must know goes before the tasks of requests

Callers saw: a request with a key that had been taken away more than the bound ago was served (CONFIG).

Cause: the calls that bring a configuration took turns in one queue with the tasks of all requests. On a VM whose processor is taken each turn waited for up to 1.3 s, so calls to a healthy log service and healthy readers ended as "no answer in time" and began anew, and sockets were checked only every 200 turns. Class: control work that starves behind the load that it has to control.

--- a/crates/gateway/src/exchange/body.rs
+++ b/crates/gateway/src/exchange/body.rs
@@ -121,7 +121,7 @@
     }
     let discarding = async move { while let Some(Ok(_)) = unread.frame().await {} };
     let discarding = with_timeout(DISCARD_MS, discarding);
-    let task = gateway.executor.spawn(async move {
+    let task = gateway.executor.requests().spawn(async move {
         // The connection is closed if the caller takes longer.
         let _ = discarding.await;
     });
--- a/crates/gateway/src/exchange/crash.rs
+++ b/crates/gateway/src/exchange/crash.rs
@@ -29,7 +29,7 @@
 
 /// Returns whether nobody listens at an address; `false` if that is not certain.
 async fn is_refused(gateway: &Gateway, address: SocketAddr) -> bool {
-    match Connection::open(gateway.executor, address, PROBE_MS).await {
+    match Connection::open(gateway.executor.requests(), address, PROBE_MS).await {
         Ok(_) => false,
         Err(error) => error.is_refused(),
     }
@@ -85,7 +85,7 @@
         };
         let (scope, parts) = self.part_gate.subject();
         let address = run.address;
-        let executor = self.gateway.executor;
+        let executor = self.gateway.executor.requests();
         let check = async move {
             let gateway = &crash.gateway;
             if checked.is_some() && !parts.is_empty() && is_gone(gateway, address).await {
@@ -100,7 +100,7 @@
             }
             drop(checked);
             Timer::after(Duration::from_millis(CRASH_CHECK_MS)).await;
-            let probe = Connection::open(gateway.executor, address, PROBE_MS).await;
+            let probe = Connection::open(gateway.executor.requests(), address, PROBE_MS).await;
             if probe.is_err() {
                 crash.record();
             }
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -383,7 +383,7 @@
             }
         }
         let limit_ms = CONNECT_MS.min(self.remaining_ms());
-        let opened = Connection::open(gateway.executor, run.address, limit_ms).await;
+        let opened = Connection::open(gateway.executor.requests(), run.address, limit_ms).await;
         let outcome = if opened.is_ok() { "made" } else { "failed" };
         metrics::counter!(metric::CONNECTS, "outcome" => outcome).increment(1);
         let connection = opened.map_err(|_| RunOutcome::Unreachable)?;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -382,7 +382,7 @@
             log::info!(event = "fleet_reader", reader = reader.vm.as_str(); "querying this VM for the state of the log service");
             source = Some(Source {
                 vm: reader.vm.clone(),
-                client: Client::new(gateway.executor, reader.address),
+                client: Client::new(gateway.executor.control(), reader.address),
                 known: None,
             });
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,7 +9,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_executor::LocalExecutor;
 use async_io::Async;
 use async_io::Timer;
 use hyper::Response;
@@ -56,6 +55,7 @@
 use crate::crashing_parts::PartService;
 use crate::error::Result;
 use crate::exchange;
+use crate::executor::Executor;
 use crate::fleet;
 use crate::fleet::Fleet;
 use crate::memory::ENDPOINT_CONNECTION_BYTES;
@@ -110,7 +110,7 @@
 
 /// The state that all tasks of a process share.
 pub struct Gateway {
-    pub(crate) executor: &'static LocalExecutor<'static>,
+    pub(crate) executor: &'static Executor,
     pub(crate) clock: Clock,
     pub(crate) settings: Settings,
     pub(crate) vm: Name,
@@ -155,7 +155,7 @@
 impl Gateway {
     /// Creates the state of a process; the executor lives as long as the process.
     pub fn new(
-        executor: &'static LocalExecutor<'static>,
+        executor: &'static Executor,
         settings: Settings,
         adapter: Box<dyn Adapter>,
     ) -> Rc<Self> {
@@ -211,7 +211,7 @@
     }
 
     /// Returns the executor that carries all tasks.
-    pub fn executor(&self) -> &'static LocalExecutor<'static> {
+    pub fn executor(&self) -> &'static Executor {
         self.executor
     }
 
@@ -620,16 +620,17 @@
         let socket = adverts::bind(self.settings.listen.peers)?;
         let stop = Signals::of_stop()?;
         let reload = Signals::of_reload()?;
-        let executor = self.executor;
+        let requests = self.executor.requests();
+        let control = self.executor.control();
 
         let gateway = Rc::clone(&self);
         let handler = Rc::new(move |request| exchange::serve(Rc::clone(&gateway), request));
         let idle_ms = Rc::clone(&self.idle_timeout_ms);
         let head_max_bytes = Rc::clone(&self.head_max_bytes);
         let limits = self.listener_limits(self.connections_max(), head_max_bytes, idle_ms);
-        executor
+        requests
             .spawn(server::accept(
-                executor,
+                requests,
                 listener,
                 limits.clone(),
                 Rc::clone(&self.stop_signals.callers),
@@ -638,9 +639,9 @@
             .detach();
         let gateway = Rc::clone(&self);
         let handler = Rc::new(move |request| fleet::answer(Rc::clone(&gateway), request));
-        executor
+        control
             .spawn(server::accept(
-                executor,
+                control,
                 peers_listener,
                 limits.clone(),
                 Rc::clone(&self.stop_signals.peers),
@@ -648,14 +649,14 @@
             ))
             .detach();
         if let Some(recorder) = metric::install() {
-            executor.spawn(maintain_metrics(recorder.clone())).detach();
+            control.spawn(maintain_metrics(recorder.clone())).detach();
             let handler = Rc::new(move |_| {
                 let text = recorder.render();
                 async move { Response::new(Body::whole(text)) }
             });
-            executor
+            control
                 .spawn(server::accept(
-                    executor,
+                    control,
                     metrics_listener,
                     limits,
                     Rc::default(),
@@ -663,15 +664,15 @@
                 ))
                 .detach();
         }
-        executor
+        control
             .spawn(adverts::run(Rc::clone(&self), socket))
             .detach();
-        executor.spawn(fleet::follow(Rc::clone(&self))).detach();
-        executor.spawn(tick(Rc::clone(&self))).detach();
-        executor
-            .spawn(task_delay::measure(self.clock, "requests"))
-            .detach();
-        executor.spawn(log_reloads(reload)).detach();
+        control.spawn(fleet::follow(Rc::clone(&self))).detach();
+        control.spawn(tick(Rc::clone(&self))).detach();
+        for (queue, name) in [(control, "control"), (requests, "requests")] {
+            queue.spawn(task_delay::measure(self.clock, name)).detach();
+        }
+        control.spawn(log_reloads(reload)).detach();
         log::info!(event = "started", incarnation = self.incarnation; "serving callers");
         stop.next().await;
         self.stop().await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,6 +1,6 @@
 //! Forwards HTTP requests by route to endpoints, and tells callers which VMs to use.
 //!
-//! One executor thread carries everything: connections of callers, calls to endpoints and messages between VMs. The
+//! One thread carries everything: connections of callers, calls to endpoints and messages between VMs. The
 //! decisions are made by [`waxwing_core::forwarding`]; this package does the input and output around them. The
 //! headers and formats of outside systems are handled by an implementation of [`Adapter`].
 
@@ -19,6 +19,7 @@
 mod budgeted_stream;
 mod crashing_parts;
 mod exchange;
+mod executor;
 mod fleet;
 mod gateway;
 mod headers;
@@ -38,6 +39,7 @@
 pub use crashing_parts::SavedParts;
 pub use error::Error;
 pub use error::Result;
+pub use executor::Executor;
 pub use fleet::TopicRead;
 pub use gateway::Gateway;
 pub use settings::Settings;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -261,7 +261,7 @@
 {
     let gateway = Rc::clone(&exchange.gateway);
     let progress = Rc::clone(&exchange.request_progress);
-    let executor = gateway.executor;
+    let executor = gateway.executor.requests();
     Body::streamed(|chunks| {
         let pump = Box::pin(pump(exchange, chunks.clone()));
         executor.spawn(stop::relay_until_end(gateway, progress, chunks, pump))
