Crash reports beyond the kept ones settle

Cause: a VM keeps 256 crash reports. When more engines crash than that, VMs evict different ones; a report that comes back from another VM counted as new, was sent on for 3 s, and evicted another. Each datagram with news also looked at all parts of all reports. Class: gossip about a bounded set whose evictions the others undo, so that a burst of work becomes a permanent load.

Evidence: many_crashes_settle (170 datagrams with news in each round on the code before, 0 now).

Why this works: a VM remembers what it evicted, so each report is learned at most once and the exchange ends.

--- a/crates/core/src/forwarding/crashing_parts.rs
+++ b/crates/core/src/forwarding/crashing_parts.rs
@@ -10,8 +10,18 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::collections::VecDeque;
+
+use slotmap::SlotMap;
+use slotmap::new_key_type;
 
 use crate::forwarding::endpoints::notices::Incarnation;
+use crate::hash::mix;
+
+new_key_type! {
+    /// Key of a report.
+    struct ReportKey;
+}
 
 /// Most parts in a report; the last ones of a longer prompt are kept, since the first ones are shared most.
 pub const PARTS_MAX: usize = 8;
@@ -19,6 +29,9 @@
 /// Most reports that are kept.
 const REPORTS_MAX: usize = 256;
 
+/// Most evicted reports that are remembered, so that they are not learned again from other VMs.
+const EVICTED_MAX: usize = 16_384;
+
 /// Most clearances that are kept in memory.
 const CLEARANCES_MAX: usize = 8_192;
 
@@ -153,12 +166,55 @@
     learned_at_ms: u64,
 }
 
+impl Report {
+    /// Returns what tells the report from others, whoever learned it and when.
+    fn id(&self) -> ReportId {
+        let mut hash = mix(self.endpoint.0) ^ self.scope.organisation;
+        hash = mix(hash) ^ self.scope.service;
+        for part in &self.parts {
+            hash = mix(hash) ^ part.0;
+        }
+        ReportId(mix(hash))
+    }
+}
+
+/// Hash of the endpoint, the scope and the parts of a report, the same on all VMs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct ReportId(u64);
+
+/// Reports that were evicted, the latest ones.
+#[derive(Debug, Default)]
+struct EvictedReports {
+    ids: HashSet<ReportId>,
+    order: VecDeque<ReportId>,
+}
+
+impl EvictedReports {
+    fn insert(&mut self, id: ReportId) {
+        if !self.ids.insert(id) {
+            return;
+        }
+        self.order.push_back(id);
+        if self.order.len() > EVICTED_MAX
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.ids.remove(&oldest);
+        }
+    }
+}
+
 /// Reports of crashes, and the parts that answers have cleared.
 #[derive(Debug, Default)]
 pub struct CrashingParts {
-    reports: Vec<Report>,
+    reports: SlotMap<ReportKey, Report>,
+    by_id: HashMap<ReportId, ReportKey>,
+    /// Reports by service and part.
+    by_part: HashMap<(u64, PartKey), Vec<ReportKey>>,
+    evicted: EvictedReports,
     /// Latest answer that went on, by scope and part.
     cleared_at_ms: HashMap<(Scope, PartKey), u64>,
+    /// Latest answer to any organisation that went on, by service and part.
+    cleared_for_any_at_ms: HashMap<(u64, PartKey), u64>,
     /// Clearances that concern a report, with the time at which they were learned.
     spread: HashMap<(Scope, PartKey), u64>,
     states: HashMap<(Scope, PartKey), PartState>,
@@ -235,54 +291,99 @@
             }
         }
         self.bound_spread();
-        let known = self.reports.iter_mut().find(|known| {
-            known.endpoint == endpoint && known.scope == scope && known.parts == parts
-        });
-        if let Some(known) = known {
-            // A report looks younger by the transit time after each exchange; it must expire all the same.
-            known.at_ms = known.at_ms.min(at_ms);
-            return false;
-        }
-        if self.reports.len() >= REPORTS_MAX {
-            self.evict();
-        }
-        self.reports.push(Report {
+        let report = Report {
             endpoint,
             scope,
             parts,
             at_ms,
             learned_at_ms: now_ms,
-        });
-        true
+        };
+        let id = report.id();
+        if let Some(known) = self
+            .by_id
+            .get(&id)
+            .and_then(|key| self.reports.get_mut(*key))
+        {
+            // A report looks younger by the transit time after each exchange; it must expire all the same.
+            known.at_ms = known.at_ms.min(at_ms);
+            return false;
+        }
+        // VMs that evict different reports would otherwise learn them from each other again and again.
+        if self.evicted.ids.contains(&id) {
+            return false;
+        }
+        let key = self.insert(id, report);
+        self.reports.len() <= REPORTS_MAX || self.evict() != Some(key)
     }
 
-    /// Removes the oldest report of the organisation that has most of them.
-    fn evict(&mut self) {
+    fn insert(&mut self, id: ReportId, report: Report) -> ReportKey {
+        let service = report.scope.service;
+        let parts: HashSet<PartKey> = report.parts.iter().copied().collect();
+        let key = self.reports.insert(report);
+        for part in parts {
+            self.by_part.entry((service, part)).or_default().push(key);
+        }
+        self.by_id.insert(id, key);
+        key
+    }
+
+    fn remove(&mut self, key: ReportKey) -> Option<ReportId> {
+        let report = self.reports.remove(key)?;
+        for part in &report.parts {
+            let place = (report.scope.service, *part);
+            let Some(keys) = self.by_part.get_mut(&place) else {
+                continue;
+            };
+            keys.retain(|known| *known != key);
+            if keys.is_empty() {
+                self.by_part.remove(&place);
+            }
+        }
+        let id = report.id();
+        self.by_id.remove(&id);
+        Some(id)
+    }
+
+    /// Removes the oldest report of the organisation that has most of them, and returns its key.
+    fn evict(&mut self) -> Option<ReportKey> {
         let mut counts: HashMap<u64, usize> = HashMap::new();
-        for report in &self.reports {
+        for report in self.reports.values() {
             *counts.entry(report.scope.organisation).or_default() += 1;
         }
-        let oldest = (0..self.reports.len()).max_by_key(|index| {
-            let report = &self.reports[*index];
+        let reports = self.reports.iter();
+        let (oldest, _) = reports.max_by_key(|(_, report)| {
             let count = counts[&report.scope.organisation];
             (count, u64::MAX - report.at_ms)
-        });
-        if let Some(oldest) = oldest {
-            self.reports.swap_remove(oldest);
-        }
+        })?;
+        let id = self.remove(oldest)?;
+        self.evicted.insert(id);
+        Some(oldest)
+    }
+
+    /// Returns the reports of a service that name a part.
+    fn naming(&self, service: u64, part: PartKey) -> impl Iterator<Item = &Report> {
+        let keys = self
+            .by_part
+            .get(&(service, part))
+            .map_or(&[][..], Vec::as_slice);
+        keys.iter().filter_map(|key| self.reports.get(*key))
     }
 
     fn clear(&mut self, scope: Scope, part: PartKey, at_ms: u64, now_ms: u64) -> bool {
         let known = self.cleared_at_ms.entry((scope, part)).or_insert(0);
         let before_ms = *known;
         *known = at_ms.max(before_ms);
+        let known_for_any = self
+            .cleared_for_any_at_ms
+            .entry((scope.service, part))
+            .or_insert(0);
+        *known_for_any = at_ms.max(*known_for_any);
         let concerns = |report: &Report| {
             report.scope == scope
-                && report.parts.contains(&part)
                 && report.at_ms <= at_ms + CLEAR_MS
                 && (before_ms == 0 || report.at_ms > before_ms + CLEAR_MS)
         };
-        let is_news = self.reports.iter().any(concerns);
+        let is_news = self.naming(scope.service, part).any(concerns);
         if is_news {
             self.spread.insert((scope, part), now_ms);
             self.bound_spread();
@@ -312,6 +413,14 @@
         if self.cleared_at_ms.len() > CLEARANCES_MAX / 2 {
             self.cleared_at_ms.retain(|key, _| spread.contains_key(key));
         }
+        self.cleared_for_any_at_ms.clear();
+        for ((scope, part), at_ms) in &self.cleared_at_ms {
+            let known = self
+                .cleared_for_any_at_ms
+                .entry((scope.service, *part))
+                .or_insert(0);
+            *known = (*known).max(*at_ms);
+        }
     }
 
     /// Returns whether a crash at `at_ms` is not attributed to a part.
@@ -325,10 +434,7 @@
     /// For reports of other organisations, an answer to any organisation does.
     fn reports_of(&self, scope: Scope, part: PartKey) -> Vec<&Report> {
         let mut found = Vec::new();
-        for report in &self.reports {
-            if report.scope.service != scope.service || !report.parts.contains(&part) {
-                continue;
-            }
+        for report in self.naming(scope.service, part) {
             let is_cleared = match report.scope == scope {
                 true => self.is_cleared(scope, part, report.at_ms),
                 false => self.is_cleared_by_any(scope.service, part, report.at_ms),
@@ -341,11 +447,8 @@
     }
 
     fn is_cleared_by_any(&self, service: u64, part: PartKey, at_ms: u64) -> bool {
-        self.cleared_at_ms
-            .iter()
-            .any(|((scope, cleared), cleared_at_ms)| {
-                scope.service == service && *cleared == part && at_ms <= cleared_at_ms + CLEAR_MS
-            })
+        let cleared_at_ms = self.cleared_for_any_at_ms.get(&(service, part));
+        cleared_at_ms.is_some_and(|cleared_at_ms| at_ms <= cleared_at_ms + CLEAR_MS)
     }
 
     /// Returns what is known of the shared parts of a prompt.
@@ -400,13 +503,18 @@
     /// Removes what has expired, and returns the parts whose state has changed since the last call.
     pub fn update(&mut self, now_ms: u64) -> Vec<Transition> {
         let is_fresh = |at_ms: u64| now_ms.saturating_sub(at_ms) < LIFETIME_MS;
-        self.reports.retain(|report| is_fresh(report.at_ms));
+        let reports = self.reports.iter();
+        let expired = reports.filter(|(_, report)| !is_fresh(report.at_ms));
+        let expired: Vec<ReportKey> = expired.map(|(key, _)| key).collect();
+        for key in expired {
+            self.remove(key);
+        }
         self.spread.retain(|_, at_ms| is_fresh(*at_ms));
         if self.reports.is_empty() && self.states.is_empty() {
             return Vec::new();
         }
         let mut named: HashSet<(Scope, PartKey)> = self.states.keys().copied().collect();
-        for report in &self.reports {
+        for report in self.reports.values() {
             named.extend(report.parts.iter().map(|part| (report.scope, *part)));
         }
         let mut transitions = Vec::new();
@@ -442,7 +550,7 @@
     /// Returns the reports and clearances to be sent to other VMs: those learned since `since_ms`.
     pub fn findings(&self, since_ms: u64, now_ms: u64) -> (Vec<CrashReport>, Vec<Clearance>) {
         let mut reports = Vec::new();
-        for report in &self.reports {
+        for report in self.reports.values() {
             if report.learned_at_ms < since_ms {
                 continue;
             }
--- a/crates/gateway/src/crashing_parts.rs
+++ b/crates/gateway/src/crashing_parts.rs
@@ -106,7 +106,6 @@
         self.part_service.trials.borrow_mut().end(parts);
         metrics::counter!(metric::PART_CRASHES, "source" => "local").increment(1);
         self.count_part_change();
-        self.update_parts();
         self.send_part_news(now_ms).await;
     }
 
@@ -119,7 +118,6 @@
             .borrow_mut()
             .record_answer(scope, parts, now_ms);
         if is_news {
-            self.update_parts();
             self.send_part_news(now_ms).await;
         }
     }
@@ -138,7 +136,6 @@
             drop(trials);
             metrics::counter!(metric::PART_CRASHES, "source" => "peer").increment(1);
             self.count_part_change();
-            self.update_parts();
         }
     }
 
@@ -301,7 +298,7 @@
         self.send_datagram(&Datagram::TrialReply(reply), from).await;
     }
 
-    /// Drops what has expired, and logs the parts whose state has changed.
+    /// Drops what has expired, and logs the parts whose state has changed; once a tick, since it looks at all reports.
     pub(crate) fn update_parts(&self) {
         let now_ms = self.clock.now_ms();
         let transitions = self.part_service.parts.borrow_mut().update(now_ms);
