A request is sent by the configuration in force then, not by the one it arrived under

Callers saw: a request with a key that had been taken away, or on a route that had been removed or moved, reached an engine although the VM had the newer configuration when it sent it (CONFIG).

Cause: key, route and service were looked up when the head of a request arrived. Its body, a permit, a turn or a busy VM may take seconds until it is sent. Class: a permission that is checked once and used later.

Why this works: each run is authorised by the configuration in force when it is sent; a request whose service changed is placed anew, one that is no longer allowed gets the refusal that a new request would get.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -11,7 +11,6 @@
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_TYPE;
-use hyper::header::HOST;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
 use hyper::header::TRANSFER_ENCODING;
@@ -40,6 +39,8 @@
 
 use crate::adapter::RequestInfo;
 use crate::body::Body;
+use crate::exchange::authorise::Admission;
+use crate::exchange::authorise::authorise;
 use crate::exchange::body::BodyError;
 use crate::exchange::body::discard_body;
 use crate::exchange::body::read_body;
@@ -54,6 +55,7 @@
 use crate::stop;
 use crate::trace::Trace;
 
+mod authorise;
 mod body;
 mod crash;
 mod parts;
@@ -80,9 +82,6 @@
 /// Time after which a caller may retry with a content that crashes endpoints, in milliseconds.
 const CRASHING_RETRY_AFTER_MS: u64 = 30_000;
 
-/// Time without a confirmed configuration after which a missing route or key may be a new one, in milliseconds.
-const CONFIGURATION_STALE_MS: u64 = 4_000;
-
 /// Most requests for permits before a request is placed at an endpoint without a rate limit.
 const PERMIT_REQUESTS_MAX: usize = 3;
 
@@ -115,6 +114,10 @@
     late_until_ms: u64,
     /// Endpoint chosen for a repeat while the run before it has not ended, with its permit.
     reserved: RefCell<Option<Choice>>,
+    /// Version of the configuration by which the request was admitted.
+    configuration_version: u64,
+    /// Why a newer configuration does not allow the request.
+    disallowed: Option<Refusal>,
     /// Whether a rate limit kept the request from an endpoint.
     was_denied: Cell<bool>,
     in_progress: InProgress,
@@ -216,8 +219,12 @@
         &request_info,
         &mut trace,
     );
-    let (route, organisation, level) = match admitted {
-        Ok(admitted) => admitted,
+    let Admission {
+        route,
+        organisation,
+        level,
+    } = match admitted {
+        Ok(admission) => admission,
         Err(refusal) => {
             discard_body(gateway, incoming);
             return refuse(gateway, &mut trace, &refusal, false);
@@ -291,6 +298,8 @@
         repeat: None,
         late_until_ms: 0,
         reserved: RefCell::new(None),
+        configuration_version: version,
+        disallowed: None,
         was_denied: Cell::new(false),
         in_progress,
     });
@@ -302,53 +311,16 @@
     exchange.run().await
 }
 
-/// Finds the route and the caller's organisation.
+/// Admits a request that has just arrived.
 fn admit(
     gateway: &Gateway,
     configuration: Option<&Configuration>,
     head: &Parts,
     request_info: &RequestInfo,
     trace: &mut Trace,
-) -> Result<(Route, Option<Name>, UrgencyLevel), Refusal> {
-    let unready =
-        |message: &str| Refusal::not_run(Reason::NoSettings, UNREADY_RETRY_AFTER_MS, message);
-    let configuration = configuration.ok_or_else(|| unready("this VM has no configuration yet"))?;
-    if !gateway.relies_on_configuration() {
-        return Err(unready(
-            "this VM has just started and does not know yet whether its configuration is the newest",
-        ));
-    }
-    // A route or key that is missing here may be part of a newer version that has not arrived yet.
-    let is_stale = || {
-        gateway.configuration_age_ms() > CONFIGURATION_STALE_MS
-            || gateway.peer_with_newer_configuration().is_some()
-    };
-    let host = head.headers.get(HOST).and_then(|value| value.to_str().ok());
-    let host = host.or_else(|| head.uri.host()).unwrap_or("");
-    let Some(route) = configuration.find_route(host, head.uri.path()) else {
-        if is_stale() {
-            return Err(unready(
-                "the route is not known to this VM, whose configuration is old",
-            ));
-        }
-        let message = format!("no route for host `{host}` and this path");
-        return Err(Refusal::not_run(Reason::UnknownRoute, 0, message));
-    };
-    trace.set_route(&route.name, route.kind);
-    let organisation = request_info
-        .key
-        .as_deref()
-        .and_then(|key| configuration.organisation_by_key(key));
-    if organisation.is_none() && configuration.needs_keys() && !route.is_public {
-        if is_stale() {
-            return Err(unready(
-                "the API key is not known to this VM, whose configuration is old",
-            ));
-        }
-        let message = "the API key is missing or unknown";
-        return Err(Refusal::not_run(Reason::Unauthorised, 0, message));
-    }
-    if !gateway.can_accept(route) {
+) -> Result<Admission, Refusal> {
+    let admission = authorise(gateway, configuration, head, request_info, trace)?;
+    if !gateway.can_accept(&admission.route) {
         let message = "this VM is stopping; use another entry address";
         return Err(Refusal::not_run(
             Reason::Stopping,
@@ -356,9 +328,7 @@
             message,
         ));
     }
-    let rank = organisation.and_then(|organisation| organisation.priority);
-    let name = organisation.map(|organisation| organisation.name.clone());
-    Ok((route.clone(), name, UrgencyLevel::new(rank, route.priority)))
+    Ok(admission)
 }
 
 fn hash_content(organisation: Option<&Name>, head: &Parts, body: &Pieces) -> ContentHash {
@@ -467,7 +437,8 @@
         self.request_progress.set_stage(Stage::Waiting);
         self.await_crash_check().await;
         self.progress.remaining_ms = self.remaining_ms();
-        if decide_repeat(&self.route, &self.progress) == RepeatDecision::GiveUp
+        if self.disallowed.is_some()
+            || decide_repeat(&self.route, &self.progress) == RepeatDecision::GiveUp
             || !self.take_repeat(outcome)
         {
             return None;
@@ -569,6 +540,9 @@
                 .finish("endpoint_failed", response.status().as_u16(), execution);
             return response;
         }
+        if let Some(refusal) = self.disallowed.take() {
+            return refuse(&self.gateway, &mut self.trace, &refusal, false);
+        }
         let status = status_code(execution, is_expired);
         let now_ms = self.gateway.clock.now_ms();
         let opening = placement::next_opening(
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -157,7 +157,7 @@
         key: EndpointKey,
         last_event_id: Option<&str>,
     ) -> Result<EndpointResponse, RunOutcome> {
-        if !self.may_send_parts() {
+        if !self.readmit() || !self.may_send_parts() {
             return Err(RunOutcome::NotWritten);
         }
         let now_ms = self.gateway.clock.now_ms();
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -73,6 +73,11 @@
         self.level = Some(level.into());
     }
 
+    /// Records that a newer configuration decided on the request.
+    pub(crate) fn set_configuration(&mut self, version: u64) {
+        self.configuration_version = version;
+    }
+
     pub(crate) fn request_id(&self) -> &str {
         &self.request_id
     }
