A VM that hears of a newer configuration does not serve by an old one beyond the bound

Callers saw: requests served by a configuration that was replaced more than the bound ago (CONFIG); here by a VM that neither reads the log service nor gets an answer from those that do.

Cause: only the absence of a route or key made a VM ask itself how old its configuration is. What it knew counted without end. Class: a cached permission without an age.

Why this works: adverts name the version of each VM. Beyond the bound, less the time to reach an endpoint, a VM that hears of a newer version refuses with 503 (not run, come back in 0.5 s: other VMs can serve) until it has it.

--- a/crates/gateway/src/exchange/authorise.rs
+++ b/crates/gateway/src/exchange/authorise.rs
@@ -42,6 +42,11 @@
             "this VM has just started and does not know yet whether its configuration is the newest",
         ));
     }
+    if gateway.is_overtaken() {
+        return Err(unready(
+            "another VM has a newer configuration, which this VM should have by now",
+        ));
+    }
     // A route or key that is missing here may be part of a newer version that has not arrived yet.
     let is_stale = || {
         gateway.configuration_age_ms() > CONFIGURATION_STALE_MS
@@ -81,8 +86,8 @@
 }
 
 impl Exchange {
-    /// Applies a configuration that came into force after the request was admitted; returns whether the request may be sent
-    /// to an endpoint of the service that was chosen.
+    /// Checks a request that is about to be sent, by a configuration that came into force after it was admitted; returns
+    /// whether it may be sent to an endpoint of the service that was chosen.
     ///
     /// A request that may have run is finished by the configuration that it began with.
     pub(super) fn readmit(&mut self) -> bool {
@@ -90,9 +95,8 @@
         let Some(configuration) = gateway.configuration() else {
             return true;
         };
-        if configuration.version() <= self.configuration_version
-            || self.progress.execution != Execution::NotRun
-        {
+        let is_newer = configuration.version() > self.configuration_version;
+        if self.progress.execution != Execution::NotRun || !(is_newer || gateway.is_overtaken()) {
             return true;
         }
         self.configuration_version = configuration.version();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -92,6 +92,9 @@
 /// Divisor of the memory limit below which connections to endpoints are kept; beyond it the rest is for requests.
 const IDLE_MEMORY_SHARE: u64 = 2;
 
+/// Longest time from the check of a request until an endpoint has it, in milliseconds: that for a connection.
+const SEND_MAX_MS: u64 = 250;
+
 /// Kept connections to one endpoint.
 const IDLE_PER_ENDPOINT_MAX: usize = 8;
 
@@ -531,6 +534,15 @@
         (version > self.configuration_version()).then_some(member)
     }
 
+    /// Returns whether another VM has a newer configuration that has to be in force here when a request is sent now.
+    ///
+    /// A VM that learns nothing goes on by what it knows, since the log service may be down for all.
+    pub(crate) fn is_overtaken(&self) -> bool {
+        let age_ms = self.configuration_age_ms().saturating_add(SEND_MAX_MS);
+        age_ms > self.settings.log_service.change_max_ms
+            && self.peer_with_newer_configuration().is_some()
+    }
+
     /// Returns whether a content has crashed too many endpoints.
     pub(crate) fn is_crashing(&self, content: &ContentHash) -> bool {
         self.evidence.borrow().crash_count(content) >= CRASHES_MAX
