Tell the version of an endpoint's software and where a stream goes on

Entries state the version of the engine's software and callers name the attempt that began a stream; both were read by nobody. New: version in endpoint_changed, the line stream_resumed, and the version in the views that VMs give each other. No decision uses them yet.

--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -78,6 +78,8 @@
     pub cold_ms: u64,
     /// Unix time of its start, in milliseconds, if published.
     pub born_ms: Option<u64>,
+    /// Version of its software; empty if it states none.
+    pub version: Name,
     /// Sequence number of the entry within the incarnation; entries may arrive out of order.
     pub sequence: u64,
 }
--- a/crates/core/tests/endpoint_list.rs
+++ b/crates/core/tests/endpoint_list.rs
@@ -19,6 +19,7 @@
         is_draining: false,
         cold_ms: 0,
         born_ms: Some(born_ms),
+        version: Name::from("v1"),
         sequence,
     }
 }
--- a/crates/core/tests/limit_reports.rs
+++ b/crates/core/tests/limit_reports.rs
@@ -22,6 +22,7 @@
         is_draining: false,
         cold_ms: 0,
         born_ms: Some(born_ms),
+        version: Name::from("v1"),
         sequence,
     }
 }
--- a/crates/core/tests/limited_engines.rs
+++ b/crates/core/tests/limited_engines.rs
@@ -139,6 +139,7 @@
             is_draining: false,
             cold_ms: 0,
             born_ms: Some(1),
+            version: Name::from("v1"),
             sequence: 1,
         });
     }
--- a/crates/core/tests/list_changes.rs
+++ b/crates/core/tests/list_changes.rs
@@ -15,6 +15,7 @@
         is_draining: false,
         cold_ms: 0,
         born_ms: Some(1),
+        version: Name::from("v1"),
         sequence,
     }
 }
--- a/crates/core/tests/prompt_placement.rs
+++ b/crates/core/tests/prompt_placement.rs
@@ -41,6 +41,7 @@
                 is_draining: false,
                 cold_ms: 0,
                 born_ms: Some(1),
+                version: Name::from("v1"),
                 sequence: 1,
             });
         }
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -24,6 +24,8 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller received; the stream resumes after it.
     pub last_event_id: Option<String>,
+    /// Id of the caller's attempt that brought the first event of the stream that is taken up.
+    pub begun_by: Option<String>,
 }
 
 /// Values that are sent to an endpoint in addition to the caller's headers.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -114,6 +114,8 @@
     late_until_ms: u64,
     /// Endpoint chosen for a repeat while the run before it has not ended, with its permit.
     reserved: RefCell<Option<Choice>>,
+    /// Version of the software that brought the first event of this answer.
+    pub(crate) began_at: Option<Name>,
     /// Version of the configuration by which the request was admitted.
     configuration_version: u64,
     /// Why a newer configuration does not allow the request.
@@ -298,6 +300,7 @@
         repeat: None,
         late_until_ms: 0,
         reserved: RefCell::new(None),
+        began_at: None,
         configuration_version: version,
         disallowed: None,
         was_denied: Cell::new(false),
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -71,6 +71,8 @@
     pub(super) address: SocketAddr,
     pub(crate) endpoint: EndpointKey,
     pub(crate) endpoint_id: Name,
+    /// Version of the endpoint's software, as its entry stated it when the request was sent.
+    pub(crate) version: Name,
     pub(crate) began_ms: u64,
     /// Load that the endpoint stated in its answer.
     load: Option<Load>,
@@ -162,13 +164,14 @@
         }
         let now_ms = self.gateway.clock.now_ms();
         let prompt = self.request_info.prompt.as_ref();
-        let (address, endpoint_id, run_key) = {
+        let (address, endpoint_id, version, run_key) = {
             let mut endpoints = self.gateway.endpoints.borrow_mut();
             let Some(endpoint) = endpoints.get(key) else {
                 return Err(RunOutcome::Unreachable);
             };
             let address = endpoint.entry.address;
             let endpoint_id = endpoint.entry.id.clone();
+            let version = endpoint.entry.version.clone();
             if endpoint.limit() != RateLimit::Unlimited {
                 metrics::counter!(metric::LIMITED_RUNS).increment(1);
             }
@@ -184,13 +187,14 @@
                 self.level,
                 now_ms,
             );
-            (address, endpoint_id, run)
+            (address, endpoint_id, version, run)
         };
         let mut run = RunGuard {
             gateway: Rc::clone(&self.gateway),
             address,
             endpoint: key,
             endpoint_id,
+            version,
             began_ms: now_ms,
             load: None,
             is_unanswered: true,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -354,8 +354,14 @@
         if let Some(key) = gone {
             self.idle.borrow_mut().remove(&key);
         }
-        let count = self.endpoints.borrow().len();
-        log::info!(event = "endpoint_changed", endpoint = id.as_str(), change = kind, known = count; "endpoint {kind}");
+        let endpoints = self.endpoints.borrow();
+        let endpoint = endpoints.find(id).and_then(|key| endpoints.get(key));
+        let version = endpoint.map_or("", |endpoint| endpoint.entry.version.as_str());
+        let count = endpoints.len();
+        log::info!(
+            event = "endpoint_changed", endpoint = id.as_str(), change = kind, version = version, known = count;
+            "endpoint {kind}"
+        );
         metrics::counter!(metric::ENDPOINT_CHANGES, "change" => kind).increment(1);
         metrics::gauge!(metric::ENDPOINTS).set(count as f64);
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -383,6 +383,7 @@
         }
         if !source.has_events && splitter.event_count() > 0 {
             source.has_events = true;
+            exchange.record_stream_start(&source.run, splitter);
             source.run.record_first_byte();
             exchange.trace.record_first_byte();
         }
@@ -395,6 +396,24 @@
     }
 }
 
+impl Exchange {
+    /// Records the version at which a stream begins, or logs at which one it goes on.
+    fn record_stream_start(&mut self, run: &RunGuard, splitter: &EventSplitter) {
+        let version = run.version.as_str();
+        let began_at = self.began_at.get_or_insert_with(|| run.version.clone());
+        let resumes = self.request_info.begun_by.as_deref();
+        if resumes.is_none() && self.tried.len() < 2 {
+            return;
+        }
+        log::info!(
+            event = "stream_resumed", request = self.trace.request_id(), resumes = resumes.unwrap_or(""),
+            endpoint = run.endpoint_id.as_str(), version = version, began_at = began_at.as_str(),
+            event_id = splitter.last_id().unwrap_or("");
+            "a stream that had begun goes on"
+        );
+    }
+}
+
 async fn send_chunk(
     exchange: &Exchange,
     chunks: &ChunkSender,
--- a/crates/wire/src/view.rs
+++ b/crates/wire/src/view.rs
@@ -57,6 +57,9 @@
     draining: bool,
     cold_ms: u64,
     born_ms: Option<u64>,
+    /// Absent in answers of earlier builds.
+    #[serde(default)]
+    version: String,
     sequence: u64,
 }
 
@@ -108,6 +111,7 @@
             draining: entry.is_draining,
             cold_ms: entry.cold_ms,
             born_ms: entry.born_ms,
+            version: entry.version.as_str().to_owned(),
             sequence: entry.sequence,
         }
     }
@@ -126,6 +130,7 @@
             is_draining: wire.draining,
             cold_ms: wire.cold_ms,
             born_ms: wire.born_ms,
+            version: Name::from(wire.version),
             sequence: wire.sequence,
         })
     }
--- a/crates/wire/tests/view.rs
+++ b/crates/wire/tests/view.rs
@@ -25,6 +25,7 @@
         is_draining: number(0) % 2 == 0,
         cold_ms: number(1),
         born_ms: (number(2) % 2 == 0).then(|| number(3)),
+        version: Name::from("v1"),
         sequence: number(4),
     };
     let watermark = |index| Watermark {
