A stream goes on only at the software version that began it

Cause: the version in an engine's entry was dropped when it was read, and Resumes was not read at all. Inside one answer and over a caller's tries, any engine could go on. Class: state that a later decision needs is not recorded where it can be found again.

Why this works: an answer is bound to a version by its first event, and placement has only endpoints of it. VMs tell each other every 100 ms which attempt began where; while several versions have served within the time that a stream can last, one VM also writes that to the log service every 250 ms, which outlives all VMs. What no VM knows is deduced if the entries in the log service, read to their end at that moment, show a single version for as long as the stream can last; that also holds for a VM that has just started or was cut off. Else the request waits 0.5 s for others to tell and is refused with 503 (not run). An endpoint whose entry changed its version while it answered does not begin or continue a stream that may be resumed.

--- a/crates/core/src/forwarding/configuration.rs
+++ b/crates/core/src/forwarding/configuration.rs
@@ -195,6 +195,13 @@
         self.limits
     }
 
+    /// Returns the longest deadline of the routes whose streams may resume, in milliseconds; 0 if there are none.
+    pub fn stream_timeout_max_ms(&self) -> u64 {
+        let routes = self.routes.values().flatten();
+        let resumable = routes.filter(|route| route.is_resumable);
+        resumable.map(|route| route.timeout_ms).max().unwrap_or(0)
+    }
+
     /// Returns whether there is a route of this name.
     pub fn has_route(&self, name: &Name) -> bool {
         let mut routes = self.routes.values().flatten();
--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -22,6 +22,8 @@
 use crate::forwarding::prompt::PrefixCache;
 use crate::forwarding::prompt::Prompt;
 use crate::forwarding::run::RunOutcome;
+use crate::forwarding::stream_origins::SoftwareHistory;
+use crate::forwarding::stream_origins::SoftwareKey;
 use crate::hash::hash_name;
 
 pub mod limits;
@@ -206,6 +208,8 @@
     pub hash: u64,
     /// Hash of the id and start time, the same on all VMs.
     pub incarnation: Incarnation,
+    /// Version of its service's software.
+    pub software: SoftwareKey,
     /// Estimated contents of the prefix cache.
     pub prefix_cache: PrefixCache,
     /// Exponentially weighted average of the time to first byte, in milliseconds; 0 before the first response.
@@ -339,6 +343,7 @@
     revisions: Revisions,
     notices: Notices,
     limits: Limits,
+    software_history: SoftwareHistory,
 }
 
 /// A removal that is carried out unless the entry is renewed before.
@@ -408,7 +413,8 @@
         let is_renewed = self.deferred.remove(&entry.id).is_some();
         let is_same = known.entry.born_ms == entry.born_ms
             && known.entry.address == entry.address
-            && known.entry.service == entry.service;
+            && known.entry.service == entry.service
+            && known.entry.version == entry.version;
         if !is_same {
             self.remove_now(&entry.id.clone());
             let new = self.insert(entry);
@@ -531,9 +537,12 @@
         let service = entry.service.clone();
         self.revisions.note_change(&id);
         let incarnation = Incarnation::from(&entry);
+        let software = SoftwareKey::new(&service, &entry.version);
+        self.software_history.record_listed(&service, software);
         let endpoint = Endpoint {
             hash: hash_name(id.as_str()),
             incarnation,
+            software,
             entry,
             prefix_cache: PrefixCache::default(),
             first_byte_ms: 0.0,
@@ -615,6 +624,39 @@
         self.by_id.is_empty()
     }
 
+    /// Records that the list of endpoints was complete as of a time.
+    pub fn confirm_list(&mut self, as_of_ms: u64) {
+        for endpoint in self.endpoints.values() {
+            self.software_history
+                .record(&endpoint.entry.service, endpoint.software, as_of_ms);
+        }
+        self.software_history.confirm(as_of_ms);
+    }
+
+    /// Returns the software versions that have served lately.
+    pub fn software_history(&self) -> &SoftwareHistory {
+        &self.software_history
+    }
+
+    /// Returns the software versions that have served lately, to add to them.
+    pub fn software_history_mut(&mut self) -> &mut SoftwareHistory {
+        &mut self.software_history
+    }
+
+    /// Returns whether a run's endpoint still has the software that it had when the run began.
+    ///
+    /// An endpoint that is not listed any more has not changed.
+    pub fn has_software(&self, id: &Name, software: SoftwareKey) -> bool {
+        let endpoint = self.find(id).and_then(|key| self.endpoints.get(key));
+        endpoint.is_none_or(|endpoint| endpoint.software == software)
+    }
+
+    /// Returns whether an endpoint with a software version is listed.
+    pub fn has_endpoint_with(&self, service: &Name, software: SoftwareKey) -> bool {
+        self.of_service(service)
+            .any(|(_, endpoint)| endpoint.software == software && endpoint.is_usable())
+    }
+
     /// Returns the endpoints of a service.
     pub fn of_service(&self, service: &Name) -> impl Iterator<Item = (EndpointKey, &Endpoint)> {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
--- a/crates/core/src/forwarding/placement.rs
+++ b/crates/core/src/forwarding/placement.rs
@@ -18,6 +18,7 @@
 use crate::forwarding::lanes::Lanes;
 use crate::forwarding::lanes::ServiceDemand;
 use crate::forwarding::prompt::Prompt;
+use crate::forwarding::stream_origins::SoftwareKey;
 use crate::hash::mix;
 
 /// Parameters of the placement cost.
@@ -92,6 +93,8 @@
     pub is_repeatable: bool,
     /// Data centre of the VM.
     pub data_centre: &'a Name,
+    /// The only software version that may run it, if it goes on with a stream.
+    pub software: Option<SoftwareKey>,
     /// Endpoints that it was already sent to.
     pub tried: &'a [EndpointKey],
     /// Whether endpoints with a rate limit are left out.
@@ -131,6 +134,12 @@
         if !endpoint.is_available(request.level, now_ms) || request.tried.contains(&key) {
             continue;
         }
+        if request
+            .software
+            .is_some_and(|software| software != endpoint.software)
+        {
+            continue;
+        }
         if request.avoids_limited && endpoint.limit() != RateLimit::Unlimited {
             continue;
         }
--- a/crates/core/src/reason.rs
+++ b/crates/core/src/reason.rs
@@ -76,6 +76,10 @@
     Shed "shed" 503;
     /// The pool has no usable endpoint.
     NoEndpoint "no_endpoint" 503;
+    /// The software version that began a stream is not known, so it cannot go on.
+    OriginUnknown "stream_origin_unknown" 503;
+    /// No endpoint has the software version that began a stream.
+    VersionGone "software_version_gone" 503;
     /// The endpoints of the pool are at the rate limits that they stated.
     EndpointLimited "endpoint_limited" 503;
     /// The VM is stopping.
--- a/crates/core/tests/endpoint_notices.rs
+++ b/crates/core/tests/endpoint_notices.rs
@@ -38,6 +38,7 @@
         level: UrgencyLevel::default(),
         is_repeatable: true,
         data_centre: &data_centre,
+        software: None,
         tried: &[],
         avoids_limited: false,
         is_trial: false,
--- a/crates/core/tests/limited_engines.rs
+++ b/crates/core/tests/limited_engines.rs
@@ -211,6 +211,7 @@
                 level: UrgencyLevel::from(class.level),
                 is_repeatable: true,
                 data_centre: &data_centre,
+                software: None,
                 tried: &[],
                 avoids_limited: asked == 3,
                 is_trial: false,
--- a/crates/gateway/src/adverts.rs
+++ b/crates/gateway/src/adverts.rs
@@ -220,9 +220,10 @@
                     || advert.data_centre == gateway.data_centre;
                 let (outcome, is_first) = apply_advert(&gateway, advert);
                 if is_first && is_recipient {
-                    // A VM that has just started knows no limits of endpoints and no parts of prompts yet.
+                    // A VM that has just started knows no limits of endpoints, parts of prompts and streams yet.
                     send_advert(&gateway, &socket, &[address]).await;
                     gateway.send_all_parts(address).await;
+                    gateway.send_all_streams(address).await;
                 }
                 outcome
             }
@@ -238,6 +239,10 @@
                 gateway.merge_part_notice(&notice);
                 continue;
             }
+            Ok(Datagram::StreamNotice(notice)) => {
+                gateway.merge_streams(notice).await;
+                continue;
+            }
             Ok(Datagram::TrialQuery(query)) => {
                 gateway.answer_trial(query, from).await;
                 continue;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -61,11 +61,13 @@
 mod parts;
 mod repeat;
 mod send;
+mod take_up;
 
 pub(crate) use parts::RefusedPart;
 pub(crate) use send::EndpointResponse;
 pub(crate) use send::Framing;
 pub(crate) use send::RunGuard;
+pub(crate) use take_up::Began;
 
 /// Time after which a caller may retry at another VM, in milliseconds.
 pub(crate) const STOPPING_RETRY_AFTER_MS: u64 = 50;
@@ -114,8 +116,8 @@
     late_until_ms: u64,
     /// Endpoint chosen for a repeat while the run before it has not ended, with its permit.
     reserved: RefCell<Option<Choice>>,
-    /// Version of the software that brought the first event of this answer.
-    pub(crate) began_at: Option<Name>,
+    /// Where the stream began.
+    pub(crate) began: Began,
     /// Version of the configuration by which the request was admitted.
     configuration_version: u64,
     /// Why a newer configuration does not allow the request.
@@ -300,7 +302,7 @@
         repeat: None,
         late_until_ms: 0,
         reserved: RefCell::new(None),
-        began_at: None,
+        began: Began::Nowhere,
         configuration_version: version,
         disallowed: None,
         was_denied: Cell::new(false),
@@ -360,6 +362,9 @@
         if self.remaining_ms() == 0 {
             return self.give_up(None, true);
         }
+        if let Err(refusal) = self.find_start().await {
+            return refuse(&self.gateway, &mut self.trace, &refusal, false);
+        }
         let now_ms = self.gateway.clock.now_ms();
         self.gateway
             .budget
@@ -517,6 +522,7 @@
             level: self.level,
             is_repeatable: self.route.is_repeatable(),
             data_centre: &gateway.data_centre,
+            software: self.began.software(),
             tried: &self.tried,
             avoids_limited,
             is_trial: self.part_gate.is_trial(),
--- a/crates/gateway/src/exchange/authorise.rs
+++ b/crates/gateway/src/exchange/authorise.rs
@@ -125,13 +125,21 @@
             .iter()
             .any(|target| target.service == self.service);
         let draw = (gateway.draw() >> 32) as u32;
-        if !keeps_service && let Some(service) = route.pick_service(draw) {
-            self.service = service.clone();
-        }
-        self.lane = configuration.lane(&self.service, &route);
+        let picked = route.pick_service(draw).filter(|_| !keeps_service);
+        let service = picked.unwrap_or(&self.service).clone();
         self.route = route;
         self.organisation = organisation;
         self.level = level;
+        self.use_service(&configuration, service);
         keeps_service
     }
+
+    /// Lets the request run at a service of its route.
+    pub(super) fn use_service(&mut self, configuration: &Configuration, service: Name) {
+        let known = configuration.service(&service);
+        self.memory_tokens = known.and_then(|service| service.memory_tokens);
+        self.can_fetch = known.is_some_and(|service| service.can_fetch);
+        self.lane = configuration.lane(&service, &self.route);
+        self.service = service;
+    }
 }
--- a/crates/gateway/src/exchange/send.rs
+++ b/crates/gateway/src/exchange/send.rs
@@ -18,6 +18,7 @@
 use waxwing_core::forwarding::planned_stop::Stage;
 use waxwing_core::forwarding::run::RunOutcome;
 use waxwing_core::forwarding::run::StallTimeouts;
+use waxwing_core::forwarding::stream_origins::SoftwareKey;
 use waxwing_core::status::is_final;
 use waxwing_core::status::promises_not_run;
 
@@ -73,6 +74,7 @@
     pub(crate) endpoint_id: Name,
     /// Version of the endpoint's software, as its entry stated it when the request was sent.
     pub(crate) version: Name,
+    pub(crate) software: SoftwareKey,
     pub(crate) began_ms: u64,
     /// Load that the endpoint stated in its answer.
     load: Option<Load>,
@@ -164,7 +166,7 @@
         }
         let now_ms = self.gateway.clock.now_ms();
         let prompt = self.request_info.prompt.as_ref();
-        let (address, endpoint_id, version, run_key) = {
+        let (address, endpoint_id, version, software, run_key) = {
             let mut endpoints = self.gateway.endpoints.borrow_mut();
             let Some(endpoint) = endpoints.get(key) else {
                 return Err(RunOutcome::Unreachable);
@@ -172,6 +174,11 @@
             let address = endpoint.entry.address;
             let endpoint_id = endpoint.entry.id.clone();
             let version = endpoint.entry.version.clone();
+            let software = endpoint.software;
+            // A choice that was reserved may be older than what the stream began at.
+            if self.began.software().is_some_and(|began| began != software) {
+                return Err(RunOutcome::NotWritten);
+            }
             if endpoint.limit() != RateLimit::Unlimited {
                 metrics::counter!(metric::LIMITED_RUNS).increment(1);
             }
@@ -187,7 +194,7 @@
                 self.level,
                 now_ms,
             );
-            (address, endpoint_id, version, run)
+            (address, endpoint_id, version, software, run)
         };
         let mut run = RunGuard {
             gateway: Rc::clone(&self.gateway),
@@ -195,6 +202,7 @@
             endpoint: key,
             endpoint_id,
             version,
+            software,
             began_ms: now_ms,
             load: None,
             is_unanswered: true,
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -258,6 +258,9 @@
     fn confirm(&self, feed: Feed, position: Position, as_of_ms: u64, source: &str) {
         let before = self.fleet.sync_state(feed);
         self.fleet.confirm(feed, position, as_of_ms);
+        if feed == Feed::Endpoints {
+            self.endpoints.borrow_mut().confirm_list(as_of_ms);
+        }
         if let Some(took_ms) = before.incomplete_ms(self.clock.now_ms()) {
             let offset_before = before.last_position().unwrap_or_default().offset;
             log::info!(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -69,6 +69,8 @@
 use crate::settings::Settings;
 use crate::signals::Signals;
 use crate::stop::StopSignals;
+use crate::stream_origins;
+use crate::stream_origins::OriginService;
 use crate::task_delay;
 
 /// Time for which a crash counts against a content, in milliseconds.
@@ -132,6 +134,7 @@
     pub(crate) start_check: Cell<StartCheck>,
     pub(crate) permits: PermitService,
     pub(crate) part_service: PartService,
+    pub(crate) origin_service: OriginService,
     /// Socket for datagrams to other VMs; set when the VM starts to serve.
     pub(crate) peer_socket: OnceCell<Rc<Async<UdpSocket>>>,
     /// Requests in progress, by stage.
@@ -194,6 +197,7 @@
             start_check: Cell::new(StartCheck::new(clock.now_ms())),
             permits: PermitService::new(clock.now_ms()),
             part_service: PartService::new(),
+            origin_service: OriginService::new(),
             peer_socket: OnceCell::new(),
             advert_sequence: Cell::new(0),
             stages: Rc::default(),
@@ -686,6 +690,9 @@
             .spawn(adverts::run(Rc::clone(&self), socket))
             .detach();
         control.spawn(fleet::follow(Rc::clone(&self))).detach();
+        control
+            .spawn(stream_origins::tell(Rc::clone(&self)))
+            .detach();
         control.spawn(tick(Rc::clone(&self))).detach();
         for (queue, name) in [(control, "control"), (requests, "requests")] {
             queue.spawn(task_delay::measure(self.clock, name)).detach();
@@ -751,6 +758,7 @@
         metrics::gauge!(metric::MEMORY_LIMIT).set(gateway.memory.limit_bytes() as f64);
         gateway.retain_permits();
         gateway.update_parts();
+        gateway.expire_streams();
         gateway.log_repeat_share();
     }
 }
--- a/crates/gateway/src/metric.rs
+++ b/crates/gateway/src/metric.rs
@@ -56,6 +56,12 @@
 pub const CONFIGURATION_AGE: &str = "waxwing_gateway_configuration_age_seconds";
 /// Histogram of the time for which tasks that are due wait for the processor, in seconds, by queue.
 pub const TASK_DELAY: &str = "waxwing_gateway_task_delay_seconds";
+/// Counter of streams that callers take up by what is known of their origin: `recorded`, `only_version` or `unknown`.
+pub const TAKE_UPS: &str = "waxwing_gateway_take_ups_total";
+/// Gauge of streams of which it is known where they began.
+pub const STREAM_ORIGINS: &str = "waxwing_gateway_stream_origins";
+/// Counter of questions to the log service which software versions have served by outcome: `answered` or `failed`.
+pub const SOFTWARE_CHECKS: &str = "waxwing_gateway_software_checks_total";
 /// Gauge of other VMs that are alive.
 pub const PEERS: &str = "waxwing_gateway_peers";
 /// Counter of adverts by outcome: `sent`, `send_failed`, `news`, `old` or `undecodable`.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -20,6 +20,7 @@
 use crate::body::ChunkSender;
 use crate::client::Connection;
 use crate::client::with_timeout;
+use crate::exchange::Began;
 use crate::exchange::Delivery;
 use crate::exchange::EndpointResponse;
 use crate::exchange::Exchange;
@@ -348,6 +349,9 @@
         let frame = source.body.frame();
         let events = match exchange.watch(&source.run, timeouts, since_ms, frame).await {
             Ok(Some(Ok(frame))) => match frame.into_data() {
+                Ok(_) if !source.has_events && !exchange.may_begin(&source.run) => {
+                    return Err(RelayError::Run(RunOutcome::Failed));
+                }
                 Ok(data) => splitter.push(&data),
                 Err(_) => continue,
             },
@@ -383,7 +387,7 @@
         }
         if !source.has_events && splitter.event_count() > 0 {
             source.has_events = true;
-            exchange.record_stream_start(&source.run, splitter);
+            exchange.begin_stream(&source.run, splitter);
             source.run.record_first_byte();
             exchange.trace.record_first_byte();
         }
@@ -396,24 +400,6 @@
     }
 }
 
-impl Exchange {
-    /// Records the version at which a stream begins, or logs at which one it goes on.
-    fn record_stream_start(&mut self, run: &RunGuard, splitter: &EventSplitter) {
-        let version = run.version.as_str();
-        let began_at = self.began_at.get_or_insert_with(|| run.version.clone());
-        let resumes = self.request_info.begun_by.as_deref();
-        if resumes.is_none() && self.tried.len() < 2 {
-            return;
-        }
-        log::info!(
-            event = "stream_resumed", request = self.trace.request_id(), resumes = resumes.unwrap_or(""),
-            endpoint = run.endpoint_id.as_str(), version = version, began_at = began_at.as_str(),
-            event_id = splitter.last_id().unwrap_or("");
-            "a stream that had begun goes on"
-        );
-    }
-}
-
 async fn send_chunk(
     exchange: &Exchange,
     chunks: &ChunkSender,
@@ -446,6 +432,9 @@
     splitter: &EventSplitter,
 ) -> Result<Source, RunOutcome> {
     let mut outcome = outcome;
+    if exchange.began == Began::Unknown {
+        return Err(outcome);
+    }
     while let Some(key) = exchange.take_next_endpoint(outcome).await {
         let received = match exchange.send(key, splitter.last_id()).await {
             Ok(received) => received,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -110,6 +110,13 @@
     pub drain_max_ms: u64,
     /// Time within which a change of the configuration must be in force, in milliseconds.
     pub change_max_ms: u64,
+    /// Interval at which endpoints renew their entries, in milliseconds.
+    #[serde(default = "default_endpoint_report_ms")]
+    pub endpoint_report_ms: u64,
+}
+
+fn default_endpoint_report_ms() -> u64 {
+    1_200
 }
 
 impl LogService {
--- a/crates/wire/src/advert.rs
+++ b/crates/wire/src/advert.rs
@@ -31,9 +31,12 @@
 use crate::advert::limits::WireLimit;
 use crate::advert::limits::WirePermitQuery;
 use crate::advert::limits::WirePermitReply;
+use crate::advert::streams::StreamNotice;
+use crate::advert::streams::WireStreamNotice;
 
 pub mod crashes;
 pub mod limits;
+pub mod streams;
 
 /// Version of the datagram format, sent as the first byte; datagrams of other versions are rejected.
 const VERSION: u8 = 7;
@@ -81,6 +84,8 @@
     TrialQuery(TrialQuery),
     /// Reply to such a request.
     TrialReply(TrialReply),
+    /// Software versions at which streams began.
+    StreamNotice(StreamNotice),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -93,6 +98,7 @@
     CrashNotice(WireCrashNotice),
     TrialQuery(WireTrialQuery),
     TrialReply(WireTrialReply),
+    StreamNotice(WireStreamNotice),
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -366,6 +372,9 @@
             }
             Datagram::TrialQuery(query) => WireDatagram::TrialQuery(WireTrialQuery::from(query)),
             Datagram::TrialReply(reply) => WireDatagram::TrialReply(WireTrialReply::from(reply)),
+            Datagram::StreamNotice(notice) => {
+                WireDatagram::StreamNotice(WireStreamNotice::from(notice))
+            }
             Datagram::Summary(summary) => WireDatagram::Summary(WireSummary {
                 data_centre: summary.data_centre.as_str().to_owned(),
                 vm: summary.vm.as_str().to_owned(),
@@ -397,6 +406,9 @@
             }
             WireDatagram::TrialQuery(wire) => Ok(Datagram::TrialQuery(TrialQuery::try_from(wire)?)),
             WireDatagram::TrialReply(wire) => Ok(Datagram::TrialReply(TrialReply::from(wire))),
+            WireDatagram::StreamNotice(wire) => {
+                Ok(Datagram::StreamNotice(StreamNotice::try_from(wire)?))
+            }
             WireDatagram::PermitQuery(wire) => {
                 Ok(Datagram::PermitQuery(PermitQuery::try_from(wire)?))
             }
