--- a/crates/core/tests/crash_gossip.rs
+++ b/crates/core/tests/crash_gossip.rs
@@ -116,3 +116,42 @@
         assert!(!known.merge(std::slice::from_ref(&report), &[], now_ms + 5));
     }
 }
+
+/// Guards against VMs that forget cleared parts, learn them anew from each other and send them on, without end.
+#[test]
+fn cleared_parts_settle() {
+    for seed in 0..5 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut vms: Vec<CrashingParts> = (0..VMS).map(|_| CrashingParts::new()).collect();
+        crash_many(&mut vms, &mut random);
+        let mut now_ms = BEGIN_MS + 500;
+        for _ in 0..3 {
+            exchange(&mut vms, &mut random, now_ms);
+            now_ms += ROUND_MS;
+        }
+        for number in 0..CRASHES {
+            for organisation in 0..40 {
+                let scope = Scope {
+                    organisation,
+                    service: 1,
+                };
+                let parts = [PartKey(number % 7), PartKey(1_000 + number)];
+                vms[random.random_range(0..VMS)].record_answer(scope, &parts, now_ms);
+            }
+        }
+        for _ in 0..3 {
+            exchange(&mut vms, &mut random, now_ms);
+            now_ms += ROUND_MS;
+        }
+        for _ in 0..20 {
+            let news = exchange(&mut vms, &mut random, now_ms);
+            assert_eq!(
+                news,
+                0,
+                "seed {seed}: still news at {} ms",
+                now_ms - BEGIN_MS
+            );
+            now_ms += ROUND_MS;
+        }
+    }
+}
