Origins of streams are told and written sooner, and looked up where they are soonest

Cause: four to seven streams for each loss of all VMs had begun within the 350 ms that it took until the log service had them: 100 ms until another VM was told, 250 ms until that one wrote.

While one version serves, the log service is asked only after other VMs had 250 ms to tell.

--- a/crates/gateway/src/exchange/take_up.rs
+++ b/crates/gateway/src/exchange/take_up.rs
@@ -17,8 +17,12 @@
 /// Time for which a request waits for other VMs to tell where its stream began, in milliseconds.
 const LEARN_MS: u64 = 500;
 
+/// Time in which other VMs tell of a stream before the log service is asked, in milliseconds: two rounds, and the way
+/// between data centres.
+const TOLD_MS: u64 = 250;
+
 /// Interval at which it looks whether they have, in milliseconds.
-const LOOK_MS: u64 = 50;
+const LOOK_MS: u64 = 25;
 
 /// Time after which a caller may retry when it is not known where its stream began, in milliseconds.
 const UNKNOWN_RETRY_AFTER_MS: u64 = 300;
@@ -94,6 +98,12 @@
     async fn find_origin(&self) -> Origin {
         let attempt = self.request_info.begun_by.as_deref();
         let find = || self.gateway.find_origin(&self.route, attempt);
+        // The log service knows as much as other VMs while several versions serve, and a VM that has just started was told
+        // nothing of streams from before.
+        let gateway = &self.gateway;
+        if gateway.has_software_history(&self.route) && !gateway.has_mixed_software() {
+            self.await_origin(TOLD_MS).await;
+        }
         if let recorded @ Origin::Recorded(_) = find() {
             return recorded;
         }
@@ -104,19 +114,24 @@
                 return found;
             }
         }
-        let Some(attempt) = attempt else {
-            return Origin::Unknown;
-        };
-        let until_ms = self.gateway.clock.now_ms() + LEARN_MS.min(self.remaining_ms() / 4);
-        while self.gateway.clock.now_ms() < until_ms && self.gateway.may_learn_origin(attempt) {
-            Timer::after(Duration::from_millis(LOOK_MS)).await;
-        }
+        self.await_origin(LEARN_MS).await;
         match find() {
             recorded @ Origin::Recorded(_) => recorded,
             Origin::OnlyVersion(_) | Origin::Unknown => Origin::Unknown,
         }
     }
 
+    /// Waits until another VM tells where the stream began, or for `limit_ms` at most.
+    async fn await_origin(&self, limit_ms: u64) {
+        let Some(attempt) = self.request_info.begun_by.as_deref() else {
+            return;
+        };
+        let until_ms = self.gateway.clock.now_ms() + limit_ms.min(self.remaining_ms() / 4);
+        while self.gateway.clock.now_ms() < until_ms && self.gateway.may_learn_origin(attempt) {
+            Timer::after(Duration::from_millis(LOOK_MS)).await;
+        }
+    }
+
     /// Returns whether the events that a run is about to bring may be passed on.
     pub(crate) fn may_begin(&self, run: &RunGuard) -> bool {
         match self.began {
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -31,8 +31,11 @@
 /// Interval at which other VMs are told of new streams, in milliseconds.
 const ROUND_MS: u64 = 100;
 
-/// Number of rounds of which one repeats what was told lately.
-const REPEAT_ROUNDS: u64 = 4;
+/// The same while several versions serve, so that the log service soon holds the streams too.
+const MIXED_ROUND_MS: u64 = 50;
+
+/// Interval at which what was told lately is repeated, in milliseconds.
+const REPEAT_MS: u64 = 400;
 
 /// Most streams in one datagram.
 const ORIGINS_MAX: usize = 256;
@@ -55,8 +58,6 @@
     /// Requests that wait until the log service has told which versions served.
     waiting: RefCell<Vec<oneshot::Sender<bool>>>,
     wanted: (flume::Sender<()>, flume::Receiver<()>),
-    /// Time up to which new streams were told to other VMs, in milliseconds.
-    told_at_ms: Cell<u64>,
     /// Time up to which streams were written to the log service, in milliseconds.
     saved_at_ms: Cell<u64>,
 }
@@ -67,7 +68,6 @@
             origins: RefCell::default(),
             waiting: RefCell::default(),
             wanted: flume::bounded(1),
-            told_at_ms: Cell::new(0),
             saved_at_ms: Cell::new(0),
         }
     }
@@ -154,6 +154,16 @@
         origins.find(AttemptKey::from(attempt)).is_none()
     }
 
+    /// Returns whether this VM knows all versions that served for as long as a stream of a route can last.
+    pub(crate) fn has_software_history(&self, route: &Route) -> bool {
+        let since_ms = self
+            .clock
+            .now_ms()
+            .saturating_sub(route.timeout_ms + TAKE_UP_SLACK_MS);
+        let endpoints = self.endpoints.borrow();
+        endpoints.software_history().is_complete_since(since_ms)
+    }
+
     /// Asks the log service which versions have served; returns whether it answered.
     pub(crate) async fn check_software(&self) -> bool {
         let (sender, receiver) = oneshot::channel();
@@ -353,14 +363,21 @@
 
 /// Tells other VMs where streams began, for as long as the process runs.
 pub(crate) async fn tell(gateway: Rc<Gateway>) {
-    for round in 1.. {
-        Timer::after(Duration::from_millis(ROUND_MS)).await;
-        let now_ms = gateway.clock.now_ms();
-        let told_at_ms = gateway.origin_service.told_at_ms.replace(now_ms);
-        let since_ms = match round % REPEAT_ROUNDS {
-            0 => now_ms.saturating_sub(NEWS_MS),
-            _ => told_at_ms,
+    let mut told_at_ms = 0;
+    let mut repeated_at_ms = 0;
+    loop {
+        let round_ms = match gateway.has_mixed_software() {
+            true => MIXED_ROUND_MS,
+            false => ROUND_MS,
         };
+        Timer::after(Duration::from_millis(round_ms)).await;
+        let now_ms = gateway.clock.now_ms();
+        let mut since_ms = told_at_ms;
+        if now_ms >= repeated_at_ms + REPEAT_MS {
+            repeated_at_ms = now_ms;
+            since_ms = now_ms.saturating_sub(NEWS_MS);
+        }
+        told_at_ms = now_ms;
         gateway.send_stream_news(since_ms).await;
     }
 }
