The start of a process in tests returns once its program is executed

Cause: `spawn` starts a child that shares the memory of the test until it executes its program, and may return shortly before: the kernel wakes the parent first, then replaces the memory of the child, for which it waits for the lock of the shared memory. The soak reads VmHWM at once after a restart, and its threads, of which a burst starts hundreds, hold that lock often. Class: state is read before the change that it describes is complete.

Why the fix works: the kernel renames the process after it has replaced memory and closed descriptors, and the start waits for the name. All reads of /proc/PID in tests (memory_limit, endless_bytes, the soaks) come after a start and are mended with it. The bounds of memory are unchanged, and each process is still checked at the same places.

--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -20,6 +20,9 @@
 /// Lines of output that are printed for each process when a test fails.
 const TAIL_LINES: usize = 60;
 
+/// Length to which the kernel shortens the name of a process.
+const COMM_BYTES_MAX: usize = 15;
+
 /// A child process of a test; dropping it kills it.
 #[derive(Debug)]
 pub struct Process {
@@ -166,11 +169,24 @@
     let file = File::options().create(true).append(true).open(output);
     let file = file.expect("the output file can be opened");
     let errors = file.try_clone().expect("a file can be cloned");
-    Command::new(binary::choose_binary(program))
+    let child = Command::new(binary::choose_binary(program))
         .args(arguments)
         .stdin(Stdio::null())
         .stdout(file)
         .stderr(errors)
         .spawn()
-        .expect("the program can be started")
+        .expect("the program can be started");
+    let what = format!("{program} is executed");
+    condition::wait_until(&what, || is_executed(&child, program));
+    child
+}
+
+/// Returns whether a child executes its program.
+///
+/// `spawn` may return while the child still has the memory and the descriptors of the test; the kernel renames the child
+/// after it has replaced both.
+fn is_executed(child: &Child, program: &str) -> bool {
+    let name = fs::read_to_string(format!("/proc/{}/comm", child.id())).unwrap_or_default();
+    let name_bytes = program.len().min(COMM_BYTES_MAX);
+    name.trim_end() == &program[..name_bytes]
 }
