Log when the history of software versions is interrupted

A VM looks back in the log service when its own history is interrupted; nothing said when and why that happens.

The line software_history_interrupted states the gap and the source.

--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -625,12 +625,14 @@
     }
 
     /// Records that the list of endpoints was complete as of a time.
-    pub fn confirm_list(&mut self, as_of_ms: u64) {
+    ///
+    /// Returns the time since it was complete before, in milliseconds, if a software version can have come and gone unseen.
+    pub fn confirm_list(&mut self, as_of_ms: u64) -> Option<u64> {
         for endpoint in self.endpoints.values() {
             self.software_history
                 .record(&endpoint.entry.service, endpoint.software, as_of_ms);
         }
-        self.software_history.confirm(as_of_ms);
+        self.software_history.confirm(as_of_ms)
     }
 
     /// Returns the software versions that have served lately.
--- a/crates/core/src/forwarding/stream_origins.rs
+++ b/crates/core/src/forwarding/stream_origins.rs
@@ -199,12 +199,16 @@
     }
 
     /// Records that the list of endpoints was complete as of a time.
-    pub fn confirm(&mut self, as_of_ms: u64) {
-        let is_gapless = as_of_ms.saturating_sub(self.confirmed_at_ms) <= LIST_GAP_MAX_MS;
-        if !is_gapless || self.complete_since_ms.is_none() {
+    ///
+    /// Returns the time since it was complete before, in milliseconds, if a version can have come and gone unseen.
+    pub fn confirm(&mut self, as_of_ms: u64) -> Option<u64> {
+        let gap_ms = as_of_ms.saturating_sub(self.confirmed_at_ms);
+        let is_interrupted = gap_ms > LIST_GAP_MAX_MS && self.complete_since_ms.is_some();
+        if is_interrupted || self.complete_since_ms.is_none() {
             self.complete_since_ms = Some(as_of_ms);
         }
         self.confirmed_at_ms = as_of_ms.max(self.confirmed_at_ms);
+        is_interrupted.then_some(gap_ms)
     }
 
     /// Records that all versions since a time have been recorded, also those of before the first list.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -259,7 +259,13 @@
         let before = self.fleet.sync_state(feed);
         self.fleet.confirm(feed, position, as_of_ms);
         if feed == Feed::Endpoints {
-            self.endpoints.borrow_mut().confirm_list(as_of_ms);
+            let gap_ms = self.endpoints.borrow_mut().confirm_list(as_of_ms);
+            if let Some(gap_ms) = gap_ms {
+                log::info!(
+                    event = "software_history_interrupted", gap_ms = gap_ms, source = source;
+                    "software versions may have served unseen"
+                );
+            }
         }
         if let Some(took_ms) = before.incomplete_ms(self.clock.now_ms()) {
             let offset_before = before.last_position().unwrap_or_default().offset;
