Readers tell which software versions have served, and records leave no gap

Cause: the history of versions counted as interrupted after 2.5 s without a confirmed list, whatever was read. With a bound of 4 s a follower reads itself after 2.4 to 3 s, and records read in succession leave nothing out; a VM that asks a reader was not told what that one had seen. It then read back up to five times, from offsets that had expired. Class: a constant that has to fit settings which it does not know.

Why this works: only a new list can leave a gap. A view states for how long no version can be missing and what was listed in that time, so a follower is as complete as its reader, also right after its start. A version that came and went between two reads counts until the second one; before, it counted until the first, which the 2.5 s covered. Histories forget what is older than a stream can be, so views stay small.

--- a/crates/core/src/fleet/view.rs
+++ b/crates/core/src/fleet/view.rs
@@ -3,6 +3,7 @@
 use crate::Name;
 use crate::fleet::sync_state::Position;
 use crate::forwarding::endpoints::Entry;
+use crate::forwarding::software_history::SoftwareNews;
 
 /// A topic of the log service that is distributed through readers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +49,8 @@
     pub removed: Vec<Name>,
     /// New and changed endpoints.
     pub entries: Vec<Entry>,
+    /// Software versions that the reader has seen; `None` if it does not tell.
+    pub software: Option<SoftwareNews>,
 }
 
 /// A reader's configuration.
--- a/crates/core/src/forwarding.rs
+++ b/crates/core/src/forwarding.rs
@@ -16,6 +16,7 @@
 pub mod prompt;
 pub mod repeat_budget;
 pub mod run;
+pub mod software_history;
 pub mod stream_origins;
 
 pub use configuration::Configuration;
--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -22,7 +22,8 @@
 use crate::forwarding::prompt::PrefixCache;
 use crate::forwarding::prompt::Prompt;
 use crate::forwarding::run::RunOutcome;
-use crate::forwarding::stream_origins::SoftwareHistory;
+use crate::forwarding::software_history::ListSource;
+use crate::forwarding::software_history::SoftwareHistory;
 use crate::forwarding::stream_origins::SoftwareKey;
 use crate::hash::hash_name;
 
@@ -538,7 +539,7 @@
         self.revisions.note_change(&id);
         let incarnation = Incarnation::from(&entry);
         let software = SoftwareKey::new(&service, &entry.version);
-        self.software_history.record_listed(&service, software);
+        self.software_history.record_change(&service, software);
         let endpoint = Endpoint {
             hash: hash_name(id.as_str()),
             incarnation,
@@ -579,6 +580,8 @@
         if let Some(keys) = self.by_service.get_mut(&endpoint.entry.service) {
             keys.retain(|other| *other != key);
         }
+        self.software_history
+            .record_change(&endpoint.entry.service, endpoint.software);
         Some(key)
     }
 
@@ -627,12 +630,12 @@
     /// Records that the list of endpoints was complete as of a time.
     ///
     /// Returns the time since it was complete before, in milliseconds, if a software version can have come and gone unseen.
-    pub fn confirm_list(&mut self, as_of_ms: u64) -> Option<u64> {
+    pub fn confirm_list(&mut self, as_of_ms: u64, source: &ListSource, now_ms: u64) -> Option<u64> {
         for endpoint in self.endpoints.values() {
             self.software_history
                 .record(&endpoint.entry.service, endpoint.software, as_of_ms);
         }
-        self.software_history.confirm(as_of_ms)
+        self.software_history.confirm(as_of_ms, source, now_ms)
     }
 
     /// Returns the software versions that have served lately.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -27,6 +27,7 @@
 use waxwing_core::fleet::view::View;
 use waxwing_core::fleet::view::ViewRequest;
 use waxwing_core::fleet::view::Watermark;
+use waxwing_core::forwarding::software_history::ListSource;
 use waxwing_wire::view as wire;
 
 use crate::body::Body;
@@ -240,7 +241,14 @@
         if self.fleet.sync_state(feed).accepts(position) {
             self.expect_renewals(feed, position);
             take();
+            let list_source = match read.offset {
+                Some(_) if read.timeline == position.timeline => ListSource::Records,
+                _ => ListSource::List,
+            };
             self.confirm(feed, position, as_of_ms, "log_service");
+            if feed == Feed::Endpoints {
+                self.confirm_list(as_of_ms, &list_source, "log_service");
+            }
         }
     }
 
@@ -258,15 +266,6 @@
     fn confirm(&self, feed: Feed, position: Position, as_of_ms: u64, source: &str) {
         let before = self.fleet.sync_state(feed);
         self.fleet.confirm(feed, position, as_of_ms);
-        if feed == Feed::Endpoints {
-            let gap_ms = self.endpoints.borrow_mut().confirm_list(as_of_ms);
-            if let Some(gap_ms) = gap_ms {
-                log::info!(
-                    event = "software_history_interrupted", gap_ms = gap_ms, source = source;
-                    "software versions may have served unseen"
-                );
-            }
-        }
         if let Some(took_ms) = before.incomplete_ms(self.clock.now_ms()) {
             let offset_before = before.last_position().unwrap_or_default().offset;
             log::info!(
@@ -277,6 +276,18 @@
         }
     }
 
+    /// Records that the list of endpoints was complete as of a time.
+    fn confirm_list(&self, as_of_ms: u64, list_source: &ListSource, source: &str) {
+        let now_ms = self.clock.now_ms();
+        let mut endpoints = self.endpoints.borrow_mut();
+        if let Some(gap_ms) = endpoints.confirm_list(as_of_ms, list_source, now_ms) {
+            log::info!(
+                event = "software_history_interrupted", gap_ms = gap_ms, source = source;
+                "software versions may have served unseen"
+            );
+        }
+    }
+
     /// Returns how often the log service may have lost records that it had confirmed.
     ///
     /// Without a timeline it may have each time that it could not be reached.
@@ -433,7 +444,7 @@
     if reply.status != StatusCode::OK {
         return Err(format!("the reader answered {}", reply.status.as_u16()));
     }
-    let view = wire::decode_view(&reply.body).map_err(|error| error.to_string())?;
+    let mut view = wire::decode_view(&reply.body).map_err(|error| error.to_string())?;
     let reader = source.vm.as_str();
     let endpoints = view.endpoints.watermark;
     let configuration = view.configuration.watermark;
@@ -456,8 +467,11 @@
         let as_of_ms = as_of_ms(endpoints);
         source.known = Some((view.incarnation, view.endpoints.revision));
         gateway.expect_renewals(Feed::Endpoints, endpoints.position);
+        let software = view.endpoints.software.take();
         gateway.apply_endpoints(view.endpoints);
         gateway.confirm(Feed::Endpoints, endpoints.position, as_of_ms, reader);
+        let list_source = software.map_or(ListSource::List, ListSource::Told);
+        gateway.confirm_list(as_of_ms, &list_source, reader);
     }
     let mut check = gateway.start_check.get();
     check.record_view();
@@ -558,6 +572,7 @@
             is_full: delta.is_full,
             removed: delta.removed.into_iter().cloned().collect(),
             entries,
+            software: endpoints.software_history().news(now_ms),
         },
         configuration: ConfigurationView {
             watermark: watermark_of(Feed::Configuration)?,
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -13,8 +13,8 @@
 use waxwing_core::fleet::Position;
 use waxwing_core::forwarding::configuration::Route;
 use waxwing_core::forwarding::endpoints::notices::Incarnation;
+use waxwing_core::forwarding::software_history::LIST_GAP_MAX_MS;
 use waxwing_core::forwarding::stream_origins::AttemptKey;
-use waxwing_core::forwarding::stream_origins::LIST_GAP_MAX_MS;
 use waxwing_core::forwarding::stream_origins::Learned;
 use waxwing_core::forwarding::stream_origins::NEWS_MS;
 use waxwing_core::forwarding::stream_origins::SoftwareKey;
@@ -282,12 +282,18 @@
         origins.merge(&notice.origins, Learned::Elsewhere, now_ms);
     }
 
-    /// Forgets streams that nobody can take up any more.
+    /// Forgets streams that nobody can take up any more, and the versions that served before them.
     pub(crate) fn expire_streams(&self) {
         let now_ms = self.clock.now_ms();
         let mut origins = self.origin_service.origins.borrow_mut();
         origins.expire(self.stream_span_ms(), now_ms);
         metrics::gauge!(metric::STREAM_ORIGINS).set(origins.len() as f64);
+        if self.configuration().is_none() {
+            return;
+        }
+        let since_ms = now_ms.saturating_sub(self.stream_span_ms() + LIST_GAP_MAX_MS);
+        let mut endpoints = self.endpoints.borrow_mut();
+        endpoints.software_history_mut().expire(since_ms);
     }
 
     /// Merges the streams that another VM tells of, and passes them on within this data centre if they come from another.
--- a/crates/wire/src/view.rs
+++ b/crates/wire/src/view.rs
@@ -6,6 +6,9 @@
 use waxwing_core::fleet::Position;
 use waxwing_core::fleet::view;
 use waxwing_core::forwarding::endpoints::Entry;
+use waxwing_core::forwarding::software_history::ListedSoftware;
+use waxwing_core::forwarding::software_history::SoftwareNews;
+use waxwing_core::forwarding::stream_origins::SoftwareKey;
 
 /// Version of the message format; messages of other versions are rejected.
 const VERSION: u8 = 1;
@@ -63,6 +66,19 @@
     sequence: u64,
 }
 
+#[derive(Debug, Serialize, Deserialize)]
+struct WireListedSoftware {
+    service: String,
+    software: u64,
+    age_ms: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct WireSoftwareNews {
+    complete_ms: u64,
+    versions: Vec<WireListedSoftware>,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct WireView {
     v: u8,
@@ -73,6 +89,9 @@
     whole: bool,
     removed: Vec<String>,
     entries: Vec<WireEntry>,
+    /// Absent in answers of earlier builds.
+    #[serde(default)]
+    software: Option<WireSoftwareNews>,
     configuration: WireWatermark,
     version: u64,
     document: Option<String>,
@@ -136,6 +155,40 @@
     }
 }
 
+impl From<&SoftwareNews> for WireSoftwareNews {
+    fn from(news: &SoftwareNews) -> Self {
+        let mut versions = Vec::new();
+        for listed in &news.versions {
+            versions.push(WireListedSoftware {
+                service: listed.service.as_str().to_owned(),
+                software: listed.software.0,
+                age_ms: listed.age_ms,
+            });
+        }
+        Self {
+            complete_ms: news.complete_ms,
+            versions,
+        }
+    }
+}
+
+impl From<WireSoftwareNews> for SoftwareNews {
+    fn from(wire: WireSoftwareNews) -> Self {
+        let mut versions = Vec::new();
+        for listed in wire.versions {
+            versions.push(ListedSoftware {
+                service: Name::from(listed.service),
+                software: SoftwareKey(listed.software),
+                age_ms: listed.age_ms,
+            });
+        }
+        Self {
+            complete_ms: wire.complete_ms,
+            versions,
+        }
+    }
+}
+
 impl From<&view::View> for WireView {
     fn from(view: &view::View) -> Self {
         let endpoints = &view.endpoints;
@@ -149,6 +202,7 @@
             whole: endpoints.is_full,
             removed: removed.map(|id| id.as_str().to_owned()).collect(),
             entries: endpoints.entries.iter().map(WireEntry::from).collect(),
+            software: endpoints.software.as_ref().map(WireSoftwareNews::from),
             configuration: view.configuration.watermark.into(),
             version: view.configuration.version,
             document: view.configuration.document.clone(),
@@ -174,6 +228,7 @@
                 is_full: wire.whole,
                 removed: wire.removed.into_iter().map(Name::from).collect(),
                 entries,
+                software: wire.software.map(SoftwareNews::from),
             },
             configuration: view::ConfigurationView {
                 watermark: wire.configuration.into(),
--- a/crates/wire/tests/view.rs
+++ b/crates/wire/tests/view.rs
@@ -11,6 +11,9 @@
 use waxwing_core::fleet::view::ViewRequest;
 use waxwing_core::fleet::view::Watermark;
 use waxwing_core::forwarding::endpoints::Entry;
+use waxwing_core::forwarding::software_history::ListedSoftware;
+use waxwing_core::forwarding::software_history::SoftwareNews;
+use waxwing_core::forwarding::stream_origins::SoftwareKey;
 use waxwing_wire::view;
 use waxwing_wire::view::Error;
 
@@ -44,6 +47,14 @@
             is_full: number(10) % 2 == 0,
             removed: vec![Name::from(text)],
             entries: vec![entry],
+            software: (number(15) % 2 == 0).then(|| SoftwareNews {
+                complete_ms: number(16),
+                versions: vec![ListedSoftware {
+                    service: Name::from(text),
+                    software: SoftwareKey(number(17)),
+                    age_ms: number(18),
+                }],
+            }),
         },
         configuration: ConfigurationView {
             watermark: watermark(11),
@@ -56,7 +67,7 @@
 proptest! {
     /// Guards against fields that are lost or changed by encoding and decoding.
     #[test]
-    fn round_trip(numbers in vec(any::<u64>(), 0..16), text in ".*") {
+    fn round_trip(numbers in vec(any::<u64>(), 0..20), text in ".*") {
         let sent = sample(&numbers, &text);
         let bytes = view::encode_view(&sent).unwrap();
         assert_eq!(view::decode_view(&bytes).unwrap(), sent);
