The longest gap between lists follows the interval of reports

A list that was more than 2.5 s old left a gap in the history of software versions, whatever log_service.endpoint_report_ms said. Where endpoints renew their entries each 0.5 s, an entry may be gone after 1.5 s, so that a version could come and go unseen and a stream be joined from two; where they do so each 2 s, streams were refused for no reason.

The entry of an endpoint that falls silent stays for three reports. Two are the longest gap now, and the third is left for the call that lists. At 1,200 ms this is 2,400 ms instead of 2,500.

--- a/crates/core/src/forwarding/endpoints.rs
+++ b/crates/core/src/forwarding/endpoints.rs
@@ -392,6 +392,14 @@
         Self::default()
     }
 
+    /// Creates an empty registry of endpoints that renew their entries every `report_ms`.
+    pub fn with_reports(report_ms: u64) -> Self {
+        Self {
+            software_history: SoftwareHistory::new(report_ms),
+            ..Self::default()
+        }
+    }
+
     /// Adds or updates an entry; an entry that is older than the known one is ignored.
     pub fn update(&mut self, entry: Entry) -> Option<Change> {
         let Some(key) = self.by_id.get(&entry.id).copied() else {
--- a/crates/core/src/forwarding/software_history.rs
+++ b/crates/core/src/forwarding/software_history.rs
@@ -9,10 +9,10 @@
 use crate::Name;
 use crate::forwarding::stream_origins::SoftwareKey;
 
-/// Longest time between two complete lists of endpoints in which no version can come and go unseen, in milliseconds.
+/// Reports of an endpoint between two complete lists within which no version can come and go unseen.
 ///
-/// The entry of an endpoint that falls silent stays for three of its reports.
-pub const LIST_GAP_MAX_MS: u64 = 2_500;
+/// The entry of an endpoint that falls silent stays for three of its reports; the third one is left for the call.
+const LIST_GAP_REPORTS: u64 = 2;
 
 /// A version of which an endpoint was listed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,6 +48,8 @@
 /// The software versions that have served lately, by service.
 #[derive(Debug, Default)]
 pub struct SoftwareHistory {
+    /// Longest time between two complete lists in which no version can come and go unseen, in milliseconds.
+    list_gap_max_ms: u64,
     /// Last time at which an endpoint of a version was listed, by service.
     listed_at_ms: HashMap<Name, HashMap<SoftwareKey, u64>>,
     /// Versions of the endpoints that were added or removed since the list was complete last.
@@ -59,6 +61,19 @@
 }
 
 impl SoftwareHistory {
+    /// Creates an empty history of endpoints that renew their entries every `report_ms`.
+    pub fn new(report_ms: u64) -> Self {
+        Self {
+            list_gap_max_ms: LIST_GAP_REPORTS * report_ms,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the time by which the last listing of a version may be older than its end, in milliseconds.
+    pub fn list_gap_max_ms(&self) -> u64 {
+        self.list_gap_max_ms
+    }
+
     /// Records that an endpoint of a version was listed at a time.
     pub fn record(&mut self, service: &Name, software: SoftwareKey, at_ms: u64) {
         let versions = match self.listed_at_ms.get_mut(service) {
@@ -91,7 +106,7 @@
         let told_since_ms = self.merge(source, now_ms);
         let gap_ms = as_of_ms.saturating_sub(self.confirmed_at_ms);
         let is_gapless = *source == ListSource::Records
-            || gap_ms <= LIST_GAP_MAX_MS
+            || gap_ms <= self.list_gap_max_ms
             || told_since_ms.is_some_and(|since_ms| since_ms <= self.confirmed_at_ms);
         let own_since_ms = self.complete_since_ms.filter(|_| is_gapless);
         let is_interrupted = self.complete_since_ms.is_some() && !is_gapless;
--- a/crates/core/tests/software_history.rs
+++ b/crates/core/tests/software_history.rs
@@ -1,14 +1,18 @@
 //! What a VM knows of the software versions that have served.
 
 use waxwing_core::Name;
-use waxwing_core::forwarding::software_history::LIST_GAP_MAX_MS;
 use waxwing_core::forwarding::software_history::ListSource;
 use waxwing_core::forwarding::software_history::ListedSoftware;
 use waxwing_core::forwarding::software_history::SoftwareHistory;
 use waxwing_core::forwarding::software_history::SoftwareNews;
 use waxwing_core::forwarding::stream_origins::SoftwareKey;
 
-const LONG_GAP_MS: u64 = 2 * LIST_GAP_MAX_MS;
+const REPORT_MS: u64 = 500;
+
+/// The entry of an endpoint stays for three reports.
+const LIST_GAP_MS: u64 = 2 * REPORT_MS;
+
+const LONG_GAP_MS: u64 = 3 * REPORT_MS;
 
 fn pool() -> Name {
     Name::from("pool")
@@ -20,7 +24,7 @@
 
 /// Returns a history that is complete from a time on.
 fn complete_since(at_ms: u64) -> SoftwareHistory {
-    let mut history = SoftwareHistory::default();
+    let mut history = SoftwareHistory::new(REPORT_MS);
     history.confirm(at_ms, &ListSource::List, at_ms);
     history
 }
@@ -30,7 +34,7 @@
 fn gap_by_source() {
     for (source, gap_ms, is_complete) in [
         (ListSource::Records, LONG_GAP_MS, true),
-        (ListSource::List, LIST_GAP_MAX_MS, true),
+        (ListSource::List, LIST_GAP_MS, true),
         (ListSource::List, LONG_GAP_MS, false),
     ] {
         let mut history = complete_since(1_000);
@@ -90,7 +94,7 @@
         complete_ms: 500,
         versions: Vec::new(),
     };
-    let at_ms = 10_000 + LIST_GAP_MAX_MS;
+    let at_ms = 10_000 + LIST_GAP_MS;
     history.confirm(at_ms, &ListSource::Told(news), at_ms);
     assert!(history.is_complete_since(10_000));
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -171,6 +171,7 @@
             slack: settings.repeats.slack,
             window_ms: settings.repeats.window_s * 1_000,
         };
+        let report_ms = settings.log_service.endpoint_report_ms;
         let vm = Name::from(settings.vm.name.as_str());
         let data_centre = Name::from(settings.vm.data_centre.as_str());
         let peers_config = PeersConfig {
@@ -187,7 +188,7 @@
             adapter,
             admission: admission::Config::from(&settings.admission),
             placement: placement::Config::from(&settings.placement),
-            endpoints: RefCell::new(Endpoints::new()),
+            endpoints: RefCell::new(Endpoints::with_reports(report_ms)),
             demand_tracker: RefCell::new(DemandTracker::default()),
             budget: RefCell::new(RepeatBudget::new(budget, clock.now_ms())),
             peers: RefCell::new(Peers::new(peers_config)),
--- a/crates/gateway/src/stream_origins.rs
+++ b/crates/gateway/src/stream_origins.rs
@@ -13,7 +13,6 @@
 use waxwing_core::fleet::Position;
 use waxwing_core::forwarding::configuration::Route;
 use waxwing_core::forwarding::endpoints::notices::Incarnation;
-use waxwing_core::forwarding::software_history::LIST_GAP_MAX_MS;
 use waxwing_core::forwarding::stream_origins::AttemptKey;
 use waxwing_core::forwarding::stream_origins::Learned;
 use waxwing_core::forwarding::stream_origins::NEWS_MS;
@@ -137,7 +136,7 @@
         let since_ms = now_ms.saturating_sub(route.timeout_ms + TAKE_UP_SLACK_MS);
         let endpoints = self.endpoints.borrow();
         let history = endpoints.software_history();
-        let listed_since_ms = since_ms.saturating_sub(LIST_GAP_MAX_MS);
+        let listed_since_ms = since_ms.saturating_sub(history.list_gap_max_ms());
         let mut versions = Vec::new();
         for target in &route.targets {
             versions.extend(history.versions_since(&target.service, listed_since_ms));
@@ -229,10 +228,10 @@
 
     /// Returns whether several versions of a service have served within the time in which streams may be taken up.
     pub fn has_mixed_software(&self) -> bool {
-        let span_ms = self.stream_span_ms() + LIST_GAP_MAX_MS;
-        let since_ms = self.clock.now_ms().saturating_sub(span_ms);
         let endpoints = self.endpoints.borrow();
-        endpoints.software_history().is_mixed_since(since_ms)
+        let history = endpoints.software_history();
+        let span_ms = self.stream_span_ms() + history.list_gap_max_ms();
+        history.is_mixed_since(self.clock.now_ms().saturating_sub(span_ms))
     }
 
     /// Returns the streams that are to be written to the log service.
@@ -291,9 +290,10 @@
         if self.configuration().is_none() {
             return;
         }
-        let since_ms = now_ms.saturating_sub(self.stream_span_ms() + LIST_GAP_MAX_MS);
         let mut endpoints = self.endpoints.borrow_mut();
-        endpoints.software_history_mut().expire(since_ms);
+        let history = endpoints.software_history_mut();
+        let span_ms = self.stream_span_ms() + history.list_gap_max_ms();
+        history.expire(now_ms.saturating_sub(span_ms));
     }
 
     /// Merges the streams that another VM tells of, and passes them on within this data centre if they come from another.
