--- a/review/sim-3/http.rs
+++ b/review/sim-3/http.rs
@@ -1,8 +1,13 @@
 //! A small HTTP/1.1 reader and writer for the stand-ins.
 
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::time::{Duration, Instant};
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+use std::time::Instant;
 
 /// The first line and the headers of a message.
 #[derive(Clone, Debug, Default)]
@@ -14,7 +19,10 @@
 impl Head {
     /// Returns a header's value; names are compared without case.
     pub fn get(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(known, _)| known.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(known, _)| known.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -26,7 +34,11 @@
 
     /// Returns the status of a response.
     pub fn status(&self) -> u16 {
-        self.first.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
+        self.first
+            .split(' ')
+            .nth(1)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0)
     }
 }
 
@@ -48,17 +60,23 @@
         if head.first.is_empty() {
             head.first = line.to_owned();
         } else if let Some((name, value)) = line.split_once(':') {
-            head.headers.push((name.trim().to_owned(), value.trim().to_owned()));
+            head.headers
+                .push((name.trim().to_owned(), value.trim().to_owned()));
         }
     }
 }
 
 /// Reads a body by its length or its chunks; `None` if it is not complete.
 pub fn read_body(reader: &mut impl BufRead, head: &Head) -> Option<Vec<u8>> {
-    let chunked = head.get("transfer-encoding").is_some_and(|text| text.contains("chunked"));
+    let chunked = head
+        .get("transfer-encoding")
+        .is_some_and(|text| text.contains("chunked"));
     let mut body = Vec::new();
     if !chunked {
-        let length: usize = head.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let length: usize = head
+            .get("content-length")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         body.resize(length, 0);
         reader.read_exact(&mut body).ok()?;
         return Some(body);
@@ -88,16 +106,14 @@
 }
 
 /// Sends one request on a new connection and reads the answer; `Err` says why there was no head.
-pub fn call(
-    address: SocketAddr,
-    request: &[u8],
-    limit: Duration,
-) -> Result<Reply, &'static str> {
+pub fn call(address: SocketAddr, request: &[u8], limit: Duration) -> Result<Reply, &'static str> {
     let began = Instant::now();
-    let mut stream =
-        TcpStream::connect_timeout(&address, Duration::from_secs(1)).map_err(|_| "no connection")?;
+    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))
+        .map_err(|_| "no connection")?;
     let _ = stream.set_nodelay(true);
-    let left = limit.saturating_sub(began.elapsed()).max(Duration::from_millis(1));
+    let left = limit
+        .saturating_sub(began.elapsed())
+        .max(Duration::from_millis(1));
     let _ = stream.set_read_timeout(Some(left));
     stream.write_all(request).map_err(|_| "not written")?;
     let mut reader = BufReader::new(stream);
--- a/review/sim-3/main.rs
+++ b/review/sim-3/main.rs
@@ -23,10 +23,8 @@
     let play = match case.as_str() {
         "memory" => memory::play,
         "late" => late::play,
-        "kills" => crash::play_kills,
-        "failures" => crash::play_failures,
-        "service" => stray::play_service,
-        "server" => stray::play_server,
+        "failures" => crash::play,
+        "service" => stray::play,
         _ => {
             eprintln!("no case {case}");
             std::process::exit(2);
