--- a/review/sim-3/engine.rs
+++ b/review/sim-3/engine.rs
@@ -31,6 +31,15 @@
     Answer { after_ms: u64, bytes: usize },
     /// Answers with its own failure.
     Fail { after_ms: u64 },
+    /// Streams events with this gap, and pauses once after some of them, as when the request is preempted.
+    Stream {
+        from: u64,
+        events: u64,
+        gap_ms: u64,
+        pause: Option<(u64, u64)>,
+    },
+    /// Runs the request, and its answer is lost.
+    Lose { work_ms: u64 },
     /// Ends, with all connections.
     Crash { after_ms: u64 },
 }
@@ -211,6 +220,29 @@
         let _ = writer.shutdown(Shutdown::Both);
     }
 
+    /// Works for a time, or until the caller closes the connection; returns which of the two.
+    fn work(&self, connection: &TcpStream, work_ms: u64) -> &'static str {
+        let until = std::time::Instant::now() + Duration::from_millis(work_ms);
+        let _ = connection.set_read_timeout(Some(Duration::from_millis(5)));
+        let mut end = "done";
+        while std::time::Instant::now() < until {
+            match connection.peek(&mut [0]) {
+                Ok(0) => {
+                    end = "closed";
+                    break;
+                }
+                Ok(_) => std::thread::sleep(Duration::from_millis(5)),
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(_) => {
+                    end = "closed";
+                    break;
+                }
+            }
+        }
+        let _ = connection.set_read_timeout(None);
+        end
+    }
+
     /// Works on a request; returns whether the connection goes on.
     fn act(&self, head: &http::Head, attempt: &str, writer: &mut TcpStream) -> bool {
         let wait = |ms| std::thread::sleep(Duration::from_millis(ms));
@@ -248,6 +280,46 @@
                     .write_all(answer("500 Internal Server Error", 0).as_bytes())
                     .is_ok()
             }
+            Action::Lose { work_ms } => {
+                self.log
+                    .write(&format!("begin engine={} attempt={attempt}", self.id));
+                let end = self.work(writer, work_ms);
+                self.log
+                    .write(&format!("{end} engine={} attempt={attempt}", self.id));
+                wait(10_000);
+                false
+            }
+            Action::Stream {
+                from,
+                events,
+                gap_ms,
+                pause,
+            } => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nX-Waxwingrouter-Attempt-Id: {attempt}\r\nX-Waxwingrouter-Response-Stamp: s.{attempt}\r\n\
+                     Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                );
+                self.log
+                    .write(&format!("begin engine={} attempt={attempt}", self.id));
+                let mut end = "done";
+                let mut is_sent = writer.write_all(head.as_bytes()).is_ok();
+                for id in from + 1..=events {
+                    let paused_ms = pause
+                        .filter(|(after, _)| *after == id)
+                        .map_or(0, |(_, ms)| ms);
+                    end = self.work(writer, gap_ms + paused_ms);
+                    let event = format!("id: {id}\ndata: token-{id}\n\n");
+                    let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+                    is_sent &= writer.write_all(chunk.as_bytes()).is_ok();
+                    if end != "done" || !is_sent {
+                        end = "closed";
+                        break;
+                    }
+                }
+                self.log
+                    .write(&format!("{end} engine={} attempt={attempt}", self.id));
+                is_sent && end == "done" && writer.write_all(b"0\r\n\r\n").is_ok()
+            }
             Action::Crash { after_ms } => {
                 wait(after_ms);
                 self.log.write(&format!(
--- a/review/sim-3/main.rs
+++ b/review/sim-3/main.rs
@@ -8,6 +8,7 @@
 mod late;
 mod memory;
 mod record;
+mod resume;
 mod router;
 mod stage;
 mod store;
@@ -23,6 +24,7 @@
     let play = match case.as_str() {
         "memory" => memory::play,
         "late" => late::play,
+        "resume" => resume::play,
         "failures" => crash::play,
         "service" => stray::play,
         _ => {
